--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+SECONDS ?= 20
+SEED ?= 1
+
+.PHONY: demo test lint unit capacity bench clean
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: $(VENV)/.installed
+	$(PYTHON) -m azurerelay demo --seconds $(SECONDS) --seed $(SEED)
+
+test: lint unit
+
+lint: $(VENV)/.installed
+	$(PYTHON) -m black --quiet --check src tests bench
+	$(PYTHON) -m ruff check --quiet src tests bench
+	$(PYTHON) -m mypy
+
+unit: $(VENV)/.installed
+	$(PYTHON) tests/run.py
+
+clean:
+	rm -rf $(VENV) .mypy_cache .ruff_cache
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the product, as ratios within one run."""
--- /dev/null
+++ b/src/azurerelay/__init__.py
@@ -0,0 +1,1 @@
+"""azurerelay: a database proxy with session consistency."""
--- /dev/null
+++ b/src/azurerelay/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The command line."""
+
+from azurerelay.cli._app import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/azurerelay/cli/_app.py
@@ -0,0 +1,20 @@
+"""The commands of azurerelay."""
+
+import typer
+
+from azurerelay.cli import _daemon_commands, _demo_command, _operator_commands
+
+app = typer.Typer(
+    name="azurerelay",
+    help="A database proxy with session consistency.",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+)
+_daemon_commands.register(app)
+_demo_command.register(app)
+_operator_commands.register(app)
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/src/azurerelay/cli/_demo_command.py
@@ -0,0 +1,7 @@
+"""The demo command."""
+
+import typer
+
+
+def register(app: typer.Typer) -> None:
+    """Add the command to the application."""
--- /dev/null
+++ b/src/azurerelay/consensus/__init__.py
@@ -0,0 +1,41 @@
+"""The replicated log of the control hosts, as a state machine without I/O."""
+
+from azurerelay.consensus._journal import Journal, JournalState
+from azurerelay.consensus._log import Log
+from azurerelay.consensus._messages import (
+    CONSENSUS_MESSAGES,
+    AppendReply,
+    AppendRequest,
+    Entry,
+    HardState,
+    SnapshotChunk,
+    SnapshotMark,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+from azurerelay.consensus._proposal_lost import ProposalLost
+from azurerelay.consensus._raft_config import RaftConfig
+from azurerelay.consensus._raft_node import RaftNode, Role
+from azurerelay.consensus._state_machine import StateMachine
+
+__all__ = [
+    "CONSENSUS_MESSAGES",
+    "AppendReply",
+    "AppendRequest",
+    "Entry",
+    "HardState",
+    "Journal",
+    "JournalState",
+    "Log",
+    "ProposalLost",
+    "RaftConfig",
+    "RaftNode",
+    "Role",
+    "SnapshotChunk",
+    "SnapshotMark",
+    "SnapshotReply",
+    "StateMachine",
+    "VoteReply",
+    "VoteRequest",
+]
--- /dev/null
+++ b/src/azurerelay/consensus/_messages.py
@@ -0,0 +1,106 @@
+"""Messages and stored records of the replicated log.
+
+The protocol follows Ongaro and Ousterhout, "In Search of an Understandable
+Consensus Algorithm" (2014), with the pre-vote phase of Ongaro's thesis.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One log entry; `payload` is an encoded command, empty for a new leader."""
+
+    index: int
+    term: int
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HardState:
+    """The term and the vote, which must be durable before any answer."""
+
+    term: int
+    voted_for: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotMark:
+    """The last entry that a snapshot covers, and its length in bytes."""
+
+    index: int
+    term: int
+    length: int
+
+
+@dataclass(frozen=True, slots=True)
+class VoteRequest:
+    """Ask for a vote; with `is_pre_vote`, only whether one would be given."""
+
+    term: int
+    is_pre_vote: bool
+    last_index: int
+    last_term: int
+
+
+@dataclass(frozen=True, slots=True)
+class VoteReply:
+    """Answer a vote request of the same term and phase."""
+
+    term: int
+    is_pre_vote: bool
+    is_granted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AppendRequest:
+    """Replicate entries after `previous_index`; without entries, a heartbeat."""
+
+    term: int
+    round: int
+    previous_index: int
+    previous_term: int
+    commit_index: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AppendReply:
+    """Answer an append: `match_index` on success, else where to go on from."""
+
+    term: int
+    round: int
+    is_success: bool
+    match_index: int
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotChunk:
+    """A part of a snapshot, for a follower whose next entry is compacted."""
+
+    term: int
+    round: int
+    mark: SnapshotMark
+    offset: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotReply:
+    """The number of snapshot bytes received; the mark's length when installed."""
+
+    term: int
+    round: int
+    index: int
+    received: int
+
+
+CONSENSUS_MESSAGES: Final = (
+    VoteRequest,
+    VoteReply,
+    AppendRequest,
+    AppendReply,
+    SnapshotChunk,
+    SnapshotReply,
+)
--- /dev/null
+++ b/src/azurerelay/consensus/_peer.py
@@ -0,0 +1,15 @@
+"""What a leader knows of one follower."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Peer:
+    """Replication progress of one follower, and when it was last heard."""
+
+    match_index: int = 0
+    next_index: int = 1
+    acked_round: int = 0
+    heard_ms: float = 0.0
+    sent_ms: float | None = None
+    snapshot_offset: int | None = None
--- /dev/null
+++ b/src/azurerelay/consensus/_raft_node.py
@@ -0,0 +1,628 @@
+"""Leader election and log replication."""
+
+import random
+from collections.abc import Callable, Iterable
+from enum import Enum
+from typing import Any, Final
+
+from result import Err, Ok, Result
+
+from azurerelay.consensus._journal import Journal, JournalState
+from azurerelay.consensus._log import Log
+from azurerelay.consensus._messages import (
+    AppendReply,
+    AppendRequest,
+    Entry,
+    HardState,
+    SnapshotChunk,
+    SnapshotMark,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+from azurerelay.consensus._peer import Peer
+from azurerelay.consensus._proposal_lost import ProposalLost
+from azurerelay.consensus._raft_config import RaftConfig
+from azurerelay.consensus._state_machine import StateMachine
+from azurerelay.messages import Link
+from azurerelay.storage import DiskError
+from azurerelay.timing import Promise, Timer, TimerService
+
+DISK_RETRY_MS: Final = 1000.0
+
+
+class Role(Enum):
+    """What a voter does at the moment."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class RaftNode:
+    """One voter: elects a leader, replicates entries and applies committed ones.
+
+    Every vote, term and entry is synced before an answer depends on it. When the
+    disk fails the node steps down and stays silent until a rewrite succeeds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        voters: Iterable[str],
+        link: Link,
+        timers: TimerService,
+        random_source: random.Random,
+        journal: Journal,
+        state: JournalState,
+        machine: StateMachine,
+        config: RaftConfig | None = None,
+    ) -> None:
+        self._name = name
+        self._peers = {voter: Peer() for voter in sorted(voters) if voter != name}
+        self._link = link
+        self._timers = timers
+        self._random = random_source
+        self._journal = journal
+        self._machine = machine
+        self._config = config or RaftConfig()
+        self._term = state.hard_state.term
+        self._voted_for = state.hard_state.voted_for
+        self._log: Log = state.log
+        self._mark = state.snapshot_mark
+        self._snapshot = state.snapshot
+        self._role = Role.FOLLOWER
+        self._leader: str | None = None
+        self._votes: set[str] = set()
+        self._is_pre_vote = False
+        self._commit_index = state.log.base_index
+        self._applied_index = state.log.base_index
+        self._durable_index = state.log.last_index
+        self._round = 0
+        self._quorum_round = 0
+        self._term_start_index = 0
+        self._leader_heard_ms = float("-inf")
+        self._leading_since_ms = 0.0
+        self._proposals: dict[int, tuple[int, Promise[Result[Any, ProposalLost]]]] = {}
+        self._confirmations: list[tuple[int, Promise[bool]]] = []
+        self._incoming = bytearray()
+        self._incoming_mark: SnapshotMark | None = None
+        self._election_timer: Timer | None = None
+        self._is_flush_due = False
+        self._disk_error: str | None = None
+        self._role_listeners: list[Callable[[], None]] = []
+        self._elections_started = 0
+        if self._mark is not None:
+            machine.restore(self._snapshot)
+
+    @property
+    def role(self) -> Role:
+        """What this voter does now."""
+        return self._role
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this voter leads its term, as far as it knows."""
+        return self._role is Role.LEADER
+
+    @property
+    def is_ready_leader(self) -> bool:
+        """Whether this voter leads and has applied an entry of its own term."""
+        return self.is_leader and self._applied_index >= self._term_start_index
+
+    @property
+    def leader(self) -> str | None:
+        """The leader of the current term, if known."""
+        return self._leader
+
+    @property
+    def term(self) -> int:
+        """The current term."""
+        return self._term
+
+    @property
+    def commit_index(self) -> int:
+        """The highest index known to be committed."""
+        return self._commit_index
+
+    @property
+    def applied_index(self) -> int:
+        """The highest index applied to the state machine."""
+        return self._applied_index
+
+    @property
+    def leading_since_ms(self) -> float:
+        """When this voter became leader, in monotonic milliseconds."""
+        return self._leading_since_ms
+
+    @property
+    def log(self) -> Log:
+        """The log; not to be changed from outside."""
+        return self._log
+
+    @property
+    def disk_error(self) -> str | None:
+        """Why nothing can be stored, or None."""
+        return self._disk_error
+
+    @property
+    def elections_started(self) -> int:
+        """How many elections, without pre-votes, this voter has started."""
+        return self._elections_started
+
+    @property
+    def _quorum(self) -> int:
+        return (len(self._peers) + 1) // 2 + 1
+
+    def add_role_listener(self, listener: Callable[[], None]) -> None:
+        """Call back after each gain or loss of leadership."""
+        self._role_listeners.append(listener)
+
+    def start(self) -> None:
+        """Begin to wait for a leader."""
+        self._reset_election_timer()
+        self._timers.subscribe(self._config.heartbeat_ms, self._on_heartbeat)
+        if not self._peers:
+            self._campaign(is_pre_vote=True)
+
+    def propose(self, payload: bytes) -> Promise[Result[Any, ProposalLost]]:
+        """Append a command; the promise holds its result once it is applied."""
+        if not self.is_leader:
+            return Promise.of(Err(ProposalLost(True, self._leader)))
+        promise: Promise[Result[Any, ProposalLost]] = Promise()
+        index = self._append_as_leader(payload)
+        self._proposals[index] = (self._term, promise)
+        return promise
+
+    def confirm_leadership(self) -> Promise[bool]:
+        """Return True once a quorum has followed this leader after the call."""
+        if not self.is_leader:
+            return Promise.of(False)
+        if not self._peers:
+            return Promise.of(True)
+        promise: Promise[bool] = Promise()
+        self._confirmations.append((self._round + 1, promise))
+        if self._quorum_round == self._round:
+            self._broadcast()
+        return promise
+
+    def on_message(self, sender: str, message: Any) -> None:
+        """Handle a message of another voter; others are ignored."""
+        if sender not in self._peers or self._disk_error is not None:
+            return
+        try:
+            self._dispatch(sender, message)
+        except DiskError as error:
+            self._fail_disk(error)
+
+    def _dispatch(self, sender: str, message: Any) -> None:
+        if isinstance(message, VoteRequest):
+            self._on_vote_request(sender, message)
+        elif isinstance(message, VoteReply):
+            self._on_vote_reply(sender, message)
+        elif isinstance(message, AppendRequest):
+            self._on_append_request(sender, message)
+        elif isinstance(message, AppendReply):
+            self._on_append_reply(sender, message)
+        elif isinstance(message, SnapshotChunk):
+            self._on_snapshot_chunk(sender, message)
+        elif isinstance(message, SnapshotReply):
+            self._on_snapshot_reply(sender, message)
+
+    # Elections
+
+    def _reset_election_timer(self) -> None:
+        if self._election_timer is not None:
+            self._election_timer.cancel()
+        delay_ms = self._random.uniform(
+            self._config.election_min_ms, self._config.election_max_ms
+        )
+        self._election_timer = self._timers.call_later(delay_ms, self._on_election)
+
+    def _on_election(self) -> None:
+        self._reset_election_timer()
+        if self._role is not Role.LEADER and self._disk_error is None:
+            try:
+                self._campaign(is_pre_vote=True)
+            except DiskError as error:
+                self._fail_disk(error)
+
+    def _campaign(self, is_pre_vote: bool) -> None:
+        self._role = Role.CANDIDATE
+        self._leader = None
+        self._is_pre_vote = is_pre_vote
+        self._votes = {self._name}
+        if not is_pre_vote:
+            self._elections_started += 1
+            self._save_hard_state(self._term + 1, self._name)
+        term = self._term + 1 if is_pre_vote else self._term
+        request = VoteRequest(
+            term, is_pre_vote, self._log.last_index, self._log.last_term
+        )
+        for peer in self._peers:
+            self._link.send(peer, request)
+        self._count_votes()
+
+    def _count_votes(self) -> None:
+        if len(self._votes) < self._quorum:
+            return
+        if self._is_pre_vote:
+            self._campaign(is_pre_vote=False)
+        else:
+            self._become_leader()
+
+    def _has_live_leader(self) -> bool:
+        if self.is_leader:
+            return True
+        silence_ms = self._timers.now_ms() - self._leader_heard_ms
+        return silence_ms < self._config.election_min_ms
+
+    def _on_vote_request(self, sender: str, request: VoteRequest) -> None:
+        is_current = (request.last_term, request.last_index) >= (
+            self._log.last_term,
+            self._log.last_index,
+        )
+        if self._has_live_leader():
+            is_granted = False
+        elif request.is_pre_vote:
+            is_granted = is_current and request.term > self._term
+        else:
+            if request.term > self._term:
+                self._step_down(request.term)
+            is_free = self._voted_for in (None, sender)
+            is_granted = is_current and is_free and request.term == self._term
+            if is_granted:
+                self._save_hard_state(self._term, sender)
+                self._reset_election_timer()
+        term = request.term if is_granted else self._term
+        self._link.send(sender, VoteReply(term, request.is_pre_vote, is_granted))
+
+    def _on_vote_reply(self, sender: str, reply: VoteReply) -> None:
+        if not reply.is_granted:
+            if reply.term > self._term:
+                self._step_down(reply.term)
+            return
+        expected = self._term + 1 if self._is_pre_vote else self._term
+        is_ours = reply.term == expected and reply.is_pre_vote == self._is_pre_vote
+        if self._role is Role.CANDIDATE and is_ours:
+            self._votes.add(sender)
+            self._count_votes()
+
+    def _become_leader(self) -> None:
+        self._role = Role.LEADER
+        self._leader = self._name
+        self._leading_since_ms = self._timers.now_ms()
+        for voter in self._peers:
+            self._peers[voter] = Peer(
+                next_index=self._log.last_index + 1, heard_ms=self._leading_since_ms
+            )
+        self._quorum_round = self._round
+        self._term_start_index = self._append_as_leader(b"")
+        self._notify_role()
+
+    def _step_down(self, term: int) -> None:
+        was_leader = self.is_leader
+        if term > self._term:
+            self._save_hard_state(term, None)
+        self._role = Role.FOLLOWER
+        self._leader = None
+        if was_leader:
+            self._abandon_waiters()
+            self._reset_election_timer()
+            self._notify_role()
+
+    def _abandon_waiters(self) -> None:
+        proposals = list(self._proposals.values())
+        confirmations = self._confirmations
+        self._proposals.clear()
+        self._confirmations = []
+        for _, proposal in proposals:
+            proposal.resolve(Err(ProposalLost(False, self._leader)))
+        for _, confirmation in confirmations:
+            confirmation.resolve(False)
+
+    def _notify_role(self) -> None:
+        for listener in self._role_listeners:
+            listener()
+
+    # Leading
+
+    def _append_as_leader(self, payload: bytes) -> int:
+        index = self._log.last_index + 1
+        self._log.append([Entry(index, self._term, payload)])
+        if not self._is_flush_due:
+            self._is_flush_due = True
+            self._timers.call_later(0.0, self._flush)
+        return index
+
+    def _flush(self) -> None:
+        self._is_flush_due = False
+        if not self.is_leader or self._disk_error is not None:
+            return
+        try:
+            self._sync_log()
+        except DiskError as error:
+            self._fail_disk(error)
+            return
+        self._broadcast()
+        self._advance_commit()
+
+    def _sync_log(self) -> None:
+        count = self._log.last_index - self._durable_index
+        if count > 0:
+            self._journal.append(self._log.slice(self._durable_index + 1, count))
+            self._durable_index = self._log.last_index
+
+    def _on_heartbeat(self) -> None:
+        if self._disk_error is not None or not self.is_leader:
+            return
+        if not self._has_quorum():
+            self._step_down(self._term)
+            return
+        self._broadcast()
+
+    def _has_quorum(self) -> bool:
+        horizon_ms = self._timers.now_ms() - self._config.election_max_ms
+        heard = sum(peer.heard_ms >= horizon_ms for peer in self._peers.values())
+        return heard + 1 >= self._quorum
+
+    def _broadcast(self) -> None:
+        self._round += 1
+        if not self._peers:
+            self._quorum_round = self._round
+        for voter, peer in self._peers.items():
+            self._send_append(voter, peer)
+
+    def _send_append(self, voter: str, peer: Peer) -> None:
+        if peer.next_index <= self._log.base_index:
+            self._send_snapshot(voter, peer)
+            return
+        now_ms = self._timers.now_ms()
+        is_waiting = (
+            peer.sent_ms is not None and now_ms - peer.sent_ms < self._config.resend_ms
+        )
+        previous = peer.next_index - 1
+        entries: tuple[Entry, ...] = ()
+        if not is_waiting:
+            available = max(0, self._durable_index - previous)
+            count = min(self._config.batch_entries, available)
+            entries = self._log.slice(peer.next_index, count)
+            peer.sent_ms = now_ms if entries else None
+        previous_term = self._log.term_at(previous) or 0
+        self._link.send(
+            voter,
+            AppendRequest(
+                self._term,
+                self._round,
+                previous,
+                previous_term,
+                self._commit_index,
+                entries,
+            ),
+        )
+
+    def _send_snapshot(self, voter: str, peer: Peer) -> None:
+        assert self._mark is not None
+        offset = min(peer.snapshot_offset or 0, len(self._snapshot))
+        data = self._snapshot[offset : offset + self._config.chunk_bytes]
+        self._link.send(
+            voter, SnapshotChunk(self._term, self._round, self._mark, offset, data)
+        )
+
+    def _on_append_reply(self, sender: str, reply: AppendReply) -> None:
+        if not self._accept_reply(sender, reply.term, reply.round):
+            return
+        peer = self._peers[sender]
+        if reply.is_success:
+            peer.match_index = max(peer.match_index, reply.match_index)
+            peer.next_index = peer.match_index + 1
+        else:
+            floor = peer.match_index + 1
+            peer.next_index = max(floor, min(peer.next_index - 1, reply.match_index))
+        if peer.sent_ms is not None or not reply.is_success:
+            peer.sent_ms = None
+            if peer.next_index <= self._durable_index:
+                self._send_append(sender, peer)
+        self._advance_commit()
+
+    def _accept_reply(self, sender: str, term: int, round_number: int) -> bool:
+        if term > self._term:
+            self._step_down(term)
+            return False
+        if not self.is_leader or term != self._term:
+            return False
+        peer = self._peers[sender]
+        peer.heard_ms = self._timers.now_ms()
+        peer.acked_round = max(peer.acked_round, round_number)
+        self._settle_confirmations()
+        return True
+
+    def _settle_confirmations(self) -> None:
+        rounds = [peer.acked_round for peer in self._peers.values()]
+        rounds.append(self._round)
+        confirmed = sorted(rounds, reverse=True)[self._quorum - 1]
+        self._quorum_round = max(self._quorum_round, confirmed)
+        ready = [p for target, p in self._confirmations if target <= confirmed]
+        if not ready:
+            return
+        self._confirmations = [
+            (target, p) for target, p in self._confirmations if target > confirmed
+        ]
+        for promise in ready:
+            promise.resolve(True)
+        if self._confirmations and self._quorum_round == self._round:
+            self._broadcast()
+
+    def _advance_commit(self) -> None:
+        matches = [peer.match_index for peer in self._peers.values()]
+        matches.append(self._durable_index)
+        candidate = sorted(matches, reverse=True)[self._quorum - 1]
+        is_own_term = self._log.term_at(candidate) == self._term
+        if candidate > self._commit_index and is_own_term:
+            self._commit_index = candidate
+            self._apply()
+
+    # Following
+
+    def _on_append_request(self, sender: str, request: AppendRequest) -> None:
+        if request.term < self._term:
+            self._link.send(sender, AppendReply(self._term, request.round, False, 0))
+            return
+        self._follow(sender, request.term)
+        reply = self._store_entries(request)
+        self._link.send(sender, reply)
+
+    def _follow(self, leader: str, term: int) -> None:
+        if term > self._term or self._role is not Role.FOLLOWER:
+            self._step_down(term)
+        self._leader = leader
+        self._leader_heard_ms = self._timers.now_ms()
+        self._reset_election_timer()
+
+    def _store_entries(self, request: AppendRequest) -> AppendReply:
+        previous = request.previous_index
+        if previous < self._log.base_index:
+            covered = self._log.base_index
+            return AppendReply(self._term, request.round, True, covered)
+        if self._log.term_at(previous) != request.previous_term:
+            hint = min(previous, self._log.last_index + 1)
+            return AppendReply(self._term, request.round, False, max(1, hint))
+        self._append_new(request.entries)
+        match_index = previous + len(request.entries)
+        commit_index = min(request.commit_index, match_index)
+        if commit_index > self._commit_index:
+            self._commit_index = commit_index
+            self._apply()
+        return AppendReply(self._term, request.round, True, match_index)
+
+    def _append_new(self, entries: tuple[Entry, ...]) -> None:
+        for position, entry in enumerate(entries):
+            if self._log.term_at(entry.index) == entry.term:
+                continue
+            if entry.index <= self._log.last_index:
+                self._log.truncate_from(entry.index)
+            self._log.append(entries[position:])
+            self._journal.append(entries[position:])
+            break
+        self._durable_index = self._log.last_index
+
+    def _on_snapshot_chunk(self, sender: str, chunk: SnapshotChunk) -> None:
+        if chunk.term < self._term:
+            reply = SnapshotReply(self._term, chunk.round, chunk.mark.index, 0)
+            self._link.send(sender, reply)
+            return
+        self._follow(sender, chunk.term)
+        received = self._receive_chunk(chunk)
+        self._link.send(
+            sender, SnapshotReply(self._term, chunk.round, chunk.mark.index, received)
+        )
+
+    def _receive_chunk(self, chunk: SnapshotChunk) -> int:
+        mark = chunk.mark
+        if mark.index <= self._commit_index:
+            return mark.length
+        if self._incoming_mark != mark:
+            self._incoming_mark = mark
+            self._incoming = bytearray()
+        if chunk.offset == len(self._incoming):
+            self._incoming += chunk.data
+        if len(self._incoming) < mark.length:
+            return len(self._incoming)
+        self._install_snapshot(mark, bytes(self._incoming))
+        return mark.length
+
+    def _install_snapshot(self, mark: SnapshotMark, data: bytes) -> None:
+        self._log.compact(mark.index, mark.term)
+        self._mark = mark
+        self._snapshot = data
+        self._incoming_mark = None
+        self._incoming = bytearray()
+        self._machine.restore(data)
+        self._commit_index = mark.index
+        self._applied_index = mark.index
+        self._save_compacted()
+
+    def _on_snapshot_reply(self, sender: str, reply: SnapshotReply) -> None:
+        if not self._accept_reply(sender, reply.term, reply.round):
+            return
+        peer = self._peers[sender]
+        if self._mark is None or reply.index != self._mark.index:
+            peer.snapshot_offset = 0
+            return
+        if reply.received >= self._mark.length:
+            peer.snapshot_offset = None
+            peer.match_index = max(peer.match_index, reply.index)
+            peer.next_index = peer.match_index + 1
+        else:
+            peer.snapshot_offset = reply.received
+        peer.sent_ms = None
+        self._send_append(sender, peer)
+
+    # Applying and storing
+
+    def _apply(self) -> None:
+        while self._applied_index < self._commit_index:
+            index = self._applied_index + 1
+            entry = self._log.slice(index, 1)[0]
+            outcome: Any = None
+            if entry.payload:
+                outcome = self._machine.apply(index, entry.payload)
+            self._applied_index = index
+            self._resolve_proposal(index, entry.term, outcome)
+        if self._applied_index - self._log.base_index >= self._config.snapshot_entries:
+            self._take_snapshot()
+
+    def _resolve_proposal(self, index: int, term: int, outcome: Any) -> None:
+        waiting = self._proposals.pop(index, None)
+        if waiting is None:
+            return
+        proposed_term, promise = waiting
+        if proposed_term == term:
+            promise.resolve(Ok(outcome))
+        else:
+            promise.resolve(Err(ProposalLost(False, self._leader)))
+
+    def _take_snapshot(self) -> None:
+        index = self._applied_index
+        term = self._log.term_at(index) or 0
+        data = self._machine.snapshot()
+        self._mark = SnapshotMark(index, term, len(data))
+        self._snapshot = data
+        self._log.compact(index, term)
+        for peer in self._peers.values():
+            peer.snapshot_offset = None
+        try:
+            self._save_compacted()
+        except DiskError as error:
+            self._fail_disk(error)
+
+    def _save_compacted(self) -> None:
+        if self._mark is not None:
+            self._journal.save_snapshot(self._mark, self._snapshot)
+        count = self._log.last_index - self._log.base_index
+        entries = self._log.slice(self._log.base_index + 1, count)
+        self._journal.rewrite(HardState(self._term, self._voted_for), entries)
+        self._durable_index = self._log.last_index
+
+    def _save_hard_state(self, term: int, voted_for: str | None) -> None:
+        self._term = term
+        self._voted_for = voted_for
+        self._journal.append([HardState(term, voted_for)])
+
+    def _fail_disk(self, error: DiskError) -> None:
+        is_first = self._disk_error is None
+        self._disk_error = str(error)
+        if self.is_leader:
+            self._step_down(self._term)
+        self._role = Role.FOLLOWER
+        if is_first:
+            self._timers.call_later(DISK_RETRY_MS, self._retry_disk)
+
+    def _retry_disk(self) -> None:
+        try:
+            self._save_compacted()
+        except DiskError as error:
+            self._disk_error = str(error)
+            self._timers.call_later(DISK_RETRY_MS, self._retry_disk)
+            return
+        self._disk_error = None
--- /dev/null
+++ b/src/azurerelay/control/__init__.py
@@ -0,0 +1,17 @@
+"""A control host: the replicated state and the duties of its leader."""
+
+from azurerelay.control._control_config import ControlConfig
+from azurerelay.control._control_node import ControlNode
+from azurerelay.control._control_status import ControlStatus, GroupStatus, HostStatus
+from azurerelay.control._messages import CONTROL_HOST_MESSAGES
+from azurerelay.control._start_refused_error import StartRefusedError
+
+__all__ = [
+    "CONTROL_HOST_MESSAGES",
+    "ControlConfig",
+    "ControlNode",
+    "ControlStatus",
+    "GroupStatus",
+    "HostStatus",
+    "StartRefusedError",
+]
--- /dev/null
+++ b/src/azurerelay/control/_host_duties.py
@@ -0,0 +1,64 @@
+"""Admits, marks and removes hosts."""
+
+from azurerelay.control._proposer import Proposer
+from azurerelay.membership import (
+    AdmitHost,
+    ClusterState,
+    HostHeartbeat,
+    HostRecord,
+    HostTable,
+    RemoveHost,
+)
+from azurerelay.timing import TimerService
+
+
+class HostDuties:
+    """Keep the hosts of the cluster state in step with the heartbeats."""
+
+    def __init__(
+        self,
+        name: str,
+        state: ClusterState,
+        table: HostTable,
+        proposer: Proposer,
+        timers: TimerService,
+    ) -> None:
+        self._name = name
+        self._state = state
+        self._table = table
+        self._proposer = proposer
+        self._timers = timers
+
+    def on_heartbeat(self, heartbeat: HostHeartbeat) -> None:
+        """Admit a host that is new, restarted, moved or draining."""
+        known = self._state.hosts.get(heartbeat.host)
+        is_same = known is not None and (
+            known.incarnation == heartbeat.incarnation
+            and known.address == heartbeat.address
+            and known.failure_domain == heartbeat.failure_domain
+            and known.is_draining == heartbeat.is_draining
+        )
+        if is_same:
+            return
+        host = HostRecord(
+            heartbeat.host,
+            heartbeat.address,
+            heartbeat.failure_domain,
+            heartbeat.incarnation,
+            heartbeat.is_draining,
+        )
+        command = AdmitHost(self._timers.wall_ms(), self._name, host)
+        self._proposer.propose_once(f"host/{heartbeat.host}", command)
+
+    def expire(self) -> None:
+        """Remove hosts that are silent and surely hold no lease any more."""
+        now_ms = self._timers.now_ms()
+        limit_ms = self._state.settings.root_number("hosts.expire_ms")
+        for host in list(self._state.hosts):
+            silence_ms = now_ms - self._table.heard_ms(host)
+            has_lease = self._table.lease_until_ms(host) > now_ms
+            if silence_ms <= limit_ms or has_lease:
+                continue
+            reason = f"no heartbeat for {silence_ms:.0f} ms"
+            command = RemoveHost(self._timers.wall_ms(), self._name, host, reason)
+            self._proposer.propose_once(f"host/{host}", command)
--- /dev/null
+++ b/src/azurerelay/control/_leader_duties.py
@@ -0,0 +1,85 @@
+"""Everything that only the leader does, for one leadership."""
+
+from typing import Final
+
+from azurerelay.consensus import RaftNode
+from azurerelay.control._endpoint_presence import EndpointPresence
+from azurerelay.control._failover_duties import FailoverDuties
+from azurerelay.control._host_duties import HostDuties
+from azurerelay.control._lease_grants import LeaseGrants
+from azurerelay.control._proposer import Proposer
+from azurerelay.control._serving_assigner import ServingAssigner
+from azurerelay.endpoints import EndpointPort
+from azurerelay.membership import (
+    ClusterState,
+    HeartbeatReply,
+    HostHeartbeat,
+    HostTable,
+)
+from azurerelay.timing import Timer, TimerService
+
+TICK_MS: Final = 100.0
+
+
+class LeaderDuties:
+    """Own the leader's tables and decisions; ends with the leadership."""
+
+    def __init__(
+        self,
+        name: str,
+        raft: RaftNode,
+        state: ClusterState,
+        endpoints: EndpointPort,
+        timers: TimerService,
+    ) -> None:
+        self._raft = raft
+        self._state = state
+        self._timers = timers
+        lease_ms = state.settings.root_number("leases.duration_ms")
+        self._table = HostTable(raft.leading_since_ms, lease_ms)
+        proposer = Proposer(raft)
+        self._grants = LeaseGrants(raft, state, self._table, timers)
+        self._presence = EndpointPresence(name, state, proposer, timers)
+        self._hosts = HostDuties(name, state, self._table, proposer, timers)
+        self._assigner = ServingAssigner(name, state, self._table, proposer, timers)
+        self._failover = FailoverDuties(
+            name, state, self._table, proposer, endpoints, timers
+        )
+        self._timer: Timer = timers.subscribe(TICK_MS, self._tick)
+
+    @property
+    def table(self) -> HostTable:
+        """Sessions and leases."""
+        return self._table
+
+    @property
+    def failover(self) -> FailoverDuties:
+        """Changes of primaries."""
+        return self._failover
+
+    def stop(self) -> None:
+        """End with the leadership."""
+        self._timer.cancel()
+        self._failover.stop()
+
+    async def on_heartbeats(
+        self, heartbeats: tuple[HostHeartbeat, ...]
+    ) -> tuple[HeartbeatReply, ...]:
+        """Take over what the hosts report and return their leases."""
+        now_ms = self._timers.now_ms()
+        for heartbeat in heartbeats:
+            self._table.observe(heartbeat, now_ms)
+            self._hosts.on_heartbeat(heartbeat)
+            for announcement in heartbeat.announcements:
+                self._presence.on_announcement(announcement)
+            for suspicion in heartbeat.suspicions:
+                group = self._state.groups.get(suspicion.group)
+                if group is not None:
+                    self._failover.check(group)
+        return await self._grants.answer(heartbeats)
+
+    def _tick(self) -> None:
+        self._hosts.expire()
+        self._presence.expire()
+        self._assigner.assign()
+        self._failover.check_all()
--- /dev/null
+++ b/src/azurerelay/control/_lease_grants.py
@@ -0,0 +1,55 @@
+"""Grants leases to hosts that are up to date."""
+
+from azurerelay.consensus import RaftNode
+from azurerelay.membership import (
+    ClusterState,
+    HeartbeatReply,
+    HostHeartbeat,
+    HostTable,
+)
+from azurerelay.timing import TimerService
+
+
+class LeaseGrants:
+    """Decide each heartbeat's lease.
+
+    A host's lease covers every term and serving set that the host has applied. It
+    is not extended while the host lags behind the last change of any of them, so
+    a change is in force once every host has applied it or its lease has run out.
+    The leadership is confirmed by a quorum after the heartbeat came in, so a later
+    leader that outwaits one lease duration outwaits every grant.
+    """
+
+    def __init__(
+        self,
+        raft: RaftNode,
+        state: ClusterState,
+        table: HostTable,
+        timers: TimerService,
+    ) -> None:
+        self._raft = raft
+        self._state = state
+        self._table = table
+        self._timers = timers
+
+    async def answer(
+        self, heartbeats: tuple[HostHeartbeat, ...]
+    ) -> tuple[HeartbeatReply, ...]:
+        """Return the replies; none when the leadership was not confirmed."""
+        received_ms = self._timers.now_ms()
+        if not await self._raft.confirm_leadership():
+            return ()
+        return tuple(self._grant(beat, received_ms) for beat in heartbeats)
+
+    def _grant(self, heartbeat: HostHeartbeat, received_ms: float) -> HeartbeatReply:
+        host = self._state.hosts.get(heartbeat.host)
+        is_admitted = host is not None and host.incarnation == heartbeat.incarnation
+        session = self._table.sessions.get(heartbeat.host)
+        is_current = (
+            session is not None and session.acked_index >= self._state.lease_index
+        )
+        lease_ms = 0
+        if is_admitted and is_current:
+            lease_ms = self._state.settings.root_number("leases.duration_ms")
+            self._table.extend_lease(heartbeat.host, received_ms + lease_ms)
+        return HeartbeatReply(heartbeat.host, heartbeat.sequence, lease_ms)
--- /dev/null
+++ b/src/azurerelay/daemons/__init__.py
@@ -0,0 +1,41 @@
+"""Thin daemons around the decisions: HTTP, links, files, signals."""
+
+from azurerelay.daemons._application import Application, Part
+from azurerelay.daemons._asyncio_timer_service import AsyncioTimerService, as_future
+from azurerelay.daemons._control_daemon import control_application
+from azurerelay.daemons._entry_daemon import entry_application
+from azurerelay.daemons._http_endpoint_port import HttpEndpointPort
+from azurerelay.daemons._process_settings import (
+    ControlSettings,
+    EntrySettings,
+    PeerSettings,
+    ProcessSettings,
+    StandinSettings,
+    TokenSettings,
+    load_settings,
+)
+from azurerelay.daemons._run import run_until_signal
+from azurerelay.daemons._standin_daemon import standin_application
+from azurerelay.daemons._structured_logging import configure_logging
+from azurerelay.daemons._zmq_link import ZmqLink
+
+__all__ = [
+    "Application",
+    "AsyncioTimerService",
+    "ControlSettings",
+    "EntrySettings",
+    "HttpEndpointPort",
+    "Part",
+    "PeerSettings",
+    "ProcessSettings",
+    "StandinSettings",
+    "TokenSettings",
+    "ZmqLink",
+    "as_future",
+    "configure_logging",
+    "control_application",
+    "entry_application",
+    "load_settings",
+    "run_until_signal",
+    "standin_application",
+]
--- /dev/null
+++ b/src/azurerelay/daemons/_caller_bodies.py
@@ -0,0 +1,54 @@
+"""The JSON bodies that callers and endpoints send to an entry host."""
+
+from dataclasses import dataclass, field
+from typing import Annotated, ClassVar, Final, Literal
+
+import pydantic
+
+_Strict = pydantic.ConfigDict(extra="forbid", strict=True)
+
+MAX_STATEMENT_LENGTH: Final = 64 * 1024
+MAX_PARAMETERS: Final = 1_000
+MAX_NAME_LENGTH: Final = 63
+
+ParameterList = Annotated[
+    list[bool | int | float | str | None], pydantic.Field(max_length=MAX_PARAMETERS)
+]
+BodyName = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+
+
+@dataclass(frozen=True, slots=True)
+class StatementBody:
+    """A statement; a write says whether it may be repeated."""
+
+    __pydantic_config__: ClassVar[pydantic.ConfigDict] = _Strict
+
+    kind: Literal["read", "write"]
+    statement: Annotated[
+        str, pydantic.Field(min_length=1, max_length=MAX_STATEMENT_LENGTH)
+    ]
+    parameters: ParameterList = field(default_factory=list)
+    idempotent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AnnouncementBody:
+    """An endpoint's announcement of itself."""
+
+    __pydantic_config__: ClassVar[pydantic.ConfigDict] = _Strict
+
+    group: BodyName
+    address: Annotated[str, pydantic.Field(min_length=3, max_length=64)]
+    failure_domain: BodyName
+    role: Literal["primary", "replica"]
+    term: Annotated[int, pydantic.Field(ge=0)]
+    position: Annotated[int, pydantic.Field(ge=0)]
+    slots: Annotated[int, pydantic.Field(ge=1, le=100_000)]
+    connection_limit: Annotated[int, pydantic.Field(ge=1, le=1_000_000)]
+    can_fence: bool = True
+    leaving: bool = False
+
+
+STATEMENT_ADAPTER: Final = pydantic.TypeAdapter(StatementBody)
+ANNOUNCEMENT_ADAPTER: Final = pydantic.TypeAdapter(AnnouncementBody)
+NAME_ADAPTER: Final = pydantic.TypeAdapter(BodyName)
--- /dev/null
+++ b/src/azurerelay/daemons/_entry_daemon.py
@@ -0,0 +1,107 @@
+"""The entry host as a process."""
+
+import asyncio
+import random
+import time
+from typing import Any
+
+from absl import logging
+
+from azurerelay.daemons._application import Application
+from azurerelay.daemons._asyncio_timer_service import AsyncioTimerService, as_future
+from azurerelay.daemons._entry_api import EntryApi
+from azurerelay.daemons._entry_metrics import EntryMetrics
+from azurerelay.daemons._http_endpoint_port import HttpEndpointPort
+from azurerelay.daemons._http_server import HttpServer
+from azurerelay.daemons._process_settings import EntrySettings
+from azurerelay.daemons._wire_codec import WIRE_CODEC
+from azurerelay.daemons._zmq_link import ZmqLink
+from azurerelay.entry import EntryConfig, EntryNode
+from azurerelay.timing import ScopedTimerService, spawn
+
+_MS_PER_S = 1_000.0
+READINESS_GRACE_S = 0.5
+
+
+class EntryPart:
+    """The decisions of an entry host as a part of an application."""
+
+    def __init__(
+        self, settings: EntrySettings, link: ZmqLink, port: HttpEndpointPort
+    ) -> None:
+        self._settings = settings
+        self._link = link
+        loop = asyncio.get_running_loop()
+        self._timers = ScopedTimerService(AsyncioTimerService(loop))
+        self._node = EntryNode(
+            EntryConfig(
+                name=settings.name,
+                address=settings.link,
+                failure_domain=settings.failure_domain,
+                control_hosts=control_order(settings),
+                incarnation=time.time_ns(),
+            ),
+            link,
+            port,
+            self._timers,
+            random.Random(),
+        )
+        for peer in settings.control_hosts:
+            link.learn(peer.name, peer.link)
+        self._hosts_version = 0
+        link.set_handler(self._on_message)
+
+    @property
+    def name(self) -> str:
+        """The name of this part in the log."""
+        return f"entry host {self._settings.name}"
+
+    @property
+    def node(self) -> EntryNode:
+        """The decisions."""
+        return self._node
+
+    async def start(self) -> None:
+        """Attach to control."""
+        self._node.start()
+
+    async def drain(self) -> None:
+        """Turn readiness off, refuse new work, and let work in flight end."""
+        self._node.start_draining()
+        await asyncio.sleep(READINESS_GRACE_S)
+        limit_ms = self._settings.drain_s * _MS_PER_S
+        if not await as_future(spawn(self._node.drain(limit_ms))):
+            logging.warning("work was still in flight after %s ms", limit_ms)
+
+    async def stop(self) -> None:
+        """End the servers of all groups."""
+        for server in self._node.servers.by_group.values():
+            server.stop()
+        self._timers.close()
+
+    def _on_message(self, sender: str, message: Any) -> None:
+        self._node.on_message(sender, message)
+        if self._node.state.hosts_version != self._hosts_version:
+            self._hosts_version = self._node.state.hosts_version
+            for host in self._node.state.hosts.values():
+                self._link.learn(host.name, host.address)
+
+
+def control_order(settings: EntrySettings) -> tuple[str, ...]:
+    """Return the control hosts, those of the own failure domain first."""
+    ordered = sorted(
+        settings.control_hosts,
+        key=lambda peer: peer.failure_domain != settings.failure_domain,
+    )
+    return tuple(peer.name for peer in ordered)
+
+
+async def entry_application(settings: EntrySettings) -> Application:
+    """Build the application of an entry host."""
+    link = ZmqLink(settings.name, settings.link, WIRE_CODEC)
+    port = HttpEndpointPort()
+    part = EntryPart(settings, link, port)
+    metrics = EntryMetrics(part.node, link)
+    routes = [*EntryApi(part.node).routes(), *metrics.routes()]
+    server = HttpServer("callers", settings.callers, routes)
+    return Application(settings.name, (link, port, part, server))
--- /dev/null
+++ b/src/azurerelay/daemons/_entry_limits.py
@@ -0,0 +1,6 @@
+"""Limits on what an HTTP request may carry."""
+
+from typing import Final
+
+MAX_BODY_BYTES: Final = 1024 * 1024
+MAX_HEADER_BYTES: Final = 8 * 1024
--- /dev/null
+++ b/src/azurerelay/daemons/_http_server.py
@@ -0,0 +1,75 @@
+"""An aiohttp server as a part of an application."""
+
+from collections.abc import Iterable
+from http import HTTPStatus
+
+from aiohttp import web
+from aiohttp.typedefs import Handler, Middleware
+
+from azurerelay.daemons._entry_limits import MAX_BODY_BYTES, MAX_HEADER_BYTES
+from azurerelay.daemons._problem import input_problem, problem_response
+
+
+class HttpServer:
+    """Serve routes on one address."""
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        routes: Iterable[web.AbstractRouteDef],
+        middlewares: Iterable[Middleware] = (),
+    ) -> None:
+        self._name = name
+        self._address = address
+        self._routes = list(routes)
+        self._middlewares = (_input_errors, *middlewares)
+        self._runner: web.AppRunner | None = None
+
+    @property
+    def name(self) -> str:
+        """The name of this part in the log."""
+        return self._name
+
+    async def start(self) -> None:
+        """Bind and serve."""
+        app = web.Application(
+            client_max_size=MAX_BODY_BYTES, middlewares=self._middlewares
+        )
+        app.add_routes(self._routes)
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            shutdown_timeout=1.0,
+        )
+        await self._runner.setup()
+        host, _, port = self._address.rpartition(":")
+        site = web.TCPSite(
+            self._runner, host.strip("[]"), int(port), reuse_address=True
+        )
+        await site.start()
+
+    async def drain(self) -> None:
+        """Go on: readiness and the decisions refuse new work."""
+
+    async def stop(self) -> None:
+        """Close the server."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+
+@web.middleware
+async def _input_errors(request: web.Request, handler: Handler) -> web.StreamResponse:
+    """Answer errors of the HTTP layer as problems."""
+    try:
+        return await handler(request)
+    except web.HTTPRequestEntityTooLarge:
+        title = f"the body is larger than {MAX_BODY_BYTES} bytes"
+        status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        return problem_response(input_problem(status, title))
+    except web.HTTPException as error:
+        if error.status < HTTPStatus.BAD_REQUEST:
+            raise
+        return problem_response(input_problem(error.status, error.reason))
--- /dev/null
+++ b/src/azurerelay/daemons/_operator_api.py
@@ -0,0 +1,211 @@
+"""The HTTP interface of a control host towards operators."""
+
+import hashlib
+import hmac
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Annotated, ClassVar, Final
+
+import msgspec
+import pydantic
+from aiohttp import web
+from aiohttp.typedefs import Handler
+
+from azurerelay.control import ControlNode
+from azurerelay.daemons._asyncio_timer_service import as_future
+from azurerelay.daemons._problem import input_problem, problem_response
+from azurerelay.daemons._process_settings import TokenSettings, findings_of
+from azurerelay.membership import ChangeOutcome, ChangeSettings, ChangeStatus
+from azurerelay.settings import Assignment, Finding, path_finding
+from azurerelay.timing import TimerService
+
+MAX_AUDIT_PAGE: Final = 1_000
+_STATUS: Final = {
+    ChangeStatus.ACCEPTED: HTTPStatus.OK,
+    ChangeStatus.CONFLICT: HTTPStatus.CONFLICT,
+    ChangeStatus.INVALID: HTTPStatus.UNPROCESSABLE_ENTITY,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeBody:
+    """A change of one node of the settings tree."""
+
+    __pydantic_config__: ClassVar[pydantic.ConfigDict] = pydantic.ConfigDict(
+        extra="forbid", strict=True
+    )
+
+    change_id: Annotated[str, pydantic.Field(min_length=1, max_length=100)]
+    based_on: Annotated[int, pydantic.Field(ge=0)]
+    reason: Annotated[str, pydantic.Field(min_length=1, max_length=1_000)]
+    path: Annotated[str, pydantic.Field(min_length=1, max_length=200)]
+    author: Annotated[str, pydantic.Field(min_length=1, max_length=100)] = ""
+    set: dict[str, bool | int | str] = field(default_factory=dict)
+    unset: list[str] = field(default_factory=list)
+
+
+_CHANGE_ADAPTER: Final = pydantic.TypeAdapter(ChangeBody)
+
+
+class OperatorApi:
+    """Settings, audit trail and status, for named bearer tokens."""
+
+    def __init__(
+        self,
+        node: ControlNode,
+        tokens: list[TokenSettings],
+        timers: TimerService,
+    ) -> None:
+        self._node = node
+        self._tokens = tokens
+        self._timers = timers
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the interface."""
+        return [
+            web.get("/healthz", self._health),
+            web.get("/readyz", self._readiness),
+            web.get("/v1/settings", self._settings),
+            web.get("/v1/settings/effective", self._effective),
+            web.post("/v1/settings/changes", self._change),
+            web.get("/v1/audit", self._audit),
+            web.get("/v1/status", self._status),
+        ]
+
+    @web.middleware
+    async def authenticate(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Refuse requests without a known bearer token, except health checks."""
+        if request.path in ("/healthz", "/readyz", "/metrics"):
+            return await handler(request)
+        operator = self._operator(request.headers.get("Authorization", ""))
+        if operator is None:
+            problem = input_problem(HTTPStatus.UNAUTHORIZED, "a bearer token is needed")
+            return problem_response(problem, {"WWW-Authenticate": "Bearer"})
+        request["operator"] = operator
+        return await handler(request)
+
+    def _operator(self, authorization: str) -> str | None:
+        scheme, _, token = authorization.partition(" ")
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        found = None
+        for known in self._tokens:
+            if hmac.compare_digest(known.sha256, digest):
+                found = known.name
+        return found if scheme.lower() == "bearer" else None
+
+    async def _health(self, request: web.Request) -> web.Response:
+        error = self._node.raft.disk_error
+        if error is not None:
+            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE, text=error)
+        return web.Response(text="ok\n")
+
+    async def _readiness(self, request: web.Request) -> web.Response:
+        if self._node.raft.leader is None:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            return web.Response(status=status, text="no leader\n")
+        return web.Response(text="ready\n")
+
+    async def _settings(self, request: web.Request) -> web.Response:
+        if not await as_future(self._node.read_barrier()):
+            return _no_leader()
+        path = request.query.get("path")
+        nodes = self._node.state.settings.nodes
+        chosen = [node for node in nodes if path is None or node.path == path]
+        return _json({"number": self._node.state.number, "nodes": chosen})
+
+    async def _effective(self, request: web.Request) -> web.Response:
+        path = request.query.get("path", "/")
+        finding = path_finding(path)
+        if finding is not None:
+            problem = input_problem(HTTPStatus.BAD_REQUEST, "bad path", (finding,))
+            return problem_response(problem)
+        if not await as_future(self._node.read_barrier()):
+            return _no_leader()
+        state = self._node.state
+        settings = state.settings.effective(path)
+        return _json({"number": state.number, "path": path, "settings": settings})
+
+    async def _change(self, request: web.Request) -> web.Response:
+        try:
+            body = _CHANGE_ADAPTER.validate_json(await request.read())
+        except pydantic.ValidationError as error:
+            findings = findings_of("body", error)
+            title = "the body is not a change of settings"
+            problem = input_problem(HTTPStatus.BAD_REQUEST, title, findings)
+            return problem_response(problem)
+        operator = str(request["operator"])
+        change = ChangeSettings(
+            at_ms=self._timers.wall_ms(),
+            actor=f"{body.author} ({operator})" if body.author else operator,
+            change_id=body.change_id,
+            based_on=body.based_on,
+            reason=body.reason,
+            path=body.path,
+            assignments=tuple(Assignment(k, v) for k, v in body.set.items()),
+            unset=tuple(body.unset),
+        )
+        outcome = await as_future(self._node.change_settings(change))
+        if outcome is None:
+            return _unknown_change()
+        return _change_response(outcome)
+
+    async def _audit(self, request: web.Request) -> web.Response:
+        if not await as_future(self._node.read_barrier()):
+            return _no_leader()
+        query = request.query
+        findings: list[Finding] = []
+        since_ms = _query_number(query.get("since_ms"), "since_ms", findings)
+        limit = _query_number(query.get("limit"), "limit", findings)
+        if findings:
+            title = "the query is wrong"
+            status = HTTPStatus.BAD_REQUEST
+            return problem_response(input_problem(status, title, tuple(findings)))
+        path = query.get("path", "")
+        actor = query.get("actor", "")
+        records = [
+            record
+            for record in self._node.state.audit
+            if record.at_ms >= (since_ms or 0)
+            and record.path.startswith(path)
+            and actor in record.actor
+        ]
+        return _json({"records": records[-(limit or MAX_AUDIT_PAGE) :]})
+
+    async def _status(self, request: web.Request) -> web.Response:
+        status = await as_future(self._node.status())
+        return _no_leader() if status is None else _json(status)
+
+
+def _query_number(text: str | None, name: str, findings: list[Finding]) -> int | None:
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdecimal() and len(text) <= 16):
+        findings.append(Finding(f"query {name}", "must be a whole number"))
+        return None
+    return int(text)
+
+
+def _json(value: object) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(value), content_type="application/json"
+    )
+
+
+def _no_leader() -> web.Response:
+    title = "no leader: a majority of the control hosts cannot be reached"
+    return problem_response(input_problem(HTTPStatus.SERVICE_UNAVAILABLE, title))
+
+
+def _unknown_change() -> web.Response:
+    title = "the change may or may not be accepted: send it again with the same id"
+    return problem_response(input_problem(HTTPStatus.GATEWAY_TIMEOUT, title))
+
+
+def _change_response(outcome: ChangeOutcome) -> web.Response:
+    return web.Response(
+        status=_STATUS[outcome.status],
+        body=msgspec.json.encode(outcome),
+        content_type="application/json",
+    )
--- /dev/null
+++ b/src/azurerelay/embedded/_embedded_system.py
@@ -0,0 +1,338 @@
+"""Entry hosts, control hosts and stand-ins of one deployment in one process."""
+
+import random
+from dataclasses import dataclass
+from typing import Final
+
+from azurerelay.control import ControlConfig, ControlNode
+from azurerelay.embedded._memory_endpoints import MemoryEndpointPort, MemoryEndpoints
+from azurerelay.embedded._memory_network import MemoryLink, MemoryNetwork
+from azurerelay.embedded._place import Place
+from azurerelay.embedded._system_shape import SystemShape
+from azurerelay.entry import EntryConfig, EntryNode
+from azurerelay.membership import (
+    ChangeOutcome,
+    ChangeSettings,
+    EndpointAnnouncement,
+    EndpointRecord,
+    Presence,
+)
+from azurerelay.requests import CallerAnswer, CallerRequest
+from azurerelay.settings import Assignment, SettingValue
+from azurerelay.standin import StandinConfig, StandinEndpoint
+from azurerelay.storage import MemoryDisk
+from azurerelay.timing import (
+    Promise,
+    ScopedTimerService,
+    TimerService,
+    sleep,
+    spawn,
+)
+
+ANNOUNCE_MS: Final = 1_000.0
+
+
+@dataclass(slots=True)
+class _EntryProcess:
+    """A running entry host."""
+
+    node: EntryNode
+    link: MemoryLink
+    timers: ScopedTimerService
+
+
+@dataclass(slots=True)
+class _ControlProcess:
+    """A running control host."""
+
+    node: ControlNode
+    link: MemoryLink
+    timers: ScopedTimerService
+
+
+class EmbeddedSystem:
+    """Build a deployment and let the caller drive requests, settings and faults."""
+
+    def __init__(
+        self, shape: SystemShape, timers: TimerService, random_source: random.Random
+    ) -> None:
+        self._shape = shape
+        self._timers = timers
+        self._random = random_source
+        self._network = MemoryNetwork(shape, timers, random_source)
+        self._endpoints = MemoryEndpoints(self._network, timers)
+        self._standins: dict[str, StandinEndpoint] = {}
+        self._entries: dict[str, _EntryProcess] = {}
+        self._controls: dict[str, _ControlProcess] = {}
+        self._disks: dict[str, MemoryDisk] = {}
+        self._incarnation = 0
+        self._changes = 0
+        self._down: set[str] = set()
+        self._control_names = tuple(
+            f"control-{number}" for number in range(1, shape.control_hosts + 1)
+        )
+        self._place_all()
+
+    @property
+    def shape(self) -> SystemShape:
+        """The deployment's sizes."""
+        return self._shape
+
+    @property
+    def network(self) -> MemoryNetwork:
+        """The network, for cuts and loss."""
+        return self._network
+
+    @property
+    def entries(self) -> dict[str, EntryNode]:
+        """Running entry hosts by name."""
+        return {name: process.node for name, process in self._entries.items()}
+
+    @property
+    def controls(self) -> dict[str, ControlNode]:
+        """Running control hosts by name."""
+        return {name: process.node for name, process in self._controls.items()}
+
+    @property
+    def standins(self) -> dict[str, StandinEndpoint]:
+        """All stand-ins by name, running or not."""
+        return self._standins
+
+    @property
+    def disks(self) -> dict[str, MemoryDisk]:
+        """The control hosts' disks by name."""
+        return self._disks
+
+    @property
+    def leader(self) -> ControlNode | None:
+        """The leading control host that has taken up its duties."""
+        for process in self._controls.values():
+            if process.node.duties is not None:
+                return process.node
+        return None
+
+    def start(self) -> None:
+        """Start all processes."""
+        for name in self._control_names:
+            self._disks[name] = MemoryDisk()
+            self.start_control(name)
+        for number in range(1, self._shape.entry_hosts + 1):
+            self.start_entry(f"entry-{number}")
+        for group in self._shape.groups:
+            for number in range(1, self._shape.endpoints_per_group + 1):
+                self._start_standin(group, number)
+
+    def is_settled(self) -> bool:
+        """Return whether every group has a primary and a full, ready serving set."""
+        leader = self.leader
+        if leader is None or len(leader.state.groups) < len(self._shape.groups):
+            return False
+        size = min(3, len(self._entries))
+        for group in leader.state.groups.values():
+            valid = leader.state.valid_members(group)
+            if group.primary is None or len(valid) < size:
+                return False
+            for host in valid:
+                process = self._entries.get(host)
+                if process is None or not _is_serving(process.node, group.name):
+                    return False
+        return True
+
+    def call(self, entry: str, request: CallerRequest) -> Promise[CallerAnswer | None]:
+        """Send a caller's request; None when the host dies before it answers."""
+        return spawn(self._call(entry, request))
+
+    def change_settings(
+        self,
+        path: str,
+        key: str,
+        value: SettingValue,
+        based_on: int | None = None,
+        change_id: str = "",
+        control: str = "",
+    ) -> Promise[ChangeOutcome | None]:
+        """Change one setting as an operator would."""
+        node = self.controls[control] if control else next(iter(self.controls.values()))
+        self._changes += 1
+        change = ChangeSettings(
+            at_ms=self._timers.wall_ms(),
+            actor="operator",
+            change_id=change_id or f"change-{self._changes}",
+            based_on=node.state.number if based_on is None else based_on,
+            reason="requested",
+            path=path,
+            assignments=(Assignment(key, value),),
+            unset=(),
+        )
+        return node.change_settings(change)
+
+    def start_control(self, name: str) -> None:
+        """Start a control host on its disk."""
+        timers = ScopedTimerService(self._timers)
+        link = MemoryLink(self._network, name)
+        node = ControlNode(
+            ControlConfig(name, self._control_names),
+            link,
+            MemoryEndpointPort(self._endpoints, name),
+            timers,
+            random.Random(self._random.random()),
+            self._disks[name],
+        )
+        self._controls[name] = _ControlProcess(node, link, timers)
+        self._network.attach(name, node.on_message)
+        node.start()
+
+    def kill_control(self, name: str) -> None:
+        """End a control host at once; its disk loses what was not synced."""
+        process = self._controls.pop(name)
+        self._network.detach(name)
+        process.link.close()
+        process.timers.close()
+        self._disks[name].crash()
+
+    def start_entry(self, name: str) -> None:
+        """Start an entry host with empty memory."""
+        self._incarnation += 1
+        timers = ScopedTimerService(self._timers)
+        link = MemoryLink(self._network, name)
+        config = EntryConfig(
+            name=name,
+            address=name,
+            failure_domain=self._place_of(name).failure_domain,
+            control_hosts=self._control_order(name),
+            incarnation=self._incarnation,
+        )
+        node = EntryNode(
+            config,
+            link,
+            MemoryEndpointPort(self._endpoints, name),
+            timers,
+            random.Random(self._random.random()),
+        )
+        self._entries[name] = _EntryProcess(node, link, timers)
+        self._network.attach(name, node.on_message)
+        node.start()
+
+    def kill_entry(self, name: str) -> None:
+        """End an entry host at once."""
+        process = self._entries.pop(name)
+        self._network.detach(name)
+        process.link.close()
+        process.timers.close()
+        for server in process.node.servers.by_group.values():
+            server.stop()
+
+    def kill_endpoint(self, name: str) -> None:
+        """Take an endpoint down; it keeps its data."""
+        self._down.add(name)
+        self._endpoints.remove(self._standins[name].config.address)
+
+    def restart_endpoint(self, name: str) -> None:
+        """Bring an endpoint back with its data, in no role."""
+        self._down.discard(name)
+        standin = self._standins[name]
+        standin.restart()
+        self._endpoints.add(standin)
+
+    def primary(self, group: str) -> str | None:
+        """Return the installed primary of a group."""
+        leader = self.leader
+        record = leader.state.groups.get(group) if leader else None
+        return record.primary if record else None
+
+    async def _call(self, entry: str, request: CallerRequest) -> CallerAnswer | None:
+        await sleep(self._timers, self._shape.to_callers_ms)
+        process = self._entries.get(entry)
+        if process is None:
+            return None
+        answer = await process.node.handle(request)
+        if process.timers.is_closed:
+            return None
+        await sleep(self._timers, self._shape.to_callers_ms)
+        return answer
+
+    def _place_all(self) -> None:
+        for number, name in enumerate(self._control_names):
+            self._place_at(name, number)
+        for number in range(1, self._shape.entry_hosts + 1):
+            self._place_at(f"entry-{number}", number - 1)
+
+    def _place_at(self, name: str, number: int) -> Place:
+        place = self._shape.places[number % len(self._shape.places)]
+        self._network.place(name, place)
+        return place
+
+    def _place_of(self, name: str) -> Place:
+        number = int(name.rpartition("-")[2]) - 1
+        return self._place_at(name, number)
+
+    def _control_order(self, entry: str) -> tuple[str, ...]:
+        own = self._place_of(entry)
+        return tuple(
+            sorted(self._control_names, key=lambda name: self._place_of(name) != own)
+        )
+
+    def _start_standin(self, group: str, number: int) -> None:
+        name = f"{group}-{number}"
+        address = f"endpoint/{name}"
+        place = self._place_at(address, number - 1)
+        config = StandinConfig(
+            name=name,
+            group=group,
+            address=address,
+            failure_domain=place.failure_domain,
+            slots=self._shape.slots,
+            connection_limit=self._shape.connection_limit,
+            connect_ms=self._shape.connect_ms,
+            service_ms=self._shape.service_ms,
+            lag_ms=self._shape.lag_ms,
+        )
+        port = MemoryEndpointPort(self._endpoints, address)
+        standin = StandinEndpoint(config, self._timers, port)
+        self._standins[name] = standin
+        self._endpoints.add(standin)
+        offset_ms = self._random.uniform(0.0, 100.0)
+        self._timers.call_later(offset_ms, lambda: self._announce(name))
+
+    def _announce(self, name: str) -> None:
+        """Announce an endpoint to an entry host, as it does every second."""
+        self._timers.call_later(ANNOUNCE_MS, lambda: self._announce(name))
+        standin = self._standins[name]
+        is_silent = name in self._down or standin.is_isolated or not self._entries
+        if is_silent:
+            return
+        entry = self._random.choice(sorted(self._entries))
+        if self._network.is_cut(entry, standin.config.address):
+            return
+        self._entries[entry].node.announce(announcement_of(standin))
+
+
+def announcement_of(standin: StandinEndpoint) -> EndpointAnnouncement:
+    """Return what a stand-in says about itself."""
+    config = standin.config
+    presence = Presence.LEAVING if standin.is_leaving else Presence.PRESENT
+    endpoint = EndpointRecord(
+        name=config.name,
+        group=config.group,
+        address=config.address,
+        failure_domain=config.failure_domain,
+        slots=config.slots,
+        connection_limit=config.connection_limit,
+        can_fence=config.can_fence,
+        presence=presence,
+    )
+    position = standin.data.position
+    return EndpointAnnouncement(endpoint, standin.term, position, age_ms=0)
+
+
+def _is_serving(node: EntryNode, group: str) -> bool:
+    server = node.servers.by_group.get(group)
+    if server is None or server.is_retiring or not server.member.is_ready:
+        return False
+    return node.session.has_lease() and _has_synced_replica(node, group)
+
+
+def _has_synced_replica(node: EntryNode, group: str) -> bool:
+    tracker = node.servers.by_group[group].tracker
+    synced = [view for view in tracker.views.values() if view.holds(tracker.term, 1)]
+    return len(synced) == len(tracker.views)
--- /dev/null
+++ b/src/azurerelay/endpoints/_endpoint_failure.py
@@ -0,0 +1,35 @@
+"""Why an endpoint gave no answer."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class FailureKind(Enum):
+    """What went wrong with a call."""
+
+    REFUSED_TERM = "refused_term"
+    REFUSED_ROLE = "refused_role"
+    REFUSED_LIMIT = "refused_limit"
+    REFUSED_STATEMENT = "refused_statement"
+    REFUSED_TRANSACTION = "refused_transaction"
+    DIVERGED = "diverged"
+    UNREACHABLE = "unreachable"
+    LOST = "lost"
+    TIMED_OUT = "timed_out"
+
+
+_MAY_HAVE_RUN = frozenset({FailureKind.LOST, FailureKind.TIMED_OUT})
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointFailure:
+    """A failed call; `term` is the endpoint's term where it is known."""
+
+    kind: FailureKind
+    detail: str
+    term: int = 0
+
+    @property
+    def has_surely_not_run(self) -> bool:
+        """Whether the call cannot have taken effect."""
+        return self.kind not in _MAY_HAVE_RUN
--- /dev/null
+++ b/src/azurerelay/membership/_cluster_state.py
@@ -0,0 +1,427 @@
+"""The state that committed commands build, the same on every host."""
+
+from collections import deque
+from dataclasses import dataclass, replace
+from functools import singledispatchmethod
+from typing import Any, Final
+
+import msgspec
+from result import Err
+
+from azurerelay.membership._audit_record import AuditRecord
+from azurerelay.membership._change_outcome import ChangeOutcome, ChangeStatus
+from azurerelay.membership._commands import (
+    COMMAND_CODEC,
+    AdmitHost,
+    AssignServingSet,
+    BeginTerm,
+    ChangeSettings,
+    HoldWrites,
+    InstallPrimary,
+    RecordEndpoint,
+    RecordRefusal,
+    RemoveHost,
+)
+from azurerelay.membership._records import (
+    EndpointRecord,
+    GroupRecord,
+    HostRecord,
+    Presence,
+)
+from azurerelay.settings import GroupPolicy, SettingsTree, TreeNode
+
+MAX_AUDIT_RECORDS: Final = 20_000
+MAX_CHANGE_IDS: Final = 20_000
+
+
+@dataclass(frozen=True, slots=True)
+class _RememberedChange:
+    """A change id with the answer that it got."""
+
+    change_id: str
+    outcome: ChangeOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class _StateImage:
+    """The stored form of the cluster state."""
+
+    number: int
+    nodes: tuple[TreeNode, ...]
+    hosts: tuple[HostRecord, ...]
+    endpoints: tuple[EndpointRecord, ...]
+    groups: tuple[GroupRecord, ...]
+    changes: tuple[_RememberedChange, ...]
+    audit: tuple[AuditRecord, ...]
+
+
+class ClusterState:
+    """Settings, hosts, endpoints and groups; `keeps_audit` on control hosts only."""
+
+    def __init__(self, keeps_audit: bool = True) -> None:
+        self._keeps_audit = keeps_audit
+        self._number = 0
+        self._lease_index = 0
+        self._hosts_version = 0
+        self._settings = SettingsTree()
+        self._hosts: dict[str, HostRecord] = {}
+        self._endpoints: dict[str, EndpointRecord] = {}
+        self._groups: dict[str, GroupRecord] = {}
+        self._changes: dict[str, ChangeOutcome] = {}
+        self._audit: deque[AuditRecord] = deque(maxlen=MAX_AUDIT_RECORDS)
+        self._policies: dict[str, GroupPolicy] = {}
+
+    @property
+    def number(self) -> int:
+        """The settings number: how many changes have been accepted."""
+        return self._number
+
+    @property
+    def settings(self) -> SettingsTree:
+        """The settings tree."""
+        return self._settings
+
+    @property
+    def lease_index(self) -> int:
+        """The index of the last change that ends leases: a term or a serving set."""
+        return self._lease_index
+
+    @property
+    def hosts_version(self) -> int:
+        """A number that changes whenever a host is admitted, changed or removed."""
+        return self._hosts_version
+
+    @property
+    def hosts(self) -> dict[str, HostRecord]:
+        """Hosts by name; read only."""
+        return self._hosts
+
+    @property
+    def endpoints(self) -> dict[str, EndpointRecord]:
+        """Endpoints by name; read only."""
+        return self._endpoints
+
+    @property
+    def groups(self) -> dict[str, GroupRecord]:
+        """Groups by name; read only."""
+        return self._groups
+
+    @property
+    def audit(self) -> tuple[AuditRecord, ...]:
+        """The audit trail, oldest first."""
+        return tuple(self._audit)
+
+    def policy(self, group: str) -> GroupPolicy:
+        """Return the settings in force for a group."""
+        policy = self._policies.get(group)
+        if policy is None:
+            policy = GroupPolicy.of(self._settings, group)
+            self._policies[group] = policy
+        return policy
+
+    def valid_members(self, group: GroupRecord) -> tuple[str, ...]:
+        """Return the serving hosts whose process is the one that was assigned."""
+        return tuple(
+            name for name in group.serving if self._is_valid_member(group, name)
+        )
+
+    def _is_valid_member(self, group: GroupRecord, host: str) -> bool:
+        record = self._hosts.get(host)
+        return record is not None and record.admitted_index < group.set_index
+
+    def group_endpoints(self, group: str) -> tuple[EndpointRecord, ...]:
+        """Return the member endpoints of a group."""
+        record = self._groups.get(group)
+        if record is None:
+            return ()
+        return tuple(self._endpoints[name] for name in record.members)
+
+    def apply(self, index: int, payload: bytes) -> Any:
+        """Apply one committed command; a command of no known type does nothing."""
+        decoded = COMMAND_CODEC.decode(payload)
+        if isinstance(decoded, Err):
+            return decoded
+        return self._apply(decoded.ok_value, index)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return self._encode(tuple(self._audit), tuple(self._changes.items()))
+
+    def snapshot_for_hosts(self) -> bytes:
+        """Return the state without the audit trail and the change ids."""
+        return self._encode((), ())
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by a snapshot."""
+        image = msgspec.msgpack.decode(data, type=_StateImage)
+        self._number = image.number
+        self._settings = SettingsTree(image.nodes)
+        self._hosts = {host.name: host for host in image.hosts}
+        self._endpoints = {endpoint.name: endpoint for endpoint in image.endpoints}
+        self._groups = {group.name: group for group in image.groups}
+        self._lease_index = max(
+            (max(g.term_index, g.set_index) for g in image.groups), default=0
+        )
+        self._hosts_version += 1
+        self._changes = {c.change_id: c.outcome for c in image.changes}
+        self._audit = deque(image.audit, maxlen=MAX_AUDIT_RECORDS)
+        self._policies = {}
+
+    def _encode(
+        self,
+        audit: tuple[AuditRecord, ...],
+        changes: tuple[tuple[str, ChangeOutcome], ...],
+    ) -> bytes:
+        image = _StateImage(
+            self._number,
+            self._settings.nodes,
+            tuple(self._hosts.values()),
+            tuple(self._endpoints.values()),
+            tuple(self._groups.values()),
+            tuple(_RememberedChange(*change) for change in changes),
+            audit,
+        )
+        return msgspec.msgpack.encode(image)
+
+    @singledispatchmethod
+    def _apply(self, command: Any, index: int) -> Any:
+        raise TypeError(f"no rule for {type(command).__name__}")
+
+    @_apply.register
+    def _(self, command: AdmitHost, index: int) -> None:
+        before = self._hosts.get(command.host.name)
+        is_same = before and before.incarnation == command.host.incarnation
+        admitted_index = before.admitted_index if before and is_same else index
+        host = replace(command.host, admitted_index=admitted_index)
+        if before == host:
+            return
+        self._hosts[host.name] = host
+        self._hosts_version += 1
+        self._record(
+            index,
+            command,
+            "admit host",
+            f"hosts/{command.host.name}",
+            _describe_host(before),
+            _describe_host(command.host),
+            "the host sent a heartbeat",
+        )
+
+    @_apply.register
+    def _(self, command: RemoveHost, index: int) -> None:
+        before = self._hosts.pop(command.name, None)
+        if before is not None:
+            self._hosts_version += 1
+            path = f"hosts/{command.name}"
+            self._record(
+                index,
+                command,
+                "remove host",
+                path,
+                _describe_host(before),
+                "absent",
+                command.reason,
+            )
+
+    @_apply.register
+    def _(self, command: RecordEndpoint, index: int) -> None:
+        endpoint = command.endpoint
+        before = self._endpoints.get(endpoint.name)
+        if before == endpoint or (before and before.group != endpoint.group):
+            return
+        self._endpoints[endpoint.name] = endpoint
+        self._join_group(endpoint, command.expected)
+        self._record(
+            index,
+            command,
+            "record endpoint",
+            f"groups/{endpoint.group}/endpoints/{endpoint.name}",
+            _describe_endpoint(before),
+            _describe_endpoint(endpoint),
+            command.reason,
+        )
+
+    @_apply.register
+    def _(self, command: AssignServingSet, index: int) -> bool:
+        before = self._groups.get(command.group)
+        if before is None or command.epoch != before.epoch + 1:
+            return False
+        self._groups[command.group] = replace(
+            before,
+            epoch=command.epoch,
+            serving=command.hosts,
+            previous_serving=before.serving,
+            set_index=index,
+            registry_lost_ms=(
+                command.at_ms if command.is_registry_lost else before.registry_lost_ms
+            ),
+            registry_lost_epoch=(
+                command.epoch
+                if command.is_registry_lost
+                else before.registry_lost_epoch
+            ),
+        )
+        self._lease_index = index
+        self._record(
+            index,
+            command,
+            "assign serving set",
+            f"groups/{command.group}/serving",
+            f"epoch {before.epoch}: {', '.join(before.serving) or 'none'}",
+            f"epoch {command.epoch}: {', '.join(command.hosts) or 'none'}",
+            command.reason,
+        )
+        return True
+
+    @_apply.register
+    def _(self, command: BeginTerm, index: int) -> bool:
+        before = self._groups.get(command.group)
+        if before is None or command.term <= before.term:
+            return False
+        self._groups[command.group] = replace(
+            before, term=command.term, primary=None, term_index=index, is_held=False
+        )
+        self._lease_index = index
+        self._record(
+            index,
+            command,
+            "begin term",
+            f"groups/{command.group}/primary",
+            f"term {before.term}: {before.primary or 'none'}",
+            f"term {command.term}: none",
+            command.reason,
+        )
+        return True
+
+    @_apply.register
+    def _(self, command: InstallPrimary, index: int) -> bool:
+        before = self._groups.get(command.group)
+        if before is None or command.term != before.term or before.primary:
+            return False
+        self._groups[command.group] = replace(before, primary=command.endpoint)
+        self._record(
+            index,
+            command,
+            "install primary",
+            f"groups/{command.group}/primary",
+            f"term {before.term}: none",
+            f"term {command.term}: {command.endpoint}",
+            command.reason,
+        )
+        return True
+
+    @_apply.register
+    def _(self, command: HoldWrites, index: int) -> bool:
+        before = self._groups.get(command.group)
+        if before is None or command.term != before.term:
+            return False
+        if before.is_held == command.is_held:
+            return True
+        self._groups[command.group] = replace(
+            before, is_held=command.is_held, hold_index=index
+        )
+        self._record(
+            index,
+            command,
+            "hold writes" if command.is_held else "release writes",
+            f"groups/{command.group}/primary",
+            f"term {before.term}: {before.primary or 'none'}",
+            f"term {before.term}: {before.primary or 'none'}",
+            command.reason,
+        )
+        return True
+
+    @_apply.register
+    def _(self, command: RecordRefusal, index: int) -> None:
+        group = self._groups.get(command.group)
+        now = f"term {group.term}: {group.primary or 'none'}" if group else "absent"
+        path = f"groups/{command.group}/primary"
+        self._record(index, command, "refuse promotion", path, now, now, command.reason)
+
+    @_apply.register
+    def _(self, command: ChangeSettings, index: int) -> ChangeOutcome:
+        known = self._changes.get(command.change_id)
+        if known is not None:
+            return known
+        if command.based_on != self._number:
+            return ChangeOutcome(ChangeStatus.CONFLICT, self._number)
+        findings = self._settings.check(
+            command.path, command.assignments, command.unset
+        )
+        if findings:
+            return ChangeOutcome(ChangeStatus.INVALID, self._number, 0, findings)
+        return self._accept(command, index)
+
+    def _accept(self, command: ChangeSettings, index: int) -> ChangeOutcome:
+        self._record_settings(command, index)
+        self._settings.apply(command.path, command.assignments, command.unset)
+        self._policies.clear()
+        self._number += 1
+        outcome = ChangeOutcome(ChangeStatus.ACCEPTED, self._number, index)
+        if self._keeps_audit:
+            self._changes[command.change_id] = outcome
+            while len(self._changes) > MAX_CHANGE_IDS:
+                del self._changes[next(iter(self._changes))]
+        return outcome
+
+    def _record_settings(self, command: ChangeSettings, index: int) -> None:
+        keys = [a.key for a in command.assignments] + list(command.unset)
+        after_values = {a.key: a.value for a in command.assignments}
+        before = ", ".join(
+            f"{key}={self._settings.own_value(command.path, key)}" for key in keys
+        )
+        after = ", ".join(f"{key}={after_values.get(key)}" for key in keys)
+        self._record(
+            index,
+            command,
+            f"change settings to number {self._number + 1}",
+            command.path,
+            before,
+            after,
+            command.reason,
+        )
+
+    def _join_group(self, endpoint: EndpointRecord, expected: int) -> None:
+        group = self._groups.get(endpoint.group, GroupRecord(endpoint.group))
+        if endpoint.name not in group.members and len(group.members) < expected:
+            group = replace(group, members=(*group.members, endpoint.name))
+        self._groups[endpoint.group] = group
+
+    def _record(
+        self,
+        index: int,
+        command: Any,
+        action: str,
+        path: str,
+        before: str,
+        after: str,
+        reason: str,
+    ) -> None:
+        if not self._keeps_audit:
+            return
+        self._audit.append(
+            AuditRecord(
+                index,
+                command.at_ms,
+                command.actor,
+                action,
+                path,
+                before,
+                after,
+                reason,
+            )
+        )
+
+
+def _describe_host(host: HostRecord | None) -> str:
+    if host is None:
+        return "absent"
+    state = "draining" if host.is_draining else "serving"
+    return f"{state} at {host.address} in {host.failure_domain}"
+
+
+def _describe_endpoint(endpoint: EndpointRecord | None) -> str:
+    if endpoint is None:
+        return "absent"
+    presence = Presence(endpoint.presence).value
+    return f"{presence} at {endpoint.address} in {endpoint.failure_domain}"
--- /dev/null
+++ b/src/azurerelay/membership/_host_table.py
@@ -0,0 +1,88 @@
+"""The leader's view of attached hosts and their leases."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from azurerelay.membership._link_messages import HostHeartbeat, Suspicion
+
+
+@dataclass(slots=True)
+class HostSession:
+    """What the leader knows of a host; times are its monotonic milliseconds."""
+
+    heard_ms: float
+    lease_until_ms: float
+    acked_index: int = 0
+    settings_number: int = 0
+    suspicions: dict[str, Suspicion] = field(default_factory=dict)
+    unready_groups: frozenset[str] = frozenset()
+    incarnation: int = 0
+
+
+class HostTable:
+    """Sessions and leases of one leadership.
+
+    A new leader does not know which leases its predecessor granted, so every host
+    is taken to hold one until a whole lease duration after the leadership began.
+    """
+
+    def __init__(self, began_ms: float, lease_ms: float) -> None:
+        self._unknown_until_ms = began_ms + lease_ms
+        self._began_ms = began_ms
+        self._sessions: dict[str, HostSession] = {}
+
+    @property
+    def sessions(self) -> dict[str, HostSession]:
+        """Sessions by host name; read only."""
+        return self._sessions
+
+    def observe(self, heartbeat: HostHeartbeat, now_ms: float) -> HostSession:
+        """Record a heartbeat; an older one than the last changes no index."""
+        session = self._sessions.get(heartbeat.host)
+        if session is None:
+            session = HostSession(now_ms, self._unknown_until_ms)
+            self._sessions[heartbeat.host] = session
+        session.heard_ms = now_ms
+        if heartbeat.incarnation != session.incarnation:
+            session.incarnation = heartbeat.incarnation
+            session.acked_index = 0
+        session.acked_index = max(session.acked_index, heartbeat.applied_index)
+        session.settings_number = heartbeat.settings_number
+        session.suspicions = {s.group: s for s in heartbeat.suspicions}
+        session.unready_groups = frozenset(heartbeat.unready_groups)
+        return session
+
+    def extend_lease(self, host: str, until_ms: float) -> None:
+        """Record a grant before it is sent."""
+        session = self._sessions[host]
+        session.lease_until_ms = max(session.lease_until_ms, until_ms)
+
+    def acked_index(self, host: str) -> int:
+        """Return the highest index that a host has reported as applied."""
+        session = self._sessions.get(host)
+        return session.acked_index if session else 0
+
+    def heard_ms(self, host: str) -> float:
+        """Return when a host was last heard, at the earliest the table's start."""
+        session = self._sessions.get(host)
+        return session.heard_ms if session else self._began_ms
+
+    def lease_until_ms(self, host: str) -> float:
+        """Return the time from which a host surely holds no lease."""
+        session = self._sessions.get(host)
+        return session.lease_until_ms if session else self._unknown_until_ms
+
+    def holders_until_ms(
+        self, hosts: Iterable[str], index: int, now_ms: float
+    ) -> float | None:
+        """Return when the last lease older than an index ends; None if all have."""
+        ends = [
+            self.lease_until_ms(host)
+            for host in hosts
+            if self.acked_index(host) < index and self.lease_until_ms(host) > now_ms
+        ]
+        return max(ends, default=None)
+
+    def forget(self, host: str) -> None:
+        """Drop a removed host."""
+        self._sessions.pop(host, None)
--- /dev/null
+++ b/src/azurerelay/membership/_serving_assignment.py
@@ -0,0 +1,34 @@
+"""Choose the hosts that serve a group."""
+
+import hashlib
+from collections.abc import Iterable
+
+from azurerelay.membership._records import HostRecord
+
+
+def choose_serving_set(
+    group: str, hosts: Iterable[HostRecord], size: int
+) -> tuple[str, ...]:
+    """Return up to `size` hosts by rendezvous hashing, spread over failure domains.
+
+    The highest-weighted host of each failure domain comes before the second of any,
+    so that the loss of one domain takes as few members as possible.
+    """
+    ranked = sorted(
+        (host for host in hosts if not host.is_draining),
+        key=lambda host: weight(group, host.name),
+        reverse=True,
+    )
+    seen: dict[str, int] = {}
+    order: list[tuple[int, int, str]] = []
+    for rank, host in enumerate(ranked):
+        layer = seen.get(host.failure_domain, 0)
+        seen[host.failure_domain] = layer + 1
+        order.append((layer, rank, host.name))
+    return tuple(name for _, _, name in sorted(order)[:size])
+
+
+def weight(group: str, host: str) -> int:
+    """Return the rendezvous weight of a host for a group."""
+    digest = hashlib.blake2b(f"{group}\0{host}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
--- /dev/null
+++ b/src/azurerelay/messages/__init__.py
@@ -0,0 +1,8 @@
+"""Typed messages between processes and the codec that carries them."""
+
+from azurerelay.messages._link import Link
+from azurerelay.messages._malformed_frame import MalformedFrame
+from azurerelay.messages._requester import Requester
+from azurerelay.messages._tagged_codec import TaggedCodec
+
+__all__ = ["Link", "MalformedFrame", "Requester", "TaggedCodec"]
--- /dev/null
+++ b/src/azurerelay/retries/__init__.py
@@ -0,0 +1,6 @@
+"""When work may be tried again."""
+
+from azurerelay.retries._backoff import Backoff
+from azurerelay.retries._retry_budget import RetryBudget
+
+__all__ = ["Backoff", "RetryBudget"]
--- /dev/null
+++ b/src/azurerelay/routing/_sample_history.py
@@ -0,0 +1,49 @@
+"""Samples of the primary's position over time."""
+
+from bisect import bisect_right
+from typing import Final
+
+MAX_SAMPLES: Final = 2_048
+
+
+class SampleHistory:
+    """Tell how old a position is: the time since the primary was last at it.
+
+    A sample taken at time t says that all that existed at t is at or below its
+    position, so a replica at that position is no staler than the time since t.
+    """
+
+    def __init__(self) -> None:
+        self._positions: list[int] = []
+        self._times_ms: list[float] = []
+
+    @property
+    def newest_ms(self) -> float | None:
+        """The time of the newest sample, or None."""
+        return self._times_ms[-1] if self._times_ms else None
+
+    def add(self, sent_ms: float, position: int) -> None:
+        """Record that the primary was at a position at or after `sent_ms`."""
+        if self._positions and position <= self._positions[-1]:
+            if position == self._positions[-1]:
+                self._times_ms[-1] = max(self._times_ms[-1], sent_ms)
+            return
+        if self._times_ms and sent_ms < self._times_ms[-1]:
+            return
+        self._positions.append(position)
+        self._times_ms.append(sent_ms)
+        if len(self._positions) > MAX_SAMPLES:
+            del self._positions[: MAX_SAMPLES // 2]
+            del self._times_ms[: MAX_SAMPLES // 2]
+
+    def staleness_ms(self, position: int, now_ms: float) -> float | None:
+        """Return the greatest age of a position's state; None when unknown."""
+        found = bisect_right(self._positions, position)
+        if found == 0:
+            return None
+        return max(0.0, now_ms - self._times_ms[found - 1])
+
+    def clear(self) -> None:
+        """Forget all samples."""
+        self._positions.clear()
+        self._times_ms.clear()
--- /dev/null
+++ b/src/azurerelay/serving/__init__.py
@@ -0,0 +1,7 @@
+"""What a serving host does for one group."""
+
+from azurerelay.serving._group_server import GroupServer
+from azurerelay.serving._serving_context import ServingContext
+from azurerelay.serving._serving_counters import ServingCounters
+
+__all__ = ["GroupServer", "ServingContext", "ServingCounters"]
--- /dev/null
+++ b/src/azurerelay/serving/_answers.py
@@ -0,0 +1,43 @@
+"""Build the answers of a serving host."""
+
+import math
+
+from azurerelay.endpoints import EndpointFailure, FailureKind
+from azurerelay.limits import Shed
+from azurerelay.requests import CallerAnswer, ErrorCode, Outcome
+
+RETRY_AFTER_FAILOVER_MS = 200
+
+
+def not_run(
+    code: ErrorCode, detail: str, retry_after_ms: int | None = None
+) -> CallerAnswer:
+    """Return an answer that says that nothing has run."""
+    return CallerAnswer(Outcome.NOT_RUN, code, detail, retry_after_ms=retry_after_ms)
+
+
+def unknown(code: ErrorCode, detail: str) -> CallerAnswer:
+    """Return an answer that leaves open whether the request has run."""
+    return CallerAnswer(Outcome.UNKNOWN, code, detail)
+
+
+def shed_answer(shed: Shed, endpoint: str) -> CallerAnswer:
+    """Return the answer to work that was refused by a limit."""
+    retry_after_ms = math.ceil(shed.retry_after_ms)
+    detail = f"{endpoint}: {shed.reason.value}"
+    return not_run(ErrorCode.OVERLOADED, detail, retry_after_ms)
+
+
+def failure_answer(failure: EndpointFailure) -> CallerAnswer:
+    """Return the answer to a call that failed and is not tried again."""
+    if failure.kind is FailureKind.REFUSED_STATEMENT:
+        return not_run(ErrorCode.REJECTED, failure.detail)
+    if failure.kind is FailureKind.REFUSED_TRANSACTION:
+        return not_run(ErrorCode.TRANSACTION_GONE, failure.detail)
+    if failure.kind in (FailureKind.REFUSED_TERM, FailureKind.REFUSED_ROLE):
+        detail = failure.detail
+        return not_run(ErrorCode.NO_PRIMARY, detail, RETRY_AFTER_FAILOVER_MS)
+    if failure.has_surely_not_run:
+        detail = failure.detail
+        return not_run(ErrorCode.ENDPOINT_LOST, detail, RETRY_AFTER_FAILOVER_MS)
+    return unknown(ErrorCode.ENDPOINT_LOST, failure.detail)
--- /dev/null
+++ b/src/azurerelay/serving/_at_most_once.py
@@ -0,0 +1,250 @@
+"""Run a keyed write at most once, wherever it is resent."""
+
+import hashlib
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from functools import partial
+
+import msgspec
+from result import Err, Ok, Result
+
+from azurerelay.registry import (
+    AbortNotice,
+    IdempotencyRegistry,
+    IntentDecision,
+    IntentReply,
+    IntentRequest,
+    IntentStatus,
+    IntentVerdict,
+    OutcomeRequest,
+    RegistryCoordinator,
+    RegistryEntry,
+    StoredOutcome,
+)
+from azurerelay.requests import CallerAnswer, CallerRequest, ErrorCode, Outcome
+from azurerelay.serving._answers import RETRY_AFTER_FAILOVER_MS, not_run, unknown
+from azurerelay.serving._serving_context import ServingContext
+from azurerelay.timing import Promise, TimedOut, sleep
+
+INTENT_TIMEOUT_MS = 300.0
+OUTCOME_TIMEOUT_MS = 300.0
+IN_FLIGHT_POLL_MS = 20.0
+IN_FLIGHT_WAIT_MS = 2_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class IntentTicket:
+    """Permission to run one attempt of a key."""
+
+    entry: RegistryEntry
+    epoch: int
+    members: tuple[str, ...]
+
+
+class AtMostOnce:
+    """Record intents before and outcomes after a keyed write."""
+
+    def __init__(self, context: ServingContext, registry: IdempotencyRegistry) -> None:
+        self._context = context
+        self._registry = registry
+        self._attempts = itertools.count(1)
+
+    async def begin(
+        self, request: CallerRequest, deadline_ms: float
+    ) -> Result[IntentTicket, CallerAnswer]:
+        """Return a ticket, or the answer when the key must not run now."""
+        context = self._context
+        wait_until_ms = min(deadline_ms, context.now_ms() + IN_FLIGHT_WAIT_MS)
+        entry = self._new_entry(request)
+        while True:
+            ticket = self._ticket(entry)
+            decision = await self._ask_members(ticket, deadline_ms)
+            if decision.verdict is IntentVerdict.RUN:
+                return Ok(ticket)
+            self.abort(ticket)
+            is_waiting = decision.verdict in (
+                IntentVerdict.IN_FLIGHT,
+                IntentVerdict.UNAVAILABLE,
+            )
+            if not is_waiting or context.now_ms() >= wait_until_ms:
+                return Err(self._refusal(decision))
+            await sleep(context.timers, IN_FLIGHT_POLL_MS)
+
+    async def finish(self, ticket: IntentTicket, answer: CallerAnswer) -> None:
+        """Record the outcome at a majority, or for as long as that may take."""
+        outcome = StoredOutcome(answer.term, answer.position, answer.rows)
+        entry = replace(ticket.entry, outcome=outcome)
+        self._registry.record_outcome(entry)
+        majority = len(ticket.members) // 2 + 1
+        recorded: Promise[None] = Promise()
+        receipts = 1
+        others = [m for m in ticket.members if m != self._context.host]
+        answered = 0
+
+        def count(reply: Promise[Result[object, TimedOut]]) -> None:
+            nonlocal receipts, answered
+            answered += 1
+            receipts += isinstance(reply.value, Ok)
+            if receipts >= majority or answered == len(others):
+                recorded.resolve(None)
+
+        if receipts >= majority:
+            recorded.resolve(None)
+        for member in others:
+            reply = self._send_outcome(member, ticket.epoch, entry)
+            reply.add_callback(partial(count, reply))
+        await recorded
+
+    def abort(self, ticket: IntentTicket) -> None:
+        """Forget an attempt that has surely not run."""
+        key = ticket.entry.key
+        attempt = ticket.entry.attempt
+        self._registry.abort(key, attempt)
+        notice = AbortNotice(self._context.group, key, attempt)
+        for member in ticket.members:
+            if member != self._context.host:
+                self._context.link.send(member, notice)
+
+    def _new_entry(self, request: CallerRequest) -> RegistryEntry:
+        context = self._context
+        attempt = f"{context.host}:{context.incarnation}:{next(self._attempts)}"
+        return RegistryEntry(
+            request.idempotency_key or "",
+            fingerprint(request),
+            attempt,
+            context.timers.wall_ms(),
+        )
+
+    def _ticket(self, entry: RegistryEntry) -> IntentTicket:
+        record = self._context.record
+        members = self._context.state.valid_members(record)
+        return IntentTicket(entry, record.epoch, members)
+
+    def _ask_members(
+        self, ticket: IntentTicket, deadline_ms: float
+    ) -> Promise[IntentDecision]:
+        """Return a decision as soon as the replies allow one."""
+        context = self._context
+        size = len(context.record.serving)
+        coordinator = RegistryCoordinator(size)
+        decision: Promise[IntentDecision] = Promise()
+        replies: list[IntentReply] = []
+        pending = len(ticket.members)
+        if not pending:
+            return Promise.of(IntentDecision(IntentVerdict.UNAVAILABLE))
+
+        def receive(reply: IntentReply | None) -> None:
+            nonlocal pending
+            pending -= 1
+            if reply is not None:
+                replies.append(reply)
+            current = coordinator.decide(ticket.entry, replies)
+            is_final = current.verdict in (
+                IntentVerdict.RUN,
+                IntentVerdict.REPLAY,
+                IntentVerdict.REUSED,
+            )
+            if is_final or not pending:
+                decision.resolve(current)
+
+        timeout_ms = min(INTENT_TIMEOUT_MS, deadline_ms - context.now_ms())
+        for member in ticket.members:
+            if member == context.host:
+                receive(self._record_locally(ticket))
+            else:
+                self._send_intent(member, ticket, timeout_ms, receive)
+        return decision
+
+    def _record_locally(self, ticket: IntentTicket) -> IntentReply:
+        return record_intent(
+            self._registry,
+            0,
+            ticket.epoch,
+            ticket.entry,
+            self._context.timers.wall_ms(),
+        )
+
+    def _send_intent(
+        self,
+        member: str,
+        ticket: IntentTicket,
+        timeout_ms: float,
+        receive: Callable[[IntentReply | None], None],
+    ) -> None:
+        reply = self._context.requester.call(
+            member,
+            lambda request_id: IntentRequest(
+                request_id, self._context.group, ticket.epoch, ticket.entry
+            ),
+            timeout_ms,
+        )
+        reply.add_callback(
+            lambda: receive(
+                reply.value.ok_value if isinstance(reply.value, Ok) else None
+            )
+        )
+
+    def _send_outcome(
+        self, member: str, epoch: int, entry: RegistryEntry
+    ) -> Promise[Result[object, TimedOut]]:
+        return self._context.requester.call(
+            member,
+            lambda request_id: OutcomeRequest(
+                request_id, self._context.group, epoch, entry
+            ),
+            OUTCOME_TIMEOUT_MS,
+        )
+
+    def _refusal(self, decision: IntentDecision) -> CallerAnswer:
+        match decision.verdict:
+            case IntentVerdict.REPLAY:
+                assert decision.outcome is not None
+                return replay_answer(decision.outcome)
+            case IntentVerdict.REUSED:
+                detail = "the idempotency key belongs to another request"
+                return not_run(ErrorCode.KEY_REUSED, detail)
+            case IntentVerdict.IN_FLIGHT:
+                detail = "an earlier attempt with this key has no known outcome"
+                return unknown(ErrorCode.KEY_IN_FLIGHT, detail)
+            case IntentVerdict.UNDECIDED:
+                detail = "the key may be older than the loss of the registry"
+                return unknown(ErrorCode.KEY_UNDECIDED, detail)
+            case IntentVerdict.FULL:
+                detail = "the registry of idempotency keys is full"
+                return not_run(ErrorCode.REGISTRY_FULL, detail, RETRY_AFTER_FAILOVER_MS)
+            case _:
+                detail = "no majority of the serving set can record the key"
+                return not_run(
+                    ErrorCode.REGISTRY_UNAVAILABLE, detail, RETRY_AFTER_FAILOVER_MS
+                )
+
+
+def record_intent(
+    registry: IdempotencyRegistry,
+    request_id: int,
+    epoch: int,
+    entry: RegistryEntry,
+    now_ms: int,
+) -> IntentReply:
+    """Record an intent in a member's registry and build its reply."""
+    status = registry.record_intent(epoch, entry, now_ms)
+    known = registry.find(entry.key) if status is IntentStatus.KNOWN else None
+    return IntentReply(request_id, status, known)
+
+
+def fingerprint(request: CallerRequest) -> str:
+    """Return a digest of what a request would run."""
+    body = msgspec.msgpack.encode((request.statement, request.parameters))
+    return hashlib.blake2b(body, digest_size=12).hexdigest()
+
+
+def replay_answer(outcome: StoredOutcome) -> CallerAnswer:
+    """Return the answer to a resend of a request that has run."""
+    return CallerAnswer(
+        Outcome.DONE,
+        rows=outcome.rows,
+        term=outcome.term,
+        position=outcome.position,
+        is_replay=True,
+    )
--- /dev/null
+++ b/src/azurerelay/serving/_channels.py
@@ -0,0 +1,137 @@
+"""The channels to a group's endpoints."""
+
+from result import Err, Ok, Result
+
+from azurerelay.endpoints import EndpointCall
+from azurerelay.requests import CallerAnswer, ErrorCode
+from azurerelay.serving._answers import RETRY_AFTER_FAILOVER_MS, not_run
+from azurerelay.serving._change_signal import ChangeSignal
+from azurerelay.serving._endpoint_channel import EndpointChannel
+from azurerelay.serving._serving_context import ServingContext
+from azurerelay.timing import within
+
+
+class Channels:
+    """One channel an endpoint, and the wait for a primary that may be used."""
+
+    def __init__(self, context: ServingContext, signal: ChangeSignal) -> None:
+        self._context = context
+        self._signal = signal
+        self._channels: dict[str, EndpointChannel] = {}
+
+    @property
+    def by_name(self) -> dict[str, EndpointChannel]:
+        """Channels by endpoint name; read only."""
+        return self._channels
+
+    def configure(self) -> None:
+        """Open, adapt and close channels to match the group."""
+        context = self._context
+        endpoints = {e.name: e for e in context.state.group_endpoints(context.group)}
+        for name in set(self._channels) - set(endpoints):
+            self._channels.pop(name).close()
+        for name, endpoint in endpoints.items():
+            known = self._channels.get(name)
+            if known is not None and known.record.address != endpoint.address:
+                known.close()
+                known = None
+            if known is None:
+                self._channels[name] = EndpointChannel(
+                    endpoint, context.policy, context.endpoints, context.timers
+                )
+            else:
+                known.configure(endpoint, context.policy)
+
+    def mend(self, name: str) -> None:
+        """Close the circuit of an endpoint that has answered a probe."""
+        channel = self._channels.get(name)
+        if channel is not None and channel.is_tripped:
+            channel.mend()
+            self._signal.notify()
+
+    def interrupt(self, name: str, detail: str) -> None:
+        """Give up all calls to an endpoint, whose outcome is then unknown."""
+        channel = self._channels.get(name)
+        if channel is not None:
+            channel.interrupt(detail)
+
+    def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            channel.close()
+
+    def release_idle(self) -> None:
+        """Close the connections that no work uses."""
+        for channel in self._channels.values():
+            channel.pool.release_idle()
+
+    def warm_up(self) -> None:
+        """Open as many connections as the windows allow, ahead of the first need."""
+        for channel in self._channels.values():
+            if channel.is_serving:
+                channel.pool.open_ahead(channel.gate.window.size)
+
+    def hold_until_ms(self, deadline_ms: float) -> float:
+        """Return until when work that starts now waits for a primary."""
+        return min(deadline_ms, self._context.now_ms() + self._context.policy.hold_ms)
+
+    async def primary(
+        self, limit_ms: float, is_write: bool
+    ) -> Result[EndpointChannel, CallerAnswer]:
+        """Wait until `limit_ms` for a primary under a valid lease.
+
+        Writes also wait while a planned switch of primary holds them.
+        """
+        context = self._context
+        while True:
+            is_held = is_write and context.record.is_held
+            channel = None if is_held else self._usable_primary()
+            if channel is not None:
+                return Ok(channel)
+            remaining_ms = limit_ms - context.now_ms()
+            if remaining_ms <= 0:
+                return Err(self._no_primary())
+            await within(context.timers, self._signal.next_change, remaining_ms)
+
+    def is_usable(self, term: int) -> bool:
+        """Return whether work of a term may still be sent to its primary."""
+        record = self._context.record
+        is_current = record.term == term and record.primary is not None
+        return is_current and self._context.has_lease()
+
+    def _usable_primary(self) -> EndpointChannel | None:
+        record = self._context.record
+        channel = self._channels.get(record.primary or "")
+        if channel is None or not channel.is_serving:
+            return None
+        return channel if self._context.has_lease() else None
+
+    def _no_primary(self) -> CallerAnswer:
+        record = self._context.record
+        if record.primary is None:
+            detail = f"group {record.name} has no primary in term {record.term}"
+        elif record.is_held:
+            detail = f"writes wait for a planned switch from {record.primary}"
+        elif not self._context.has_lease():
+            detail = "this host holds no lease from control"
+        else:
+            detail = f"primary {record.primary} takes no new work"
+        return not_run(ErrorCode.NO_PRIMARY, detail, RETRY_AFTER_FAILOVER_MS)
+
+
+def guarded(channels: Channels, term: int, call: EndpointCall) -> "GuardedCall":
+    """Return a guard that yields the call while the term may be used."""
+    return GuardedCall(channels, term, call)
+
+
+class GuardedCall:
+    """A call that is made only while its term and lease hold."""
+
+    def __init__(self, channels: Channels, term: int, call: EndpointCall) -> None:
+        self._channels = channels
+        self._term = term
+        self._call = call
+
+    def __call__(self) -> EndpointCall | None:
+        """Return the call, or None when it must not be made any more."""
+        return self._call if self._channels.is_usable(self._term) else None
--- /dev/null
+++ b/src/azurerelay/serving/_endpoint_channel.py
@@ -0,0 +1,183 @@
+"""The way to one endpoint: admission, a connection and a call."""
+
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from azurerelay.endpoints import (
+    CallResult,
+    EndpointAnswer,
+    EndpointCall,
+    EndpointConnection,
+    EndpointFailure,
+    EndpointPort,
+    FailureKind,
+)
+from azurerelay.limits import (
+    AdmissionGate,
+    ConcurrencyWindow,
+    ConnectionPool,
+    Priority,
+    Shed,
+    connection_share,
+)
+from azurerelay.membership import EndpointRecord, Presence
+from azurerelay.settings import GroupPolicy
+from azurerelay.timing import Promise, TimerService, either
+
+ChannelResult = Result[EndpointAnswer, EndpointFailure | Shed]
+CallGuard = Callable[[], EndpointCall | None]
+
+
+class EndpointChannel:
+    """Admit work to an endpoint and run it on a pooled connection."""
+
+    def __init__(
+        self,
+        record: EndpointRecord,
+        policy: GroupPolicy,
+        port: EndpointPort,
+        timers: TimerService,
+    ) -> None:
+        self._record = record
+        self._timers = timers
+        share = _share(record, policy)
+        self._pool = ConnectionPool(port, timers, record.address, share)
+        window = ConcurrencyWindow(record.slots, share)
+        self._gate = AdmissionGate(timers, window, policy.queue_length)
+        self._is_tripped = False
+        self._interruption: Promise[CallResult] = Promise()
+
+    @property
+    def record(self) -> EndpointRecord:
+        """The endpoint's announcement."""
+        return self._record
+
+    @property
+    def gate(self) -> AdmissionGate:
+        """The admission gate."""
+        return self._gate
+
+    @property
+    def pool(self) -> ConnectionPool:
+        """The connection pool."""
+        return self._pool
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether new work is taken."""
+        return self._record.presence is Presence.PRESENT and not self._is_tripped
+
+    @property
+    def is_tripped(self) -> bool:
+        """Whether a connection failed and no probe has succeeded since."""
+        return self._is_tripped
+
+    def configure(self, record: EndpointRecord, policy: GroupPolicy) -> None:
+        """Take over a new announcement or new settings; work in flight goes on."""
+        self._record = record
+        share = _share(record, policy)
+        self._pool.set_capacity(share)
+        self._gate.window.set_maximum(share)
+        self._gate.set_queue_length(policy.queue_length)
+        if record.presence is Presence.PRESENT:
+            self._gate.open()
+        else:
+            self._gate.close()
+
+    def mend(self) -> None:
+        """Take work again after a successful probe."""
+        self._is_tripped = False
+
+    def interrupt(self, detail: str) -> None:
+        """Give up all calls that are outstanding or wait for a connection."""
+        interruption = self._interruption
+        self._interruption = Promise()
+        failure = EndpointFailure(FailureKind.LOST, f"{self._record.name}: {detail}")
+        interruption.resolve(Err(failure))
+        self._pool.fail_waiters(detail)
+
+    def close(self) -> None:
+        """Take no new work and close idle connections."""
+        self._gate.close()
+        self._pool.close()
+
+    async def run(
+        self, guard: CallGuard, priority: Priority, caller: str, deadline_ms: float
+    ) -> ChannelResult:
+        """Run the guard's call; the guard returns None when it must not run now."""
+        admission = await self._gate.admit(priority, caller, deadline_ms)
+        if isinstance(admission, Err):
+            return admission
+        connection = await self._pool.acquire(self._remaining_ms(deadline_ms))
+        if isinstance(connection, Err):
+            self._gate.cancel()
+            self._note_failure(connection.err_value)
+            return connection
+        outcome = await self.call_admitted(connection.ok_value, guard, deadline_ms)
+        self._pool.put_back(connection.ok_value, is_clean=_leaves_clean(outcome))
+        return outcome
+
+    async def run_pinned(
+        self,
+        connection: EndpointConnection,
+        guard: CallGuard,
+        caller: str,
+        deadline_ms: float,
+    ) -> ChannelResult:
+        """Run the guard's call on a transaction's own connection."""
+        priority = Priority.TRANSACTION
+        admission = await self._gate.admit(priority, caller, deadline_ms)
+        if isinstance(admission, Err):
+            return admission
+        return await self.call_admitted(connection, guard, deadline_ms)
+
+    async def call_admitted(
+        self, connection: EndpointConnection, guard: CallGuard, deadline_ms: float
+    ) -> CallResult:
+        """Make the guard's call and release the admission."""
+        call = guard()
+        if call is None:
+            self._gate.cancel()
+            detail = f"{self._record.name}: the term or the lease has ended"
+            return Err(EndpointFailure(FailureKind.REFUSED_TERM, detail))
+        started_ms = self._timers.now_ms()
+        outcome = await self._interruptible(
+            connection, connection.call(call, self._remaining_ms(deadline_ms))
+        )
+        is_known = isinstance(outcome, Ok) or outcome.err_value.has_surely_not_run
+        latency_ms = self._timers.now_ms() - started_ms
+        self._gate.release(latency_ms if is_known else None)
+        if isinstance(outcome, Err):
+            self._note_failure(outcome.err_value)
+        return outcome
+
+    async def _interruptible(
+        self, connection: EndpointConnection, answer: Promise[CallResult]
+    ) -> CallResult:
+        """Return the answer, or the interruption after closing the connection."""
+        if answer.is_done:
+            return answer.value
+        interruption = self._interruption
+        outcome = await either(answer, interruption)
+        if interruption.is_done:
+            connection.close()
+        return outcome
+
+    def _note_failure(self, failure: EndpointFailure) -> None:
+        """Open the circuit when the endpoint could not be reached at all."""
+        if failure.kind in (FailureKind.UNREACHABLE, FailureKind.LOST):
+            self._is_tripped = True
+
+    def _remaining_ms(self, deadline_ms: float) -> float:
+        return max(0.0, deadline_ms - self._timers.now_ms())
+
+
+def _share(record: EndpointRecord, policy: GroupPolicy) -> int:
+    return connection_share(
+        record.connection_limit, policy.connection_percent, policy.set_size
+    )
+
+
+def _leaves_clean(outcome: CallResult) -> bool:
+    return isinstance(outcome, Ok) or outcome.err_value.has_surely_not_run
--- /dev/null
+++ b/src/azurerelay/serving/_prober.py
@@ -0,0 +1,143 @@
+"""Watches a group's endpoints: probes, positions and repointing."""
+
+from collections.abc import Callable
+
+from result import Err, Ok
+
+from azurerelay.endpoints import EndpointAnswer, FollowCall, StatusCall
+from azurerelay.failover import PrimaryWatch
+from azurerelay.membership import EndpointRecord, Suspicion
+from azurerelay.routing import PositionTracker
+from azurerelay.serving._serving_context import ServingContext
+from azurerelay.timing import Timer, spawn
+
+FOLLOW_TIMEOUT_MS = 500.0
+
+
+class Prober:
+    """Probe every endpoint of a group at the configured interval."""
+
+    def __init__(
+        self,
+        context: ServingContext,
+        tracker: PositionTracker,
+        on_alive: Callable[[str], None],
+    ) -> None:
+        self._context = context
+        self._tracker = tracker
+        self._on_alive = on_alive
+        self._watch = PrimaryWatch()
+        self._suspicion: Suspicion | None = None
+        self._following: set[str] = set()
+        self._timer: Timer | None = None
+        self._is_stopped = False
+
+    @property
+    def suspicion(self) -> Suspicion | None:
+        """The suspicion against the primary of the current term, if any."""
+        return self._suspicion
+
+    def start(self) -> None:
+        """Probe now and from then on."""
+        if self._is_stopped:
+            return
+        self.probe_all()
+        interval_ms = self._context.policy.probe_interval_ms
+        self._timer = self._context.timers.call_later(interval_ms, self.start)
+
+    def repoint_all(self) -> None:
+        """Tell every other endpoint at once to follow a new primary."""
+        primary = self._context.record.primary
+        for endpoint in self._context.state.group_endpoints(self._context.group):
+            if endpoint.name != primary and endpoint.name not in self._following:
+                spawn(self._repoint(endpoint))
+
+    def stop(self) -> None:
+        """Stop probing."""
+        self._is_stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def probe_all(self) -> None:
+        """Send one probe to each endpoint."""
+        for endpoint in self._context.state.group_endpoints(self._context.group):
+            spawn(self.probe(endpoint))
+
+    async def probe(self, endpoint: EndpointRecord) -> None:
+        """Ask one endpoint for its position and record what came of it."""
+        context = self._context
+        sent_ms = context.now_ms()
+        outcome = await context.endpoints.request(
+            endpoint.address, StatusCall(), context.policy.probe_timeout_ms
+        )
+        if self._is_stopped:
+            return
+        now_ms = context.now_ms()
+        if isinstance(outcome, Err):
+            self._tracker.record_miss(endpoint.name)
+        else:
+            self._record(endpoint, outcome.ok_value, sent_ms, now_ms)
+        self._judge()
+
+    def _record(
+        self,
+        endpoint: EndpointRecord,
+        answer: EndpointAnswer,
+        sent_ms: float,
+        now_ms: float,
+    ) -> None:
+        self._tracker.observe(endpoint.name, answer, sent_ms, now_ms)
+        view = self._tracker.views.get(endpoint.name)
+        if view is None:
+            return
+        view.misses = 0
+        self._on_alive(endpoint.name)
+        view.record_round_trip(now_ms - sent_ms)
+        if self._needs_repointing(endpoint, answer):
+            spawn(self._repoint(endpoint))
+
+    def _needs_repointing(
+        self, endpoint: EndpointRecord, answer: EndpointAnswer
+    ) -> bool:
+        record = self._context.record
+        if record.primary is None or endpoint.name == record.primary:
+            return False
+        if endpoint.name in self._following or answer.term > record.term:
+            return False
+        return answer.term < record.term or answer.synced_term < record.term
+
+    async def _repoint(self, endpoint: EndpointRecord) -> None:
+        record = self._context.record
+        primary = self._context.state.endpoints.get(record.primary or "")
+        if primary is None:
+            return
+        self._following.add(endpoint.name)
+        call = FollowCall(record.term, primary.name, primary.address)
+        await self._context.endpoints.request(endpoint.address, call, FOLLOW_TIMEOUT_MS)
+        self._following.discard(endpoint.name)
+
+    def _judge(self) -> None:
+        context = self._context
+        suspicion = self._watch.judge(
+            context.record, context.policy, self._tracker.views
+        )
+        is_news = suspicion is not None and self._suspicion is None
+        self._suspicion = suspicion
+        if is_news:
+            context.counters.suspicions += 1
+            context.on_suspicion()
+
+    async def sample_primary(self) -> bool:
+        """Take a fresh sample of the primary's position; False when it fails."""
+        context = self._context
+        primary = context.state.endpoints.get(context.record.primary or "")
+        if primary is None:
+            return False
+        sent_ms = context.now_ms()
+        outcome = await context.endpoints.request(
+            primary.address, StatusCall(), context.policy.probe_timeout_ms
+        )
+        if isinstance(outcome, Ok):
+            answer = outcome.ok_value
+            self._tracker.observe(primary.name, answer, sent_ms, context.now_ms())
+        return isinstance(outcome, Ok)
--- /dev/null
+++ b/src/azurerelay/serving/_read_path.py
@@ -0,0 +1,335 @@
+"""How a read is answered."""
+
+from result import Err, Ok, Result
+
+from azurerelay.endpoints import (
+    EndpointAnswer,
+    EndpointFailure,
+    StatementCall,
+    StatusCall,
+)
+from azurerelay.limits import Priority, Shed
+from azurerelay.requests import CallerAnswer, CallerRequest, ErrorCode, Outcome
+from azurerelay.retries import Backoff, RetryBudget
+from azurerelay.routing import (
+    EndpointView,
+    PositionTracker,
+    ReadConstraints,
+    ReadRouter,
+    RouteCandidate,
+    Verdict,
+)
+from azurerelay.serving._answers import (
+    RETRY_AFTER_FAILOVER_MS,
+    failure_answer,
+    not_run,
+    shed_answer,
+)
+from azurerelay.serving._channels import Channels, guarded
+from azurerelay.serving._confirmer import Confirmer
+from azurerelay.serving._explanation import Explanation
+from azurerelay.serving._prober import Prober
+from azurerelay.serving._serving_context import ServingContext
+from azurerelay.timing import sleep, spawn, within
+
+MIN_REFRESH_BOUND_MS = 5
+
+ReadAttempt = Result[CallerAnswer, CallerAnswer]
+
+
+class ReadPath:
+    """Read from a replica that satisfies token and bound, else from the primary."""
+
+    def __init__(
+        self,
+        context: ServingContext,
+        tracker: PositionTracker,
+        channels: Channels,
+        confirmer: Confirmer,
+        prober: Prober,
+        budget: RetryBudget,
+    ) -> None:
+        self._context = context
+        self._tracker = tracker
+        self._channels = channels
+        self._confirmer = confirmer
+        self._prober = prober
+        self._budget = budget
+
+    async def run(
+        self, request: CallerRequest, deadline_ms: float, trail: Explanation
+    ) -> CallerAnswer:
+        """Answer a read; it is tried again within deadline and retry budget."""
+        context = self._context
+        constraints = self._constraints(request)
+        backoff = Backoff(context.policy.retry_backoff_ms, context.random_source)
+        excluded: set[str] = set()
+        while True:
+            outcome = await self._try_once(
+                request, constraints, deadline_ms, excluded, trail
+            )
+            if isinstance(outcome, Ok):
+                self._budget.record_success()
+                return outcome.ok_value
+            failed = outcome.err_value
+            is_late = context.now_ms() >= deadline_ms
+            if not _is_retryable(failed) or is_late or not self._budget.try_spend():
+                return failed
+            context.counters.retries += 1
+            wait_ms = backoff.next_ms()
+            trail.note(f"retry {backoff.tries} after {wait_ms:.1f} ms: {failed.detail}")
+            await sleep(context.timers, wait_ms)
+
+    def _constraints(self, request: CallerRequest) -> ReadConstraints:
+        bound_ms = request.max_staleness_ms
+        if bound_ms is None:
+            bound_ms = self._context.policy.max_staleness_ms
+        return ReadConstraints(request.token_term, request.token_position, bound_ms)
+
+    async def _try_once(
+        self,
+        request: CallerRequest,
+        constraints: ReadConstraints,
+        deadline_ms: float,
+        excluded: set[str],
+        trail: Explanation,
+    ) -> ReadAttempt:
+        candidate = self._route(constraints, excluded, trail)
+        if candidate is None and self._may_catch_up(constraints, excluded):
+            await self._refresh(constraints, deadline_ms, excluded, trail)
+            candidate = self._route(constraints, excluded, trail)
+        if candidate is None:
+            return await self._read_primary(request, constraints, deadline_ms, trail)
+        outcome = await self._read_replica(
+            candidate.name, request, constraints, deadline_ms, trail
+        )
+        if isinstance(outcome, Err):
+            excluded.add(candidate.name)
+        return outcome
+
+    def _route(
+        self, constraints: ReadConstraints, excluded: set[str], trail: Explanation
+    ) -> RouteCandidate | None:
+        router = ReadRouter(self._tracker, self._context.policy.probe_misses)
+        candidates = [
+            self._candidate(router, view, constraints)
+            for view in self._tracker.views.values()
+            if view.name not in excluded
+        ]
+        chosen = router.choose(candidates)
+        if trail.is_wanted:
+            for candidate in candidates:
+                trail.note(_describe(candidate))
+            trail.note(f"chosen: {chosen.name if chosen else 'none of the replicas'}")
+        return chosen
+
+    def _candidate(
+        self, router: ReadRouter, view: EndpointView, constraints: ReadConstraints
+    ) -> RouteCandidate:
+        now_ms = self._context.now_ms()
+        channel = self._channels.by_name.get(view.name)
+        is_serving = channel is not None and channel.is_serving
+        verdict = router.judge(view, is_serving, constraints, now_ms)
+        wait_ms = channel.gate.expected_wait_ms if channel else 0.0
+        return RouteCandidate(
+            view.name,
+            verdict,
+            wait_ms + view.round_trip_ms,
+            self._tracker.staleness_ms(view.position, now_ms),
+        )
+
+    def _may_catch_up(self, constraints: ReadConstraints, excluded: set[str]) -> bool:
+        if constraints.max_staleness_ms < MIN_REFRESH_BOUND_MS:
+            return False
+        return any(
+            self._is_close(view)
+            for view in self._tracker.views.values()
+            if view.name not in excluded
+        )
+
+    def _is_close(self, view: EndpointView) -> bool:
+        channel = self._channels.by_name.get(view.name)
+        is_serving = channel is not None and channel.is_serving
+        is_healthy = view.misses == 0 and view.synced_term == self._tracker.term
+        is_replica = view.name != self._context.record.primary
+        lag_ms = self._tracker.lag_ms(view.position)
+        is_near = lag_ms is not None and lag_ms <= self._catch_up_limit_ms
+        return is_serving and is_healthy and is_replica and is_near
+
+    @property
+    def _catch_up_limit_ms(self) -> float:
+        policy = self._context.policy
+        return float(policy.catch_up_wait_ms + policy.probe_interval_ms)
+
+    async def _refresh(
+        self,
+        constraints: ReadConstraints,
+        deadline_ms: float,
+        excluded: set[str],
+        trail: Explanation,
+    ) -> None:
+        """Take a fresh sample and ask close replicas to report the position."""
+        context = self._context
+        started_ms = context.now_ms()
+        limit_ms = min(started_ms + context.policy.catch_up_wait_ms, deadline_ms)
+        needs_sample = constraints.max_staleness_ms < 2 * self._catch_up_limit_ms
+        if needs_sample:
+            await self._prober.sample_primary()
+        target = max(constraints.position, self._newest_position if needs_sample else 0)
+        for view in list(self._tracker.views.values()):
+            if self._is_close(view) and view.name not in excluded:
+                spawn(self._ask(view.name, target, limit_ms))
+        while context.now_ms() < limit_ms and not self._is_any_eligible(
+            constraints, excluded
+        ):
+            remaining_ms = limit_ms - context.now_ms()
+            await within(context.timers, self._tracker.progress, remaining_ms)
+        waited_ms = context.now_ms() - started_ms
+        trail.note(f"waited {waited_ms:.1f} ms for a replica to catch up")
+
+    @property
+    def _newest_position(self) -> int:
+        view = self._tracker.views.get(self._context.record.primary or "")
+        return view.position if view else 0
+
+    def _is_any_eligible(
+        self, constraints: ReadConstraints, excluded: set[str]
+    ) -> bool:
+        silent = Explanation(is_wanted=False)
+        return self._route(constraints, excluded, silent) is not None
+
+    async def _ask(self, name: str, position: int, limit_ms: float) -> None:
+        context = self._context
+        endpoint = context.state.endpoints.get(name)
+        if endpoint is None:
+            return
+        sent_ms = context.now_ms()
+        wait_ms = max(1.0, limit_ms - sent_ms)
+        outcome = await context.endpoints.request(
+            endpoint.address,
+            StatusCall(position, wait_ms),
+            wait_ms + context.policy.probe_timeout_ms,
+        )
+        if isinstance(outcome, Ok):
+            self._tracker.observe(name, outcome.ok_value, sent_ms, context.now_ms())
+
+    async def _read_replica(
+        self,
+        name: str,
+        request: CallerRequest,
+        constraints: ReadConstraints,
+        deadline_ms: float,
+        trail: Explanation,
+    ) -> ReadAttempt:
+        context = self._context
+        term = self._tracker.term
+        call = StatementCall(term, False, request.statement, request.parameters)
+        channel = self._channels.by_name[name]
+        sent_ms = context.now_ms()
+        outcome = await channel.run(
+            lambda: call, _priority(request), request.caller, deadline_ms
+        )
+        if isinstance(outcome, Err):
+            return Err(_error_answer(outcome.err_value, name))
+        answer = outcome.ok_value
+        self._tracker.observe(name, answer, sent_ms, context.now_ms())
+        if answer.position > self._tracker.confirmed_position:
+            trail.note(f"{name} is ahead of the majority; waiting for confirmation")
+            if not await self._confirmer.confirm(term, answer.position, deadline_ms):
+                return Err(_stale(f"{name}: its state was not confirmed"))
+        staleness_ms = self._tracker.staleness_ms(answer.position, context.now_ms())
+        if staleness_ms is None or staleness_ms > constraints.max_staleness_ms:
+            return Err(_stale(f"{name}: beyond the staleness bound when it answered"))
+        if answer.position < constraints.position or answer.term != term:
+            return Err(_stale(f"{name}: behind the session when it answered"))
+        context.counters.replica_reads += 1
+        return Ok(_read_answer(answer, name, staleness_ms, is_replica=True))
+
+    async def _read_primary(
+        self,
+        request: CallerRequest,
+        constraints: ReadConstraints,
+        deadline_ms: float,
+        trail: Explanation,
+    ) -> ReadAttempt:
+        context = self._context
+        ready = await self._channels.primary(
+            self._channels.hold_until_ms(deadline_ms), is_write=False
+        )
+        if isinstance(ready, Err):
+            return Err(ready.err_value)
+        channel = ready.ok_value
+        name = channel.record.name
+        term = context.record.term
+        call = StatementCall(term, False, request.statement, request.parameters)
+        sent_ms = context.now_ms()
+        outcome = await channel.run(
+            guarded(self._channels, term, call),
+            _priority(request),
+            request.caller,
+            deadline_ms,
+        )
+        if isinstance(outcome, Err):
+            return Err(_error_answer(outcome.err_value, name))
+        answer = outcome.ok_value
+        self._tracker.observe(name, answer, sent_ms, context.now_ms())
+        trail.note(f"read from the primary {name}")
+        if not await self._confirmer.confirm(term, answer.position, deadline_ms):
+            return Err(_stale(f"{name}: its state was not confirmed"))
+        if (term, answer.position) < (constraints.term, constraints.position):
+            return Err(_stale(f"{name}: has not the session's position"))
+        context.counters.primary_reads += 1
+        staleness_ms = context.now_ms() - sent_ms
+        return Ok(_read_answer(answer, name, staleness_ms, is_replica=False))
+
+
+def _priority(request: CallerRequest) -> Priority:
+    has_session = request.token_position > 0
+    return Priority.SESSION_READ if has_session else Priority.STALE_READ
+
+
+def _is_retryable(answer: CallerAnswer) -> bool:
+    return answer.code in (
+        ErrorCode.ENDPOINT_LOST,
+        ErrorCode.STALE,
+        ErrorCode.NO_PRIMARY,
+    )
+
+
+def _stale(detail: str) -> CallerAnswer:
+    return not_run(ErrorCode.STALE, detail, RETRY_AFTER_FAILOVER_MS)
+
+
+def _error_answer(error: EndpointFailure | Shed, name: str) -> CallerAnswer:
+    if isinstance(error, Shed):
+        return shed_answer(error, name)
+    answer = failure_answer(error)
+    if answer.outcome is Outcome.UNKNOWN:
+        # A read changes nothing, so a lost one counts as not run.
+        return not_run(ErrorCode.ENDPOINT_LOST, answer.detail, RETRY_AFTER_FAILOVER_MS)
+    return answer
+
+
+def _read_answer(
+    answer: EndpointAnswer, name: str, staleness_ms: float, is_replica: bool
+) -> CallerAnswer:
+    return CallerAnswer(
+        Outcome.DONE,
+        rows=answer.rows,
+        term=answer.term,
+        position=answer.position,
+        staleness_ms=staleness_ms,
+        endpoint=name,
+        is_from_replica=is_replica,
+    )
+
+
+def _describe(candidate: RouteCandidate) -> str:
+    age = candidate.staleness_ms
+    staleness = "unknown" if age is None else f"{age:.0f} ms"
+    return (
+        f"{candidate.name} {candidate.verdict.value}; staleness {staleness}, "
+        f"expected {candidate.expected_ms:.1f} ms"
+        if candidate.verdict is not Verdict.IS_PRIMARY
+        else f"{candidate.name} {candidate.verdict.value}"
+    )
--- /dev/null
+++ b/src/azurerelay/serving/_registry_member.py
@@ -0,0 +1,126 @@
+"""A serving host's part in a group's idempotency registry."""
+
+from typing import Any
+
+from result import Err
+
+from azurerelay.registry import (
+    AbortNotice,
+    CollectReply,
+    CollectRequest,
+    IdempotencyRegistry,
+    IntentRequest,
+    OutcomeReply,
+    OutcomeRequest,
+    RegistryEntry,
+)
+from azurerelay.serving._at_most_once import record_intent
+from azurerelay.serving._serving_context import ServingContext
+from azurerelay.timing import gather, sleep, spawn
+
+COLLECT_TIMEOUT_MS = 500.0
+COLLECT_RETRY_MS = 50.0
+
+
+class RegistryMember:
+    """Answer registry messages and collect entries when the serving set changes."""
+
+    def __init__(self, context: ServingContext, registry: IdempotencyRegistry) -> None:
+        self._context = context
+        self._registry = registry
+        self._collecting_epoch = 0
+
+    @property
+    def registry(self) -> IdempotencyRegistry:
+        """The entries."""
+        return self._registry
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether non-idempotent work may be taken."""
+        return self._registry.is_ready
+
+    def on_state_changed(self) -> None:
+        """Enter the serving set's epoch and collect what its predecessor knew."""
+        context = self._context
+        policy = context.policy
+        record = context.record
+        self._registry.set_limits(policy.retention_ms, policy.max_entries)
+        if context.host not in context.state.valid_members(record):
+            return
+        self._registry.enter_epoch(record.epoch, record.registry_lost_ms)
+        if not self._registry.is_ready and self._collecting_epoch != record.epoch:
+            self._collecting_epoch = record.epoch
+            spawn(self._collect(record.epoch))
+
+    def on_message(self, sender: str, message: Any) -> None:
+        """Answer another member."""
+        link = self._context.link
+        match message:
+            case IntentRequest():
+                now_ms = self._context.timers.wall_ms()
+                reply = record_intent(
+                    self._registry,
+                    message.request_id,
+                    message.epoch,
+                    message.entry,
+                    now_ms,
+                )
+                link.send(sender, reply)
+            case OutcomeRequest():
+                is_recorded = self._registry.record_outcome(message.entry)
+                link.send(sender, OutcomeReply(message.request_id, is_recorded))
+            case AbortNotice():
+                self._registry.abort(message.key, message.attempt)
+            case CollectRequest():
+                link.send(sender, self._answer_collect(message))
+
+    def _answer_collect(self, request: CollectRequest) -> CollectReply:
+        self._registry.seal(request.epoch)
+        is_ready = self._registry.ready_epoch >= request.epoch - 1
+        entries = self._registry.entries if is_ready else ()
+        return CollectReply(request.request_id, is_ready, entries)
+
+    async def _collect(self, epoch: int) -> None:
+        """Merge the entries of a majority of the previous set, then become ready."""
+        context = self._context
+        while context.record.epoch == epoch and not self._registry.is_ready:
+            previous = context.record.previous_serving
+            majority = len(previous) // 2 + 1 if previous else 0
+            collected: dict[str, RegistryEntry] = {}
+            sources = await self._ask_previous(previous, epoch, collected)
+            is_lost = context.record.registry_lost_epoch == epoch
+            if sources >= majority or is_lost:
+                self._registry.complete(epoch, collected.values())
+                context.on_suspicion()
+                return
+            await sleep(context.timers, COLLECT_RETRY_MS)
+
+    async def _ask_previous(
+        self,
+        previous: tuple[str, ...],
+        epoch: int,
+        collected: dict[str, RegistryEntry],
+    ) -> int:
+        context = self._context
+        sources = 0
+        if context.host in previous and self._registry.ready_epoch == epoch - 1:
+            self._registry.seal(epoch)
+            sources += 1
+        calls = [
+            context.requester.call(
+                member,
+                lambda request_id: CollectRequest(request_id, context.group, epoch),
+                COLLECT_TIMEOUT_MS,
+            )
+            for member in previous
+            if member != context.host and member in context.state.hosts
+        ]
+        for outcome in await gather(calls):
+            if isinstance(outcome, Err):
+                continue
+            reply: CollectReply = outcome.ok_value
+            if reply.is_ready:
+                sources += 1
+                collected.update((entry.key, entry) for entry in reply.entries)
+        return sources
--- /dev/null
+++ b/src/azurerelay/serving/_transaction.py
@@ -0,0 +1,21 @@
+"""One open transaction."""
+
+from dataclasses import dataclass
+
+from azurerelay.endpoints import EndpointConnection
+from azurerelay.serving._endpoint_channel import EndpointChannel
+
+
+@dataclass(slots=True)
+class Transaction:
+    """A transaction with the connection that belongs to it alone."""
+
+    name: str
+    term: int
+    number: int
+    channel: EndpointChannel
+    connection: EndpointConnection
+    started_ms: float
+    used_ms: float
+    is_busy: bool = False
+    has_ended: bool = False
--- /dev/null
+++ b/src/azurerelay/sessions/__init__.py
@@ -0,0 +1,19 @@
+"""Session tokens: the positions that a caller has seen."""
+
+from azurerelay.sessions._group_position import GroupPosition
+from azurerelay.sessions._session_token import (
+    EMPTY_TOKEN,
+    BadToken,
+    SessionToken,
+    decode_token,
+    encode_token,
+)
+
+__all__ = [
+    "EMPTY_TOKEN",
+    "BadToken",
+    "GroupPosition",
+    "SessionToken",
+    "decode_token",
+    "encode_token",
+]
--- /dev/null
+++ b/src/azurerelay/sessions/_session_token.py
@@ -0,0 +1,88 @@
+"""The opaque token that makes a session consistent on any host."""
+
+import base64
+import binascii
+import zlib
+from dataclasses import dataclass
+from typing import Final
+
+import msgspec
+from result import Err, Ok, Result
+
+from azurerelay.sessions._group_position import GroupPosition
+
+TOKEN_VERSION: Final = 1
+MAX_TOKEN_BYTES: Final = 4096
+MAX_TOKEN_GROUPS: Final = 64
+_CHECKSUM_BYTES: Final = 4
+_DECODER: Final = msgspec.msgpack.Decoder(tuple[int, tuple[tuple[str, int, int], ...]])
+
+
+@dataclass(frozen=True, slots=True)
+class BadToken:
+    """A token that cannot be read; `reason` says why."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class SessionToken:
+    """The highest confirmed position that a session has seen in each group."""
+
+    positions: tuple[GroupPosition, ...] = ()
+
+    def position(self, group: str) -> GroupPosition:
+        """Return the session's position in a group; the start when it has none."""
+        for position in self.positions:
+            if position.group == group:
+                return position
+        return GroupPosition(0, 0, group)
+
+    def merged(self, position: GroupPosition) -> "SessionToken":
+        """Return a token that also covers a position, most recently used last.
+
+        Beyond `MAX_TOKEN_GROUPS` the group used longest ago is left out.
+        """
+        others = tuple(p for p in self.positions if p.group != position.group)
+        newest = max(position, self.position(position.group))
+        return SessionToken((*others, newest)[-MAX_TOKEN_GROUPS:])
+
+
+EMPTY_TOKEN: Final = SessionToken()
+
+
+def encode_token(token: SessionToken) -> str:
+    """Return the token as text for a header."""
+    positions = [(p.group, p.term, p.position) for p in token.positions]
+    body = msgspec.msgpack.encode((TOKEN_VERSION, positions))
+    checksum = zlib.crc32(body).to_bytes(_CHECKSUM_BYTES, "big")
+    return base64.urlsafe_b64encode(body + checksum).decode().rstrip("=")
+
+
+def decode_token(text: str) -> Result[SessionToken, BadToken]:
+    """Return the token of a header; anything damaged is an error."""
+    if len(text) > MAX_TOKEN_BYTES:
+        return Err(BadToken(f"longer than {MAX_TOKEN_BYTES} bytes"))
+    try:
+        padded = text + "=" * (-len(text) % 4)
+        data = base64.b64decode(padded, altchars=b"-_", validate=True)
+    except (binascii.Error, ValueError):
+        return Err(BadToken("not base64url text"))
+    body = data[:-_CHECKSUM_BYTES]
+    if zlib.crc32(body).to_bytes(_CHECKSUM_BYTES, "big") != data[-_CHECKSUM_BYTES:]:
+        return Err(BadToken("checksum differs"))
+    return _decode_body(body)
+
+
+def _decode_body(body: bytes) -> Result[SessionToken, BadToken]:
+    try:
+        version, positions = _DECODER.decode(body)
+    except msgspec.MsgspecError as error:
+        return Err(BadToken(str(error)))
+    if version != TOKEN_VERSION:
+        return Err(BadToken(f"version {version} is not {TOKEN_VERSION}"))
+    if len(positions) > MAX_TOKEN_GROUPS:
+        return Err(BadToken(f"more than {MAX_TOKEN_GROUPS} groups"))
+    if any(term < 0 or position < 0 for _, term, position in positions):
+        return Err(BadToken("negative position"))
+    return Ok(SessionToken(tuple(GroupPosition(t, p, g) for g, t, p in positions)))
--- /dev/null
+++ b/src/azurerelay/settings/_schema.py
@@ -0,0 +1,214 @@
+"""Every setting of the tree, with unit, range, default and effect."""
+
+from types import MappingProxyType
+from typing import Final
+
+from azurerelay.settings._assignment import SettingValue
+from azurerelay.settings._finding import Finding
+from azurerelay.settings._setting_spec import SettingSpec
+
+_HOUR_MS: Final = 3_600_000
+
+_SPECS: Final = (
+    SettingSpec(
+        "reads.max_staleness_ms",
+        2_000,
+        "ms",
+        "The oldest state that a read without its own bound may see.",
+        0,
+        24 * _HOUR_MS,
+    ),
+    SettingSpec(
+        "reads.catch_up_wait_ms",
+        30,
+        "ms",
+        "How long a read waits for a replica that has not caught up yet.",
+        0,
+        10_000,
+    ),
+    SettingSpec(
+        "writes.durability",
+        "majority",
+        "",
+        "Which endpoints hold a write before it is confirmed.",
+        choices=("majority", "primary"),
+    ),
+    SettingSpec(
+        "writes.hold_ms",
+        3_000,
+        "ms",
+        "How long work that needs a primary waits while there is none.",
+        0,
+        60_000,
+    ),
+    SettingSpec(
+        "requests.timeout_ms",
+        5_000,
+        "ms",
+        "The deadline of a request that states none.",
+        10,
+        120_000,
+    ),
+    SettingSpec(
+        "limits.queue_length",
+        200,
+        "requests",
+        "How many requests wait for one endpoint at one serving host.",
+        0,
+        100_000,
+    ),
+    SettingSpec(
+        "limits.connection_percent",
+        80,
+        "%",
+        "The part of an endpoint's connections that all serving hosts share.",
+        1,
+        100,
+    ),
+    SettingSpec(
+        "probes.interval_ms",
+        100,
+        "ms",
+        "How often a serving host asks each endpoint for its position.",
+        10,
+        60_000,
+    ),
+    SettingSpec(
+        "probes.timeout_ms",
+        200,
+        "ms",
+        "How long a probe waits for its answer.",
+        10,
+        60_000,
+    ),
+    SettingSpec(
+        "probes.misses",
+        3,
+        "probes",
+        "How many probes in a row must fail before an endpoint is suspected.",
+        1,
+        100,
+    ),
+    SettingSpec(
+        "serving.set_size",
+        3,
+        "hosts",
+        "How many hosts hold connections to a group's endpoints.",
+        1,
+        9,
+    ),
+    SettingSpec(
+        "registry.retention_ms",
+        600_000,
+        "ms",
+        "How long the outcome of an idempotency key is kept.",
+        1_000,
+        48 * _HOUR_MS,
+    ),
+    SettingSpec(
+        "registry.max_entries",
+        100_000,
+        "entries",
+        "How many idempotency keys a group keeps; beyond it new ones are refused.",
+        10,
+        10_000_000,
+    ),
+    SettingSpec(
+        "transactions.idle_ms",
+        5_000,
+        "ms",
+        "A transaction without a statement for this long is rolled back.",
+        10,
+        600_000,
+    ),
+    SettingSpec(
+        "transactions.max_ms",
+        30_000,
+        "ms",
+        "A transaction older than this is rolled back.",
+        10,
+        _HOUR_MS,
+    ),
+    SettingSpec(
+        "retries.budget_percent",
+        10,
+        "%",
+        "Retries allowed, as a share of recent successes.",
+        0,
+        100,
+    ),
+    SettingSpec(
+        "retries.backoff_ms",
+        5,
+        "ms",
+        "The mean wait before a first retry; doubled for each further one.",
+        0,
+        10_000,
+    ),
+    SettingSpec(
+        "endpoints.expected",
+        3,
+        "endpoints",
+        "How many endpoints make up a group; its majority counts against this.",
+        1,
+        9,
+    ),
+    SettingSpec(
+        "endpoints.expire_ms",
+        3_000,
+        "ms",
+        "An endpoint that has not announced itself for this long gets no new work.",
+        500,
+        600_000,
+    ),
+    SettingSpec(
+        "primary.preferred",
+        "",
+        "",
+        "The endpoint that should be primary; empty leaves the choice to failover.",
+    ),
+    SettingSpec(
+        "hosts.expire_ms",
+        3_000,
+        "ms",
+        "A host that has sent no heartbeat for this long is removed.",
+        500,
+        600_000,
+        is_root_only=True,
+    ),
+    SettingSpec(
+        "leases.duration_ms",
+        1_200,
+        "ms",
+        "How long a host may confirm work without hearing from control.",
+        200,
+        30_000,
+        is_root_only=True,
+    ),
+)
+
+SCHEMA: Final = MappingProxyType({spec.key: spec for spec in _SPECS})
+MAX_TEXT_LENGTH: Final = 200
+
+
+def check_value(place: str, key: str, value: SettingValue) -> Finding | None:
+    """Return why a value does not suit its setting, or None."""
+    spec = SCHEMA.get(key)
+    if spec is None:
+        return Finding(place, f"unknown setting {key!r}")
+    if spec.choices:
+        if value not in spec.choices:
+            return Finding(place, f"{key} must be one of {', '.join(spec.choices)}")
+        return None
+    if isinstance(spec.default, str):
+        if not isinstance(value, str) or len(value) > MAX_TEXT_LENGTH:
+            return Finding(place, f"{key} must be a text of up to {MAX_TEXT_LENGTH}")
+        return None
+    if isinstance(value, bool) or not isinstance(value, int):
+        return Finding(place, f"{key} must be a whole number of {spec.unit}")
+    if not spec.minimum <= value <= spec.maximum:
+        return Finding(
+            place,
+            f"{key} must be {spec.minimum} to {spec.maximum} {spec.unit}, not {value}",
+        )
+    return None
--- /dev/null
+++ b/src/azurerelay/standin/_standin_endpoint.py
@@ -0,0 +1,487 @@
+"""A stand-in endpoint: terms, slots, connections and asynchronous replication."""
+
+from collections import deque
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Any, Final
+
+from result import Err, Ok, Result
+
+from azurerelay.endpoints import (
+    BeginCall,
+    CallResult,
+    CommitCall,
+    EndpointAnswer,
+    EndpointCall,
+    EndpointFailure,
+    EndpointPort,
+    EndpointRole,
+    FailureKind,
+    FenceCall,
+    FollowCall,
+    KnobsCall,
+    LogEntry,
+    PromoteCall,
+    PullCall,
+    RollbackCall,
+    Row,
+    Scalar,
+    Statement,
+    StatementCall,
+    StatusCall,
+)
+from azurerelay.standin._slots import Slots
+from azurerelay.standin._standin_config import StandinConfig
+from azurerelay.standin._standin_data import StandinData, is_writing, run_statement
+from azurerelay.timing import Promise, TimerService, sleep, spawn, within
+
+PULL_ENTRIES: Final = 512
+PULL_WAIT_MS: Final = 500.0
+PULL_TIMEOUT_MS: Final = 1_000.0
+PULL_RETRY_MS: Final = 20.0
+MAX_LAG_SLEEP_MS: Final = 50.0
+
+
+@dataclass(slots=True)
+class _Transaction:
+    """A transaction's statements and the values it sees."""
+
+    statements: list[Statement]
+    values: dict[str, Scalar]
+
+
+@dataclass(frozen=True, slots=True)
+class _ReceivedBatch:
+    """Entries pulled from the primary, not yet visible."""
+
+    received_ms: float
+    following: FollowCall
+    position: int
+    entries: tuple[LogEntry, ...]
+
+
+@dataclass(slots=True)
+class _Knobs:
+    """The disturbances in force."""
+
+    lag_ms: float
+    service_ms: float
+    status_delay_ms: float = 0.0
+    is_isolated: bool = False
+    is_replication_cut: bool = False
+    is_leaving: bool = False
+
+
+class StandinEndpoint:
+    """Serve calls on any timer service; `port` is how it reaches its primary."""
+
+    def __init__(
+        self, config: StandinConfig, timers: TimerService, port: EndpointPort
+    ) -> None:
+        self._config = config
+        self._timers = timers
+        self._port = port
+        self._data = StandinData()
+        self._knobs = _Knobs(config.lag_ms, config.service_ms)
+        self._slots = Slots(config.slots)
+        self._term = 0
+        self._synced_term = 0
+        self._role = EndpointRole.REPLICA
+        self._following: FollowCall | None = None
+        self._transactions: dict[int, _Transaction] = {}
+        self._next_transaction = 1
+        self._connections = 0
+        self._peak_connections = 0
+        self._executed = 0
+        self._primary_heard_ms = timers.now_ms()
+        self._growth: Promise[None] = Promise()
+        self._received: deque[_ReceivedBatch] = deque()
+
+    @property
+    def config(self) -> StandinConfig:
+        """The endpoint's shape."""
+        return self._config
+
+    @property
+    def data(self) -> StandinData:
+        """The log and the data."""
+        return self._data
+
+    @property
+    def term(self) -> int:
+        """The highest term seen."""
+        return self._term
+
+    @property
+    def role(self) -> EndpointRole:
+        """Primary or replica."""
+        return self._role
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether every call and every answer is lost."""
+        return self._knobs.is_isolated
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the endpoint announces that it leaves."""
+        return self._knobs.is_leaving
+
+    @property
+    def executed(self) -> int:
+        """How many statements have been run."""
+        return self._executed
+
+    @property
+    def peak_connections(self) -> int:
+        """The most connections that were open together."""
+        return self._peak_connections
+
+    def restart(self) -> None:
+        """Come back after a crash: data and term are kept, roles and work are not."""
+        self._role = EndpointRole.REPLICA
+        self._following = None
+        self._synced_term = 0
+        self._received.clear()
+        self._transactions.clear()
+        self._connections = 0
+        self._slots = Slots(self._config.slots)
+        self._knobs = _Knobs(self._config.lag_ms, self._config.service_ms)
+
+    def connect(self) -> Promise[Result["StandinConnection", EndpointFailure]]:
+        """Open a connection, which takes the configured time."""
+        if self._connections >= self._config.connection_limit:
+            detail = f"{self._config.connection_limit} connections are open"
+            return Promise.of(Err(self._failure(FailureKind.REFUSED_LIMIT, detail)))
+        self._connections += 1
+        self._peak_connections = max(self._peak_connections, self._connections)
+        return spawn(self._open_connection())
+
+    def request(self, call: EndpointCall) -> Promise[CallResult]:
+        """Handle a call that needs no connection."""
+        if isinstance(call, StatusCall):
+            return spawn(self._answer_status(call))
+        if isinstance(call, PullCall):
+            return spawn(self._answer_pull(call))
+        return Promise.of(self._handle(call))
+
+    def call(
+        self, connection: "StandinConnection", call: EndpointCall
+    ) -> Promise[CallResult]:
+        """Handle a call on a connection."""
+        if isinstance(call, StatementCall):
+            return spawn(self._run(call))
+        outcome = self._handle(call)
+        if isinstance(call, BeginCall) and isinstance(outcome, Ok):
+            connection.transaction = outcome.ok_value.transaction
+        elif isinstance(call, CommitCall | RollbackCall):
+            connection.transaction = None
+        return Promise.of(outcome)
+
+    def end_connection(self, transaction: int | None) -> None:
+        """Forget a closed connection and roll its transaction back."""
+        self._connections -= 1
+        if transaction is not None:
+            self._transactions.pop(transaction, None)
+
+    async def _open_connection(
+        self,
+    ) -> Result["StandinConnection", EndpointFailure]:
+        await sleep(self._timers, self._config.connect_ms)
+        return Ok(StandinConnection(self))
+
+    def _answer(
+        self, rows: tuple[Row, ...] = (), transaction: int | None = None
+    ) -> EndpointAnswer:
+        silence_ms = self._timers.now_ms() - self._primary_heard_ms
+        return EndpointAnswer(
+            term=self._term,
+            position=self._data.position,
+            log_term=self._data.log_term,
+            synced_term=self._synced_term,
+            role=self._role,
+            rows=rows,
+            transaction=transaction,
+            primary_silence_ms=0.0 if self._is_primary else silence_ms,
+        )
+
+    @property
+    def _is_primary(self) -> bool:
+        return self._role is EndpointRole.PRIMARY
+
+    def _failure(self, kind: FailureKind, detail: str) -> EndpointFailure:
+        return EndpointFailure(kind, f"{self._config.name}: {detail}", self._term)
+
+    def _refusal(self, term: int, needs_primary: bool) -> EndpointFailure | None:
+        if term != self._term:
+            detail = f"term {term} is not the current term {self._term}"
+            return self._failure(FailureKind.REFUSED_TERM, detail)
+        if needs_primary and not self._is_primary:
+            return self._failure(FailureKind.REFUSED_ROLE, "not the primary")
+        if self._synced_term != term:
+            detail = f"log is not yet that of the primary of term {term}"
+            return self._failure(FailureKind.REFUSED_ROLE, detail)
+        return None
+
+    @singledispatchmethod
+    def _handle(self, call: Any) -> CallResult:
+        detail = f"{type(call).__name__} needs a connection"
+        return Err(self._failure(FailureKind.REFUSED_STATEMENT, detail))
+
+    @_handle.register
+    def _(self, call: BeginCall) -> CallResult:
+        refusal = self._refusal(call.term, needs_primary=True)
+        if refusal is not None:
+            return Err(refusal)
+        number = self._next_transaction
+        self._next_transaction += 1
+        self._transactions[number] = _Transaction([], dict(self._data.values))
+        return Ok(self._answer(transaction=number))
+
+    @_handle.register
+    def _(self, call: CommitCall) -> CallResult:
+        transaction = self._transactions.pop(call.transaction, None)
+        refusal = self._refusal(call.term, needs_primary=True)
+        if refusal is not None:
+            return Err(refusal)
+        if transaction is None:
+            detail = f"no transaction {call.transaction}"
+            return Err(self._failure(FailureKind.REFUSED_TRANSACTION, detail))
+        if transaction.statements:
+            self._append(tuple(transaction.statements))
+        return Ok(self._answer())
+
+    @_handle.register
+    def _(self, call: RollbackCall) -> CallResult:
+        self._transactions.pop(call.transaction, None)
+        return Ok(self._answer())
+
+    @_handle.register
+    def _(self, call: FenceCall) -> CallResult:
+        if call.term < self._term:
+            detail = f"fenced at term {self._term}"
+            return Err(self._failure(FailureKind.REFUSED_TERM, detail))
+        if call.term > self._term:
+            self._enter_term(call.term)
+        return Ok(self._answer())
+
+    @_handle.register
+    def _(self, call: PromoteCall) -> CallResult:
+        if call.term < self._term:
+            detail = f"fenced at term {self._term}"
+            return Err(self._failure(FailureKind.REFUSED_TERM, detail))
+        if call.term == self._term and self._is_primary:
+            return Ok(self._answer())
+        self._enter_term(call.term)
+        self._role = EndpointRole.PRIMARY
+        self._synced_term = call.term
+        self._append(())
+        return Ok(self._answer())
+
+    @_handle.register
+    def _(self, call: FollowCall) -> CallResult:
+        if call.term < self._term:
+            detail = f"fenced at term {self._term}"
+            return Err(self._failure(FailureKind.REFUSED_TERM, detail))
+        if call.term == self._term and self._is_primary:
+            return Err(self._failure(FailureKind.REFUSED_ROLE, "is the primary"))
+        if call != self._following:
+            if call.term > self._term:
+                self._enter_term(call.term)
+            self._following = call
+            spawn(self._replicate(call))
+        return Ok(self._answer())
+
+    @_handle.register
+    def _(self, call: KnobsCall) -> CallResult:
+        for name in _Knobs.__slots__:
+            value = getattr(call, name)
+            if value is not None:
+                setattr(self._knobs, name, value)
+        return Ok(self._answer())
+
+    def _enter_term(self, term: int) -> None:
+        self._term = term
+        self._role = EndpointRole.REPLICA
+        self._following = None
+        self._received.clear()
+        self._transactions.clear()
+
+    def _append(self, statements: tuple[Statement, ...]) -> None:
+        self._data.append([LogEntry(self._term, statements)])
+        self._announce_growth()
+
+    def _announce_growth(self) -> None:
+        growth = self._growth
+        self._growth = Promise()
+        growth.resolve(None)
+
+    async def _run(self, call: StatementCall) -> CallResult:
+        await self._slots.acquire()
+        try:
+            await sleep(self._timers, self._knobs.service_ms)
+            return self._execute(call)
+        finally:
+            self._slots.release()
+
+    def _execute(self, call: StatementCall) -> CallResult:
+        refusal = self._refusal(call.term, call.is_write)
+        if refusal is not None:
+            return Err(refusal)
+        statement = Statement(call.statement, call.parameters)
+        if is_writing(statement) and not call.is_write:
+            detail = f"{call.statement!r} is not a read"
+            return Err(self._failure(FailureKind.REFUSED_STATEMENT, detail))
+        if call.transaction is not None:
+            return self._execute_in_transaction(call.transaction, statement)
+        outcome = self._data.execute(self._term, statement)
+        if isinstance(outcome, Err):
+            kind = FailureKind.REFUSED_STATEMENT
+            return Err(self._failure(kind, outcome.err_value))
+        self._executed += 1
+        if is_writing(statement):
+            self._announce_growth()
+        return Ok(self._answer(outcome.ok_value))
+
+    def _execute_in_transaction(self, number: int, statement: Statement) -> CallResult:
+        transaction = self._transactions.get(number)
+        if transaction is None:
+            detail = f"no transaction {number}"
+            return Err(self._failure(FailureKind.REFUSED_TRANSACTION, detail))
+        outcome = run_statement(transaction.values, statement)
+        if isinstance(outcome, Err):
+            kind = FailureKind.REFUSED_STATEMENT
+            return Err(self._failure(kind, outcome.err_value))
+        self._executed += 1
+        if is_writing(statement):
+            transaction.statements.append(statement)
+        return Ok(self._answer(outcome.ok_value, number))
+
+    async def _answer_status(self, call: StatusCall) -> CallResult:
+        if self._knobs.status_delay_ms:
+            await sleep(self._timers, self._knobs.status_delay_ms)
+        deadline_ms = self._timers.now_ms() + call.wait_ms
+        while call.wait_ms and self._data.position < call.position:
+            remaining_ms = deadline_ms - self._timers.now_ms()
+            if remaining_ms <= 0:
+                break
+            await within(self._timers, self._growth, remaining_ms)
+        return Ok(self._answer())
+
+    async def _answer_pull(self, call: PullCall) -> CallResult:
+        deadline_ms = self._timers.now_ms() + call.wait_ms
+        while True:
+            refusal = self._refusal(call.term, needs_primary=True)
+            if refusal is not None:
+                return Err(refusal)
+            if self._data.term_at(call.position) != call.log_term:
+                return Err(self._failure(FailureKind.DIVERGED, "logs differ"))
+            entries = self._data.entries_after(call.position, call.limit)
+            remaining_ms = deadline_ms - self._timers.now_ms()
+            if entries or remaining_ms <= 0:
+                return Ok(_with_entries(self._answer(), entries))
+            await within(self._timers, self._growth, remaining_ms)
+
+    async def _replicate(self, following: FollowCall) -> None:
+        position = self._data.position
+        log_term = self._data.log_term
+        is_synced = False
+        while self._following is following:
+            if self._knobs.is_isolated or self._knobs.is_replication_cut:
+                await sleep(self._timers, PULL_RETRY_MS)
+                continue
+            wait_ms = PULL_WAIT_MS if is_synced else 0.0
+            call = PullCall(following.term, position, log_term, PULL_ENTRIES, wait_ms)
+            outcome = await self._port.request(following.address, call, PULL_TIMEOUT_MS)
+            if self._following is not following:
+                return
+            if isinstance(outcome, Ok):
+                entries = outcome.ok_value.entries
+                self._receive(following, position, entries)
+                is_synced = True
+                position += len(entries)
+                log_term = entries[-1].term if entries else log_term
+            elif outcome.err_value.kind is FailureKind.DIVERGED:
+                position = self._data.position_before_term(position, log_term)
+                log_term = self._data.term_at(position) or 0
+            else:
+                await sleep(self._timers, PULL_RETRY_MS)
+
+    def _receive(
+        self, following: FollowCall, position: int, entries: tuple[LogEntry, ...]
+    ) -> None:
+        now_ms = self._timers.now_ms()
+        self._primary_heard_ms = now_ms
+        is_first = self._synced_term != following.term and not self._received
+        if not entries and not is_first:
+            return
+        self._received.append(_ReceivedBatch(now_ms, following, position, entries))
+        if len(self._received) == 1:
+            spawn(self._apply_received())
+
+    async def _apply_received(self) -> None:
+        while self._received:
+            batch = self._received[0]
+            remaining_ms = (
+                batch.received_ms + self._knobs.lag_ms - self._timers.now_ms()
+            )
+            if remaining_ms > 0:
+                await sleep(self._timers, min(remaining_ms, MAX_LAG_SLEEP_MS))
+                continue
+            self._received.popleft()
+            self._apply_batch(batch)
+
+    def _apply_batch(self, batch: "_ReceivedBatch") -> None:
+        if self._following is not batch.following:
+            return
+        if self._synced_term != batch.following.term:
+            self._data.truncate(batch.position)
+            self._synced_term = batch.following.term
+        self._data.append(batch.entries)
+        self._announce_growth()
+
+
+class StandinConnection:
+    """One open connection of a stand-in."""
+
+    def __init__(self, endpoint: StandinEndpoint) -> None:
+        self._endpoint = endpoint
+        self._is_open = True
+        self._transaction: int | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether calls are taken."""
+        return self._is_open
+
+    @property
+    def transaction(self) -> int | None:
+        """The open transaction, if any."""
+        return self._transaction
+
+    @transaction.setter
+    def transaction(self, transaction: int | None) -> None:
+        self._transaction = transaction
+
+    def call(self, call: EndpointCall) -> Promise[CallResult]:
+        """Make one call."""
+        return self._endpoint.call(self, call)
+
+    def close(self) -> None:
+        """Close and roll back."""
+        if self._is_open:
+            self._is_open = False
+            self._endpoint.end_connection(self._transaction)
+
+
+def _with_entries(
+    answer: EndpointAnswer, entries: tuple[LogEntry, ...]
+) -> EndpointAnswer:
+    return EndpointAnswer(
+        term=answer.term,
+        position=answer.position,
+        log_term=answer.log_term,
+        synced_term=answer.synced_term,
+        role=answer.role,
+        entries=entries,
+    )
--- /dev/null
+++ b/src/azurerelay/timing/_promise.py
@@ -0,0 +1,90 @@
+"""A value that arrives later, usable without an event loop."""
+
+from collections.abc import Callable, Generator, Sequence
+from typing import Any, Generic, TypeVar, cast
+
+T = TypeVar("T")
+
+
+class Promise(Generic[T]):
+    """Hold one value that is set once; the first resolution wins."""
+
+    __slots__ = ("_callbacks", "_error", "_is_done", "_value")
+
+    def __init__(self) -> None:
+        self._is_done = False
+        self._value: T | None = None
+        self._error: BaseException | None = None
+        self._callbacks: list[Callable[[], object]] = []
+
+    @property
+    def is_done(self) -> bool:
+        """Whether a value or an error is set."""
+        return self._is_done
+
+    @property
+    def value(self) -> T:
+        """Return the value, or raise the error; only once `is_done`."""
+        if self._error is not None:
+            raise self._error
+        return cast(T, self._value)
+
+    @classmethod
+    def of(cls, value: T) -> "Promise[T]":
+        """Return a promise that is already resolved."""
+        promise: Promise[T] = cls()
+        promise._value = value
+        promise._is_done = True
+        return promise
+
+    def resolve(self, value: T) -> bool:
+        """Set the value; return False when one was set before."""
+        if self._is_done:
+            return False
+        self._value = value
+        self._finish()
+        return True
+
+    def fail(self, error: BaseException) -> None:
+        """Set an error; raise it here when nobody waits, so that it is not lost."""
+        if self._is_done:
+            return
+        self._error = error
+        has_waiter = bool(self._callbacks)
+        self._finish()
+        if not has_waiter:
+            raise error
+
+    def add_callback(self, callback: Callable[[], object]) -> None:
+        """Call back once the promise is done; at once when it already is."""
+        if self._is_done:
+            callback()
+            return
+        self._callbacks.append(callback)
+
+    def __await__(self) -> Generator["Promise[Any]", None, T]:
+        if not self._is_done:
+            yield self
+        return self.value
+
+    def _finish(self) -> None:
+        self._is_done = True
+        callbacks = self._callbacks
+        self._callbacks = []
+        for callback in callbacks:
+            callback()
+
+
+def gather(promises: Sequence[Promise[T]]) -> Promise[tuple[T, ...]]:
+    """Return a promise of all values, in the order given."""
+    combined: Promise[tuple[T, ...]] = Promise()
+
+    def check() -> None:
+        if all(promise.is_done for promise in promises):
+            combined.resolve(tuple(promise.value for promise in promises))
+
+    if not promises:
+        return Promise.of(())
+    for promise in promises:
+        promise.add_callback(check)
+    return combined
