--- a/src/azurerelay/control/_leader_duties.py
+++ b/src/azurerelay/control/_leader_duties.py
@@ -68,7 +68,10 @@
         """Take over what the hosts report and return their leases."""
         now_ms = self._timers.now_ms()
         for heartbeat in heartbeats:
+            session = self._table.sessions.get(heartbeat.host)
+            unready = session.unready_groups if session else frozenset()
             self._table.observe(heartbeat, now_ms)
+            self._assigner.on_heartbeat(unready)
             self._hosts.on_heartbeat(heartbeat)
             for announcement in heartbeat.announcements:
                 self._presence.on_announcement(announcement)
--- a/src/azurerelay/control/_serving_assigner.py
+++ b/src/azurerelay/control/_serving_assigner.py
@@ -1,17 +1,18 @@
 """Assigns serving sets as hosts come and go."""
 
+from collections.abc import Iterable
+
 from azurerelay.control._proposer import Proposer
 from azurerelay.membership import (
     AssignServingSet,
     ClusterState,
     GroupRecord,
     HostTable,
+    SettleServingSet,
     choose_serving_set,
 )
 from azurerelay.timing import TimerService
 
-UNREADY_LIMIT_MS = 3_000.0
-
 
 class ServingAssigner:
     """Give each group its serving set; move as little as rendezvous hashing does."""
@@ -30,7 +31,13 @@
         self._proposer = proposer
         self._timers = timers
         self._seen: dict[str, tuple[object, ...]] = {}
-        self._unready_since_ms: dict[str, float] = {}
+
+    def on_heartbeat(self, groups: Iterable[str]) -> None:
+        """Settle the sets of groups that a host no longer reports as unready."""
+        for name in groups:
+            group = self._state.groups.get(name)
+            if group is not None:
+                self._settle(group)
 
     def assign(self) -> None:
         """Propose a new serving set for every group whose choice has changed."""
@@ -42,7 +49,7 @@
                 self._assign_group(group, size)
                 if not self._proposer.is_pending(_key(group)):
                     self._seen[group.name] = basis
-            self._check_unready(group)
+            self._settle(group)
 
     def _assign_group(self, group: GroupRecord, size: int) -> None:
         chosen = choose_serving_set(group.name, self._state.hosts.values(), size)
@@ -51,55 +58,56 @@
             return
         if set(chosen) == set(valid) == set(group.serving):
             return
-        alive = [name for name in valid if name in self._state.hosts]
-        is_lost = bool(group.serving) and len(alive) < len(group.serving) // 2 + 1
         gone = [name for name in group.serving if name not in chosen]
         new = [name for name in chosen if name not in valid]
-        reason = f"left: {', '.join(gone) or 'none'}; joined: {', '.join(new)}"
-        self._propose(group, chosen, is_lost, reason)
-
-    def _check_unready(self, group: GroupRecord) -> None:
-        """Give up a registry whose previous holders cannot come back."""
-        now_ms = self._timers.now_ms()
-        if not self._is_stuck(group):
-            self._unready_since_ms.pop(group.name, None)
-            return
-        since_ms = self._unready_since_ms.setdefault(group.name, now_ms)
-        if now_ms - since_ms > UNREADY_LIMIT_MS:
-            del self._unready_since_ms[group.name]
-            reason = "the previous serving set's registry is lost"
-            self._propose(group, group.serving, True, reason)
-
-    def _is_stuck(self, group: GroupRecord) -> bool:
-        unready = [
-            host for host in group.serving if group.name in self._unready_groups(host)
-        ]
-        if not unready:
-            return False
-        sources = [host for host in group.previous_serving if self._is_source(host)]
-        return len(sources) < len(group.previous_serving) // 2 + 1
-
-    def _unready_groups(self, host: str) -> frozenset[str]:
-        session = self._table.sessions.get(host)
-        return session.unready_groups if session else frozenset()
-
-    def _is_source(self, host: str) -> bool:
-        return host in self._state.hosts
-
-    def _propose(
-        self, group: GroupRecord, hosts: tuple[str, ...], is_lost: bool, reason: str
-    ) -> None:
         command = AssignServingSet(
             at_ms=self._timers.wall_ms(),
             actor=self._name,
             group=group.name,
             epoch=group.epoch + 1,
-            hosts=hosts,
+            hosts=chosen,
+            reason=f"left: {_listed(gone)}; joined: {_listed(new)}",
+        )
+        self._proposer.propose_once(_key(group), command)
+
+    def _settle(self, group: GroupRecord) -> None:
+        """Settle a set whose majority is complete, or whose sources are lost."""
+        if group.settled_epoch == group.epoch:
+            return
+        ready = [host for host in group.serving if self._is_ready(host, group)]
+        is_ready = len(ready) >= len(group.serving) // 2 + 1
+        is_lost = not is_ready and self._is_registry_lost(group)
+        if not is_ready and not is_lost:
+            return
+        reason = f"the registry is complete on {_listed(ready)}"
+        if is_lost:
+            left = _listed(self._state.registry_sources(group))
+            reason = f"of the registry's holders only these are left: {left}"
+        command = SettleServingSet(
+            at_ms=self._timers.wall_ms(),
+            actor=self._name,
+            group=group.name,
+            epoch=group.epoch,
             is_registry_lost=is_lost,
             reason=reason,
         )
         self._proposer.propose_once(_key(group), command)
 
+    def _is_ready(self, host: str, group: GroupRecord) -> bool:
+        session = self._table.sessions.get(host)
+        if session is None or host not in self._state.valid_members(group):
+            return False
+        has_applied = session.acked_index >= group.set_index
+        return has_applied and group.name not in session.unready_groups
+
+    def _is_registry_lost(self, group: GroupRecord) -> bool:
+        sources = self._state.registry_sources(group)
+        return len(sources) < len(group.settled_serving) // 2 + 1
+
+
+def _listed(names: Iterable[str]) -> str:
+    return ", ".join(names) or "none"
+
 
 def _key(group: GroupRecord) -> str:
     return f"serving/{group.name}"
--- a/src/azurerelay/embedded/_embedded_system.py
+++ b/src/azurerelay/embedded/_embedded_system.py
@@ -234,6 +234,10 @@
         standin.restart()
         self._endpoints.add(standin)
 
+    def is_endpoint_up(self, name: str) -> bool:
+        """Return whether an endpoint is running."""
+        return name not in self._down
+
     def primary(self, group: str) -> str | None:
         """Return the installed primary of a group."""
         leader = self.leader
--- a/src/azurerelay/entry/_group_servers.py
+++ b/src/azurerelay/entry/_group_servers.py
@@ -11,14 +11,13 @@
 from azurerelay.serving import GroupServer, ServingContext, ServingCounters
 from azurerelay.timing import TimerService
 
-RETIRED_HOLD_MS: Final = 10_000.0
 RETIRED_POLL_MS: Final = 500.0
 
 
 class GroupServers:
     """Start a server for each group assigned to this host; retire the others.
 
-    A retired server keeps its registry entries for its successors for a while.
+    A retired server keeps its registry entries until its successors are settled.
     """
 
     def __init__(
@@ -43,7 +42,7 @@
         self._random = random_source
         self._counters = counters
         self._servers: dict[str, GroupServer] = {}
-        self._retired_ms: dict[str, float] = {}
+        self._retired: set[str] = set()
         timers.subscribe(RETIRED_POLL_MS, self._stop_retired)
 
     @property
@@ -105,7 +104,7 @@
             elif server is not None:
                 if not is_member and not server.is_retiring:
                     server.retire()
-                    self._retired_ms[name] = self._timers.now_ms()
+                    self._retired.add(name)
                 server.on_state_changed()
 
     def on_lease_changed(self) -> None:
@@ -128,7 +127,7 @@
         record = self._state.groups.get(group)
         if record is None:
             return False
-        if self._config.name in record.serving:
+        if self._config.name in (*record.serving, *record.settled_serving):
             return any(
                 name != self._config.name and not host.is_draining
                 for name, host in self._state.hosts.items()
@@ -139,7 +138,7 @@
         if retired is not None:
             retired.resume()
             retired.on_state_changed()
-            self._retired_ms.pop(group, None)
+            self._retired.discard(group)
             return
         server = GroupServer(
             ServingContext(
@@ -162,10 +161,11 @@
         server.start()
 
     def _stop_retired(self) -> None:
-        horizon_ms = self._timers.now_ms() - RETIRED_HOLD_MS
-        for group, retired_ms in list(self._retired_ms.items()):
+        for group in list(self._retired):
             server = self._servers[group]
-            if retired_ms < horizon_ms and server.is_idle:
+            record = self._state.groups[group]
+            is_source = self._config.name in record.settled_serving
+            if server.is_idle and not is_source:
                 server.stop()
                 del self._servers[group]
-                del self._retired_ms[group]
+                self._retired.discard(group)
--- /dev/null
+++ b/src/azurerelay/experiments/__init__.py
@@ -0,0 +1,31 @@
+"""Load, faults and a checker of the promises, against the embedded system."""
+
+from azurerelay.experiments._checker import Checker, Violation
+from azurerelay.experiments._experiment import Experiment, ExperimentReport
+from azurerelay.experiments._fault_plan import (
+    Fault,
+    FaultKind,
+    FaultPlan,
+    random_faults,
+)
+from azurerelay.experiments._history import History, OperationKind, OperationRecord
+from azurerelay.experiments._load_mix import ALERT_DESK_MIX, CHILDCARE_MIX, LoadMix
+from azurerelay.experiments._simulated_caller import SimulatedCaller
+
+__all__ = [
+    "ALERT_DESK_MIX",
+    "CHILDCARE_MIX",
+    "Checker",
+    "Experiment",
+    "ExperimentReport",
+    "Fault",
+    "FaultKind",
+    "FaultPlan",
+    "History",
+    "LoadMix",
+    "OperationKind",
+    "OperationRecord",
+    "SimulatedCaller",
+    "Violation",
+    "random_faults",
+]
--- /dev/null
+++ b/src/azurerelay/experiments/_experiment.py
@@ -0,0 +1,210 @@
+"""One run of load and faults against the embedded system on fake time."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from azurerelay.embedded import EmbeddedSystem, SystemShape
+from azurerelay.endpoints import Scalar
+from azurerelay.experiments._checker import Checker, Installation
+from azurerelay.experiments._fault_plan import Fault, FaultPlan
+from azurerelay.experiments._history import History, OperationKind, OperationRecord
+from azurerelay.experiments._load_mix import LoadMix
+from azurerelay.experiments._simulated_caller import SimulatedCaller
+from azurerelay.timing import ManualTimerService
+
+SETTLE_LIMIT_MS: Final = 60_000.0
+WIND_DOWN_MS: Final = 30_000.0
+PROGRESS_STEP_MS: Final = 1_000.0
+START_WALL_MS: Final = 1_700_000_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class ExperimentReport:
+    """The figures of a run; gaps in milliseconds, one a primary's loss."""
+
+    shape: str
+    seconds: float
+    operations: int
+    outcomes: dict[str, int]
+    reads: int
+    replica_reads: int
+    failover_gaps_ms: tuple[float, ...]
+    violations: tuple[str, ...]
+    promotions: int
+    peak_connections: int
+    connection_limit: int
+    faults: tuple[str, ...]
+    has_settled: bool
+
+    @property
+    def replica_share(self) -> float:
+        """The share of reads that replicas served."""
+        return self.replica_reads / self.reads if self.reads else 0.0
+
+    @property
+    def is_kept(self) -> bool:
+        """Whether every promise was kept and the system recovered."""
+        is_within = self.peak_connections <= self.connection_limit
+        return not self.violations and self.has_settled and is_within
+
+
+class Experiment:
+    """Settle the system, run load and faults, heal, and check the history."""
+
+    def __init__(
+        self,
+        shape: SystemShape,
+        mix: LoadMix,
+        faults: tuple[Fault, ...],
+        seconds: float,
+        seed: int,
+        on_progress: Callable[[float], None] | None = None,
+    ) -> None:
+        self._shape = shape
+        self._mix = mix
+        self._faults = faults
+        self._seconds = seconds
+        self._on_progress = on_progress
+        self._timers = ManualTimerService()
+        self._random = random.Random(seed)
+        self._system = EmbeddedSystem(shape, self._timers, self._random)
+        self._history = History()
+        self._losses: list[tuple[float, str, int]] = []
+
+    @property
+    def system(self) -> EmbeddedSystem:
+        """The system under load."""
+        return self._system
+
+    @property
+    def history(self) -> History:
+        """What callers saw."""
+        return self._history
+
+    def run(self) -> ExperimentReport:
+        """Run to the end and return the report."""
+        self._system.start()
+        if not self._timers.advance_until(self._system.is_settled, SETTLE_LIMIT_MS):
+            raise RuntimeError("the system did not settle before the load")
+        callers = self._start_callers()
+        plan = FaultPlan(self._system, self._timers, self._faults)
+        plan.start()
+        self._run_load()
+        plan.end_all()
+        has_settled = self._wind_down(callers)
+        return self._report(plan, has_settled)
+
+    def _start_callers(self) -> list[SimulatedCaller]:
+        callers = [
+            SimulatedCaller(
+                f"caller{number}",
+                self._system,
+                self._timers,
+                random.Random(self._random.random()),
+                self._mix,
+                self._history,
+            )
+            for number in range(self._mix.callers)
+        ]
+        for caller in callers:
+            caller.start()
+        return callers
+
+    def _run_load(self) -> None:
+        end_ms = self._timers.now_ms() + self._seconds * 1_000.0
+        while self._timers.now_ms() < end_ms:
+            self._timers.advance(min(PROGRESS_STEP_MS, end_ms - self._timers.now_ms()))
+            if self._on_progress is not None:
+                self._on_progress(end_ms - self._timers.now_ms())
+
+    def _wind_down(self, callers: list[SimulatedCaller]) -> bool:
+        for caller in callers:
+            caller.stop()
+        self._timers.advance_until(
+            lambda: not any(caller.is_busy for caller in callers), WIND_DOWN_MS
+        )
+        is_quiet = self._timers.advance_until(self._system.is_settled, SETTLE_LIMIT_MS)
+        self._timers.advance(PROGRESS_STEP_MS)
+        return is_quiet and self._system.is_settled()
+
+    def _report(self, plan: FaultPlan, has_settled: bool) -> ExperimentReport:
+        records = self._history.records
+        reads = [r for r in records if r.is_done and _is_read(r)]
+        installations = self._installations()
+        travel_ms = 2 * self._shape.between_domains_ms + self._shape.to_callers_ms
+        violations = Checker(travel_ms).check(
+            self._history, self._final_data(), installations
+        )
+        outcomes = Counter(
+            r.outcome.value if r.outcome else "host died" for r in records
+        )
+        standins = self._system.standins.values()
+        return ExperimentReport(
+            shape=self._shape.name,
+            seconds=self._seconds,
+            operations=len(records),
+            outcomes=dict(outcomes),
+            reads=len(reads),
+            replica_reads=sum(r.is_from_replica for r in reads),
+            failover_gaps_ms=self._gaps(plan),
+            violations=tuple(str(violation) for violation in violations),
+            promotions=len(installations) - len(self._shape.groups),
+            peak_connections=max(s.peak_connections for s in standins),
+            connection_limit=self._shape.connection_limit,
+            faults=tuple(f"{at_ms:.0f} ms: {what}" for at_ms, what in plan.log),
+            has_settled=has_settled,
+        )
+
+    def _final_data(self) -> dict[str, dict[str, Scalar]]:
+        data: dict[str, dict[str, Scalar]] = {}
+        for group in self._shape.groups:
+            primary = self._system.primary(group)
+            standin = self._system.standins[primary or f"{group}-1"]
+            data[group] = dict(standin.data.values)
+        return data
+
+    def _installations(self) -> tuple[Installation, ...]:
+        leader = self._system.leader
+        if leader is None:
+            return ()
+        return tuple(
+            Installation(
+                record.path.split("/")[1],
+                int(record.after.partition(":")[0].split()[1]),
+                float(record.at_ms - START_WALL_MS),
+            )
+            for record in leader.state.audit
+            if record.action == "install primary"
+        )
+
+    def _gaps(self, plan: FaultPlan) -> tuple[float, ...]:
+        """Return, for each loss of a primary, the time to the next accepted write."""
+        gaps = []
+        for at_ms, what in plan.log:
+            kind, _, victim = what.partition(": ")
+            if kind not in ("kill primary", "isolate primary"):
+                continue
+            group = victim.rpartition("-")[0]
+            accepted = [
+                record.ended_ms
+                for record in self._history.confirmed_writes(group)
+                if record.ended_ms > at_ms and self._is_after(record, at_ms, group)
+            ]
+            if accepted:
+                gaps.append(min(accepted) - at_ms)
+        return tuple(gaps)
+
+    def _is_after(self, record: OperationRecord, at_ms: float, group: str) -> bool:
+        terms = [
+            i.term
+            for i in self._installations()
+            if i.group == group and i.at_ms <= at_ms
+        ]
+        return record.term > max(terms, default=0)
+
+
+def _is_read(record: OperationRecord) -> bool:
+    return record.kind in (OperationKind.STALE_READ, OperationKind.SESSION_READ)
--- /dev/null
+++ b/src/azurerelay/experiments/_fault_plan.py
@@ -0,0 +1,204 @@
+"""Faults at stated times."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from functools import partial
+
+from azurerelay.embedded import EmbeddedSystem
+from azurerelay.endpoints import KnobsCall
+from azurerelay.timing import TimerService
+
+
+class FaultKind(Enum):
+    """What may be done to the system; each is undone after its duration."""
+
+    KILL_PRIMARY = "kill primary"
+    ISOLATE_PRIMARY = "isolate primary"
+    CUT_REPLICATION = "cut replication"
+    LAG_REPLICA = "lag replica"
+    KILL_REPLICA = "kill replica"
+    KILL_ENTRY = "kill entry host"
+    ISOLATE_ENTRY = "isolate entry host"
+    KILL_CONTROL = "kill control host"
+    ISOLATE_CONTROL = "isolate control host"
+    KILL_LEADER = "kill control leader"
+    LOSE_MESSAGES = "lose messages"
+    SLOW_PROBES = "slow probes"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault, when it begins, how long it lasts (ms) and which victim it takes."""
+
+    at_ms: float
+    kind: FaultKind
+    duration_ms: float
+    choice: int = 0
+
+
+class FaultPlan:
+    """Carry faults out on an embedded system."""
+
+    def __init__(
+        self, system: EmbeddedSystem, timers: TimerService, faults: tuple[Fault, ...]
+    ) -> None:
+        self._system = system
+        self._timers = timers
+        self._faults = faults
+        self._log: list[tuple[float, str]] = []
+        self._undo: list[Callable[[], object]] = []
+
+    @property
+    def log(self) -> tuple[tuple[float, str], ...]:
+        """What was done, with the time in milliseconds."""
+        return tuple(self._log)
+
+    def start(self) -> None:
+        """Schedule all faults, relative to now."""
+        for fault in self._faults:
+            self._timers.call_later(fault.at_ms, partial(self._begin, fault))
+
+    def end_all(self) -> None:
+        """Undo every fault that is still in force."""
+        undo = self._undo
+        self._undo = []
+        for step in undo:
+            step()
+
+    def _begin(self, fault: Fault) -> None:
+        begun = self._carry_out(fault)
+        if begun is None:
+            return
+        victim, undo = begun
+        self._log.append((self._timers.now_ms(), f"{fault.kind.value}: {victim}"))
+        self._undo.append(undo)
+
+        def end() -> None:
+            if undo in self._undo:
+                self._undo.remove(undo)
+                undo()
+                self._log.append((self._timers.now_ms(), f"end of {victim}"))
+
+        self._timers.call_later(fault.duration_ms, end)
+
+    def _carry_out(self, fault: Fault) -> tuple[str, Callable[[], object]] | None:
+        match fault.kind:
+            case FaultKind.KILL_PRIMARY | FaultKind.KILL_REPLICA:
+                return self._kill_endpoint(self._endpoint(fault))
+            case FaultKind.ISOLATE_PRIMARY:
+                return self._knob(fault, "is_isolated", True, False)
+            case FaultKind.CUT_REPLICATION:
+                return self._cut_replication(fault)
+            case FaultKind.LAG_REPLICA:
+                lag_ms = self._system.shape.lag_ms
+                return self._knob(fault, "lag_ms", 3_600_000.0, lag_ms)
+            case FaultKind.SLOW_PROBES:
+                return self._knob(fault, "status_delay_ms", 150.0, 0.0)
+            case FaultKind.KILL_ENTRY:
+                return self._kill_entry(fault)
+            case FaultKind.ISOLATE_ENTRY:
+                names = sorted(self._system.entries)
+                return self._isolate(names, fault)
+            case FaultKind.KILL_CONTROL | FaultKind.KILL_LEADER:
+                return self._kill_control(fault)
+            case FaultKind.ISOLATE_CONTROL:
+                return self._isolate(sorted(self._system.controls), fault)
+            case FaultKind.LOSE_MESSAGES:
+                self._system.network.set_loss(0.05)
+                return "5 % of messages", lambda: self._system.network.set_loss(0.0)
+
+    def _endpoint(self, fault: Fault) -> str | None:
+        groups = self._system.shape.groups
+        group = groups[fault.choice % len(groups)]
+        primary = self._system.primary(group)
+        is_primary = fault.kind in (
+            FaultKind.KILL_PRIMARY,
+            FaultKind.ISOLATE_PRIMARY,
+            FaultKind.CUT_REPLICATION,
+            FaultKind.SLOW_PROBES,
+        )
+        if is_primary or primary is None:
+            return primary
+        names = [n for n in self._system.standins if n.startswith(f"{group}-")]
+        others = sorted(set(names) - {primary})
+        return others[fault.choice % len(others)]
+
+    def _kill_endpoint(
+        self, name: str | None
+    ) -> tuple[str, Callable[[], object]] | None:
+        if name is None or not self._system.is_endpoint_up(name):
+            return None
+        self._system.kill_endpoint(name)
+        return name, lambda: self._system.restart_endpoint(name)
+
+    def _knob(
+        self, fault: Fault, knob: str, value: object, undone: object
+    ) -> tuple[str, Callable[[], object]] | None:
+        name = self._endpoint(fault)
+        if name is None:
+            return None
+        standin = self._system.standins[name]
+        standin.request(KnobsCall(**{knob: value}))  # type: ignore[arg-type]
+        undo = KnobsCall(**{knob: undone})  # type: ignore[arg-type]
+        return name, lambda: standin.request(undo)
+
+    def _cut_replication(self, fault: Fault) -> tuple[str, Callable[[], object]] | None:
+        name = self._endpoint(fault)
+        if name is None:
+            return None
+        group = self._system.standins[name].config.group
+        others = [
+            standin.config.address
+            for standin in self._system.standins.values()
+            if standin.config.group == group and standin.config.name != name
+        ]
+        address = self._system.standins[name].config.address
+        for other in others:
+            self._system.network.cut(address, other)
+        return name, lambda: self._system.network.heal(address)
+
+    def _kill_entry(self, fault: Fault) -> tuple[str, Callable[[], object]] | None:
+        names = sorted(self._system.entries)
+        if len(names) < 2:
+            return None
+        name = names[fault.choice % len(names)]
+        self._system.kill_entry(name)
+        return name, lambda: self._system.start_entry(name)
+
+    def _kill_control(self, fault: Fault) -> tuple[str, Callable[[], object]] | None:
+        names = sorted(self._system.controls)
+        if not names:
+            return None
+        name = names[fault.choice % len(names)]
+        leader = self._system.leader
+        if fault.kind is FaultKind.KILL_LEADER and leader is not None:
+            name = leader.name
+        self._system.kill_control(name)
+        return name, lambda: self._system.start_control(name)
+
+    def _isolate(
+        self, names: list[str], fault: Fault
+    ) -> tuple[str, Callable[[], object]] | None:
+        if not names:
+            return None
+        name = names[fault.choice % len(names)]
+        self._system.network.isolate(name)
+        return name, lambda: self._system.network.heal(name)
+
+
+def random_faults(
+    random_source: random.Random, duration_ms: float, count: int
+) -> tuple[Fault, ...]:
+    """Return faults of all kinds, some of them together."""
+    kinds = list(FaultKind)
+    return tuple(
+        Fault(
+            at_ms=random_source.uniform(0.05, 0.8) * duration_ms,
+            kind=random_source.choice(kinds),
+            duration_ms=random_source.choice((300.0, 1_500.0, 4_000.0)),
+            choice=random_source.randrange(1_000),
+        )
+        for _ in range(count)
+    )
--- a/src/azurerelay/membership/__init__.py
+++ b/src/azurerelay/membership/__init__.py
@@ -14,6 +14,7 @@
     RecordEndpoint,
     RecordRefusal,
     RemoveHost,
+    SettleServingSet,
 )
 from azurerelay.membership._control_session import ControlSession, HostIdentity
 from azurerelay.membership._host_table import HostSession, HostTable
@@ -65,6 +66,7 @@
     "RelayedHeartbeats",
     "RelayedReplies",
     "RemoveHost",
+    "SettleServingSet",
     "StateDelta",
     "StateSnapshot",
     "Suspicion",
--- a/src/azurerelay/membership/_cluster_state.py
+++ b/src/azurerelay/membership/_cluster_state.py
@@ -21,6 +21,7 @@
     RecordEndpoint,
     RecordRefusal,
     RemoveHost,
+    SettleServingSet,
 )
 from azurerelay.membership._records import (
     EndpointRecord,
@@ -125,9 +126,20 @@
             name for name in group.serving if self._is_valid_member(group, name)
         )
 
+    def registry_sources(self, group: GroupRecord) -> tuple[str, ...]:
+        """Return the hosts of the settled set that still have their memory."""
+        return tuple(
+            name
+            for name in group.settled_serving
+            if self._has_been_up_since(name, group.settled_index)
+        )
+
     def _is_valid_member(self, group: GroupRecord, host: str) -> bool:
+        return self._has_been_up_since(host, group.set_index)
+
+    def _has_been_up_since(self, host: str, index: int) -> bool:
         record = self._hosts.get(host)
-        return record is not None and record.admitted_index < group.set_index
+        return record is not None and record.admitted_index < index
 
     def group_endpoints(self, group: str) -> tuple[EndpointRecord, ...]:
         """Return the member endpoints of a group."""
@@ -250,16 +262,7 @@
             before,
             epoch=command.epoch,
             serving=command.hosts,
-            previous_serving=before.serving,
             set_index=index,
-            registry_lost_ms=(
-                command.at_ms if command.is_registry_lost else before.registry_lost_ms
-            ),
-            registry_lost_epoch=(
-                command.epoch
-                if command.is_registry_lost
-                else before.registry_lost_epoch
-            ),
         )
         self._lease_index = index
         self._record(
@@ -273,6 +276,35 @@
         )
         return True
 
+    @_apply.register
+    def _(self, command: SettleServingSet, index: int) -> bool:
+        before = self._groups.get(command.group)
+        if before is None or command.epoch != before.epoch:
+            return False
+        if before.settled_epoch == command.epoch:
+            return False
+        lost_ms, lost_epoch = before.registry_lost_ms, before.registry_lost_epoch
+        if command.is_registry_lost:
+            lost_ms, lost_epoch = command.at_ms, command.epoch
+        self._groups[command.group] = replace(
+            before,
+            settled_epoch=before.epoch,
+            settled_serving=before.serving,
+            settled_index=before.set_index,
+            registry_lost_ms=lost_ms,
+            registry_lost_epoch=lost_epoch,
+        )
+        self._record(
+            index,
+            command,
+            "lose registry" if command.is_registry_lost else "settle serving set",
+            f"groups/{command.group}/serving",
+            f"epoch {before.settled_epoch} settled",
+            f"epoch {command.epoch} settled",
+            command.reason,
+        )
+        return True
+
     @_apply.register
     def _(self, command: BeginTerm, index: int) -> bool:
         before = self._groups.get(command.group)
--- a/src/azurerelay/membership/_commands.py
+++ b/src/azurerelay/membership/_commands.py
@@ -47,6 +47,20 @@
     group: str
     epoch: int
     hosts: tuple[str, ...]
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class SettleServingSet:
+    """Let the serving set of an epoch take keyed writes.
+
+    A majority of it has collected the registry, or the registry is lost.
+    """
+
+    at_ms: int
+    actor: str
+    group: str
+    epoch: int
     is_registry_lost: bool
     reason: str
 
@@ -116,6 +130,7 @@
         RemoveHost,
         RecordEndpoint,
         AssignServingSet,
+        SettleServingSet,
         BeginTerm,
         InstallPrimary,
         HoldWrites,
--- a/src/azurerelay/membership/_records.py
+++ b/src/azurerelay/membership/_records.py
@@ -48,7 +48,10 @@
 
     `term_index` and `set_index` are the log indexes at which the term began and
     the serving set was assigned: a host that has applied them holds no older lease.
-    `registry_lost_ms` and `registry_lost_epoch` tell when the registry was last lost.
+    The registry of idempotency keys is complete on the set of `settled_epoch`: a new
+    set collects from a majority of that one, and takes keyed writes once it is
+    settled itself. `registry_lost_ms` and `registry_lost_epoch` tell when the registry
+    was last lost.
     `is_held` tells that writes wait for a planned switch of primary, since
     `hold_index`.
     """
@@ -59,9 +62,11 @@
     members: tuple[str, ...] = ()
     epoch: int = 0
     serving: tuple[str, ...] = ()
-    previous_serving: tuple[str, ...] = ()
     term_index: int = 0
     set_index: int = 0
+    settled_epoch: int = 0
+    settled_serving: tuple[str, ...] = ()
+    settled_index: int = 0
     registry_lost_ms: int = 0
     registry_lost_epoch: int = 0
     is_held: bool = False
--- a/src/azurerelay/registry/_idempotency_registry.py
+++ b/src/azurerelay/registry/_idempotency_registry.py
@@ -15,8 +15,8 @@
 class IdempotencyRegistry:
     """Entries by key in order of arrival, bounded in age and number.
 
-    Members accept intents for their own epoch only, and only once they have
-    collected what the previous epoch's members knew.
+    Members accept intents for their own epoch only, once they have collected what
+    the last settled set knew and control has settled their own.
     """
 
     def __init__(self, retention_ms: int, max_entries: int) -> None:
@@ -26,6 +26,7 @@
         self._epoch = 0
         self._sealed_epoch = 0
         self._ready_epoch = 0
+        self._settled_epoch = 0
         self._lost_ms = 0
 
     def __len__(self) -> int:
@@ -38,7 +39,7 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the previous epoch's entries have been collected."""
+        """Whether the settled set's entries have been collected for this epoch."""
         return self._ready_epoch == self._epoch
 
     @property
@@ -64,8 +65,20 @@
         self._epoch = max(self._epoch, epoch)
         self._lost_ms = max(self._lost_ms, lost_ms)
 
+    def settle(self, epoch: int) -> None:
+        """Take intents of an epoch from now on, if this member is complete."""
+        self._settled_epoch = max(self._settled_epoch, epoch)
+
+    def accept_loss(self, epoch: int) -> None:
+        """Count as complete for an epoch at whose settling the registry was lost.
+
+        A process that has been a member since that epoch began has every intent
+        that it recorded itself, and what came before is lost everywhere.
+        """
+        self._ready_epoch = max(self._ready_epoch, epoch)
+
     def complete(self, epoch: int, collected: Iterable[RegistryEntry]) -> None:
-        """Merge the previous members' entries and become ready for the epoch."""
+        """Merge the entries of the settled set and become ready for the epoch."""
         if epoch != self._epoch:
             return
         for entry in collected:
@@ -86,7 +99,7 @@
         """Record an attempt unless the key is known."""
         if epoch != self._epoch or epoch < self._sealed_epoch:
             return IntentStatus.WRONG_EPOCH
-        if not self.is_ready:
+        if not self.is_ready or self._settled_epoch != epoch:
             return IntentStatus.NOT_READY
         self._expire(now_ms)
         known = self._entries.get(entry.key)
--- a/src/azurerelay/registry/_messages.py
+++ b/src/azurerelay/registry/_messages.py
@@ -90,11 +90,15 @@
 
 @dataclass(frozen=True, slots=True)
 class CollectRequest:
-    """Ask a member of the previous serving set for its entries, and seal it."""
+    """Ask a host for its entries, complete as of an epoch, and seal it.
+
+    A sealed host records no intent of an epoch below `epoch` any more.
+    """
 
     request_id: int
     group: str
     epoch: int
+    needed_epoch: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurerelay/serving/_registry_member.py
+++ b/src/azurerelay/serving/_registry_member.py
@@ -4,6 +4,7 @@
 
 from result import Err
 
+from azurerelay.membership import GroupRecord
 from azurerelay.registry import (
     AbortNotice,
     CollectReply,
@@ -49,6 +50,10 @@
         if context.host not in context.state.valid_members(record):
             return
         self._registry.enter_epoch(record.epoch, record.registry_lost_ms)
+        self._registry.settle(record.settled_epoch)
+        is_source = context.host in context.state.registry_sources(record)
+        if is_source and record.settled_epoch == record.registry_lost_epoch:
+            self._registry.accept_loss(record.registry_lost_epoch)
         if not self._registry.is_ready and self._collecting_epoch != record.epoch:
             self._collecting_epoch = record.epoch
             spawn(self._collect(record.epoch))
@@ -77,44 +82,43 @@
 
     def _answer_collect(self, request: CollectRequest) -> CollectReply:
         self._registry.seal(request.epoch)
-        is_ready = self._registry.ready_epoch >= request.epoch - 1
+        is_ready = self._registry.ready_epoch >= request.needed_epoch
         entries = self._registry.entries if is_ready else ()
         return CollectReply(request.request_id, is_ready, entries)
 
     async def _collect(self, epoch: int) -> None:
-        """Merge the entries of a majority of the previous set, then become ready."""
+        """Collect until complete, or until a further epoch begins."""
         context = self._context
         while context.record.epoch == epoch and not self._registry.is_ready:
-            previous = context.record.previous_serving
-            majority = len(previous) // 2 + 1 if previous else 0
+            record = context.record
             collected: dict[str, RegistryEntry] = {}
-            sources = await self._ask_previous(previous, epoch, collected)
-            is_lost = context.record.registry_lost_epoch == epoch
-            if sources >= majority or is_lost:
+            sources = await self._ask_sources(record, collected)
+            if sources >= _needed_sources(record):
                 self._registry.complete(epoch, collected.values())
                 context.on_suspicion()
                 return
             await sleep(context.timers, COLLECT_RETRY_MS)
 
-    async def _ask_previous(
-        self,
-        previous: tuple[str, ...],
-        epoch: int,
-        collected: dict[str, RegistryEntry],
+    async def _ask_sources(
+        self, record: GroupRecord, collected: dict[str, RegistryEntry]
     ) -> int:
+        """Merge the entries of complete hosts and return how many there were."""
         context = self._context
+        needed_epoch = record.settled_epoch
         sources = 0
-        if context.host in previous and self._registry.ready_epoch == epoch - 1:
-            self._registry.seal(epoch)
+        if self._is_source(record):
+            self._registry.seal(record.epoch)
             sources += 1
         calls = [
             context.requester.call(
-                member,
-                lambda request_id: CollectRequest(request_id, context.group, epoch),
+                host,
+                lambda request_id: CollectRequest(
+                    request_id, context.group, record.epoch, needed_epoch
+                ),
                 COLLECT_TIMEOUT_MS,
             )
-            for member in previous
-            if member != context.host and member in context.state.hosts
+            for host in record.settled_serving
+            if host != context.host and host in context.state.hosts
         ]
         for outcome in await gather(calls):
             if isinstance(outcome, Err):
@@ -124,3 +128,20 @@
                 sources += 1
                 collected.update((entry.key, entry) for entry in reply.entries)
         return sources
+
+    def _is_source(self, record: GroupRecord) -> bool:
+        is_complete = self._registry.ready_epoch >= record.settled_epoch
+        return self._context.host in record.settled_serving and is_complete
+
+
+def _needed_sources(record: GroupRecord) -> int:
+    """Return how many complete hosts hold every entry of earlier epochs.
+
+    A majority of the settled set does. Once this epoch itself is settled, each of
+    its complete members has collected them, so one is enough.
+    """
+    if not record.settled_serving:
+        return 0
+    if record.settled_epoch == record.epoch:
+        return 1
+    return len(record.settled_serving) // 2 + 1
