Keep contested keys; let a control host with a lost disk learn before it votes

Reading on: an abort notice of one round could undo the next round of the same attempt, and a control host with an empty disk voted although others counted on entries it had lost.

Change: differing attempts without an outcome merge into an entry that no attempt owns; each round is an attempt of its own; an empty disk starts as a learner, which counts in no quorum until a confirmed leader promotes it, or all voters are fresh. Embedded processes can be frozen.

--- a/src/azurerelay/consensus/_journal.py
+++ b/src/azurerelay/consensus/_journal.py
@@ -89,7 +89,7 @@
     snapshot: bytes,
     torn_bytes: int,
 ) -> Result[JournalState, CorruptRecord]:
-    hard_state = HardState(0, None)
+    hard_state = HardState(0, None, False)
     log = Log(mark.index, mark.term) if mark else Log()
     offset = 0
     for payload in payloads:
--- a/src/azurerelay/consensus/_messages.py
+++ b/src/azurerelay/consensus/_messages.py
@@ -19,10 +19,14 @@
 
 @dataclass(frozen=True, slots=True)
 class HardState:
-    """The term and the vote, which must be durable before any answer."""
+    """The term and the vote, which must be durable before any answer.
+
+    `is_voter` is set once this disk is known to hold all that it ever promised.
+    """
 
     term: int
     voted_for: str | None
+    is_voter: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +77,7 @@
     round: int
     is_success: bool
     match_index: int
+    is_learner: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +99,28 @@
     round: int
     index: int
     received: int
+    is_learner: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class FreshnessProbe:
+    """Ask a voter whether it has ever taken part, before voting for the first time."""
+
+    is_fresh: bool
+
+
+@dataclass(frozen=True, slots=True)
+class FreshnessReply:
+    """Tell that a voter has no entries and no term."""
+
+    is_fresh: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LearnerPromotion:
+    """Tell a learner that it has all that was committed and may vote again."""
+
+    term: int
 
 
 CONSENSUS_MESSAGES: Final = (
@@ -103,4 +130,7 @@
     AppendReply,
     SnapshotChunk,
     SnapshotReply,
+    FreshnessProbe,
+    FreshnessReply,
+    LearnerPromotion,
 )
--- a/src/azurerelay/consensus/_peer.py
+++ b/src/azurerelay/consensus/_peer.py
@@ -13,3 +13,5 @@
     heard_ms: float = 0.0
     sent_ms: float | None = None
     snapshot_offset: int | None = None
+    is_learner: bool = False
+    is_promotion_due: bool = False
--- a/src/azurerelay/consensus/_raft_node.py
+++ b/src/azurerelay/consensus/_raft_node.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from enum import Enum
 from typing import Any, Final
 
@@ -13,7 +14,10 @@
     AppendReply,
     AppendRequest,
     Entry,
+    FreshnessProbe,
+    FreshnessReply,
     HardState,
+    LearnerPromotion,
     SnapshotChunk,
     SnapshotMark,
     SnapshotReply,
@@ -26,9 +30,10 @@
 from azurerelay.consensus._state_machine import StateMachine
 from azurerelay.messages import Link
 from azurerelay.storage import DiskError
-from azurerelay.timing import Promise, Timer, TimerService
+from azurerelay.timing import Promise, Timer, TimerService, spawn
 
 DISK_RETRY_MS: Final = 1000.0
+FRESHNESS_RETRY_MS: Final = 100.0
 
 
 class Role(Enum):
@@ -92,6 +97,8 @@
         self._disk_error: str | None = None
         self._role_listeners: list[Callable[[], None]] = []
         self._elections_started = 0
+        self._is_learner = not state.hard_state.is_voter
+        self._fresh_peers: set[str] = set()
         if self._mark is not None:
             machine.restore(self._snapshot)
 
@@ -154,6 +161,11 @@
     def _quorum(self) -> int:
         return (len(self._peers) + 1) // 2 + 1
 
+    @property
+    def is_learner(self) -> bool:
+        """Whether this host found an empty disk and may not vote yet."""
+        return self._is_learner
+
     def add_role_listener(self, listener: Callable[[], None]) -> None:
         """Call back after each gain or loss of leadership."""
         self._role_listeners.append(listener)
@@ -162,7 +174,9 @@
         """Begin to wait for a leader."""
         self._reset_election_timer()
         self._timers.subscribe(self._config.heartbeat_ms, self._on_heartbeat)
-        if not self._peers:
+        if self._is_learner:
+            self._probe_freshness()
+        if not self._peers and not self._is_learner:
             self._campaign(is_pre_vote=True)
 
     def propose(self, payload: bytes) -> Promise[Result[Any, ProposalLost]]:
@@ -208,6 +222,73 @@
             self._on_snapshot_chunk(sender, message)
         elif isinstance(message, SnapshotReply):
             self._on_snapshot_reply(sender, message)
+        elif isinstance(message, FreshnessProbe):
+            self._link.send(sender, FreshnessReply(self._is_fresh))
+        elif isinstance(message, FreshnessReply):
+            self._on_freshness_reply(sender, message)
+        elif isinstance(message, LearnerPromotion):
+            self._on_promotion(sender, message)
+
+    # First start and lost disks
+
+    @property
+    def _is_fresh(self) -> bool:
+        return self._term == 0 and self._log.last_index == 0
+
+    def _probe_freshness(self) -> None:
+        """Ask all peers whether the whole group starts for the first time.
+
+        An empty disk may also be a lost one, with votes and entries that others
+        count on. Only when every voter is fresh is it safe to vote right away;
+        otherwise this host learns until a leader with a quorum promotes it.
+        """
+        if not self._is_learner or self._disk_error is not None:
+            return
+        if len(self._fresh_peers) == len(self._peers):
+            self._become_voter(self._term, None)
+            return
+        self._fresh_peers.clear()
+        for peer in self._peers:
+            self._link.send(peer, FreshnessProbe(self._is_fresh))
+        self._timers.call_later(FRESHNESS_RETRY_MS, self._probe_freshness)
+
+    def _on_freshness_reply(self, sender: str, reply: FreshnessReply) -> None:
+        if not reply.is_fresh or not self._is_fresh or not self._is_learner:
+            return
+        self._fresh_peers.add(sender)
+        if len(self._fresh_peers) == len(self._peers):
+            self._become_voter(self._term, None)
+
+    def _become_voter(self, term: int, voted_for: str | None) -> None:
+        self._is_learner = False
+        try:
+            self._save_hard_state(term, voted_for)
+        except DiskError as error:
+            self._is_learner = True
+            self._fail_disk(error)
+
+    def _on_promotion(self, sender: str, promotion: LearnerPromotion) -> None:
+        is_current = promotion.term == self._term and sender == self._leader
+        if self._is_learner and is_current:
+            # The vote of this term is taken to be given, as it may have been.
+            self._become_voter(self._term, sender)
+
+    async def _promote_learner(self, voter: str, term: int) -> None:
+        """Promote a learner that has all that a quorum without it had committed."""
+        is_confirmed = await self.confirm_leadership()
+        peer = self._peers[voter]
+        peer.is_promotion_due = False
+        if is_confirmed and self.is_leader and self._term == term and peer.is_learner:
+            if peer.match_index >= self._commit_index:
+                self._link.send(voter, LearnerPromotion(term))
+
+    def _note_learner(self, sender: str, is_learner: bool) -> None:
+        peer = self._peers[sender]
+        peer.is_learner = is_learner
+        has_all = peer.match_index >= self._commit_index and self.is_ready_leader
+        if is_learner and has_all and not peer.is_promotion_due:
+            peer.is_promotion_due = True
+            spawn(self._promote_learner(sender, self._term))
 
     # Elections
 
@@ -221,7 +302,8 @@
 
     def _on_election(self) -> None:
         self._reset_election_timer()
-        if self._role is not Role.LEADER and self._disk_error is None:
+        may_campaign = not self.is_leader and not self._is_learner
+        if may_campaign and self._disk_error is None:
             try:
                 self._campaign(is_pre_vote=True)
             except DiskError as error:
@@ -262,7 +344,7 @@
             self._log.last_term,
             self._log.last_index,
         )
-        if self._has_live_leader():
+        if self._has_live_leader() or self._is_learner:
             is_granted = False
         elif request.is_pre_vote:
             is_granted = is_current and request.term > self._term
@@ -363,7 +445,10 @@
 
     def _has_quorum(self) -> bool:
         horizon_ms = self._timers.now_ms() - self._config.election_max_ms
-        heard = sum(peer.heard_ms >= horizon_ms for peer in self._peers.values())
+        heard = sum(
+            peer.heard_ms >= horizon_ms and not peer.is_learner
+            for peer in self._peers.values()
+        )
         return heard + 1 >= self._quorum
 
     def _broadcast(self) -> None:
@@ -410,6 +495,7 @@
         )
 
     def _on_append_reply(self, sender: str, reply: AppendReply) -> None:
+        self._peers[sender].is_learner = reply.is_learner
         if not self._accept_reply(sender, reply.term, reply.round):
             return
         peer = self._peers[sender]
@@ -424,6 +510,7 @@
             if peer.next_index <= self._durable_index:
                 self._send_append(sender, peer)
         self._advance_commit()
+        self._note_learner(sender, reply.is_learner)
 
     def _accept_reply(self, sender: str, term: int, round_number: int) -> bool:
         if term > self._term:
@@ -438,7 +525,9 @@
         return True
 
     def _settle_confirmations(self) -> None:
-        rounds = [peer.acked_round for peer in self._peers.values()]
+        rounds = [
+            0 if peer.is_learner else peer.acked_round for peer in self._peers.values()
+        ]
         rounds.append(self._round)
         confirmed = sorted(rounds, reverse=True)[self._quorum - 1]
         self._quorum_round = max(self._quorum_round, confirmed)
@@ -454,7 +543,9 @@
             self._broadcast()
 
     def _advance_commit(self) -> None:
-        matches = [peer.match_index for peer in self._peers.values()]
+        matches = [
+            0 if peer.is_learner else peer.match_index for peer in self._peers.values()
+        ]
         matches.append(self._durable_index)
         candidate = sorted(matches, reverse=True)[self._quorum - 1]
         is_own_term = self._log.term_at(candidate) == self._term
@@ -470,7 +561,7 @@
             return
         self._follow(sender, request.term)
         reply = self._store_entries(request)
-        self._link.send(sender, reply)
+        self._link.send(sender, replace(reply, is_learner=self._is_learner))
 
     def _follow(self, leader: str, term: int) -> None:
         if term > self._term or self._role is not Role.FOLLOWER:
@@ -514,7 +605,10 @@
         self._follow(sender, chunk.term)
         received = self._receive_chunk(chunk)
         self._link.send(
-            sender, SnapshotReply(self._term, chunk.round, chunk.mark.index, received)
+            sender,
+            SnapshotReply(
+                self._term, chunk.round, chunk.mark.index, received, self._is_learner
+            ),
         )
 
     def _receive_chunk(self, chunk: SnapshotChunk) -> int:
@@ -543,6 +637,7 @@
         self._save_compacted()
 
     def _on_snapshot_reply(self, sender: str, reply: SnapshotReply) -> None:
+        self._peers[sender].is_learner = reply.is_learner
         if not self._accept_reply(sender, reply.term, reply.round):
             return
         peer = self._peers[sender]
@@ -601,13 +696,17 @@
             self._journal.save_snapshot(self._mark, self._snapshot)
         count = self._log.last_index - self._log.base_index
         entries = self._log.slice(self._log.base_index + 1, count)
-        self._journal.rewrite(HardState(self._term, self._voted_for), entries)
+        self._journal.rewrite(self._hard_state, entries)
         self._durable_index = self._log.last_index
 
+    @property
+    def _hard_state(self) -> HardState:
+        return HardState(self._term, self._voted_for, not self._is_learner)
+
     def _save_hard_state(self, term: int, voted_for: str | None) -> None:
         self._term = term
         self._voted_for = voted_for
-        self._journal.append([HardState(term, voted_for)])
+        self._journal.append([self._hard_state])
 
     def _fail_disk(self, error: DiskError) -> None:
         is_first = self._disk_error is None
--- a/src/azurerelay/embedded/_embedded_system.py
+++ b/src/azurerelay/embedded/_embedded_system.py
@@ -2,11 +2,11 @@
 
 import random
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 from azurerelay.control import ControlConfig, ControlNode
 from azurerelay.embedded._memory_endpoints import MemoryEndpointPort, MemoryEndpoints
-from azurerelay.embedded._memory_network import MemoryLink, MemoryNetwork
+from azurerelay.embedded._memory_network import Handler, MemoryLink, MemoryNetwork
 from azurerelay.embedded._place import Place
 from azurerelay.embedded._system_shape import SystemShape
 from azurerelay.entry import EntryConfig, EntryNode
@@ -173,13 +173,13 @@
         node = ControlNode(
             ControlConfig(name, self._control_names),
             link,
-            MemoryEndpointPort(self._endpoints, name),
+            MemoryEndpointPort(self._endpoints, name, timers),
             timers,
             random.Random(self._random.random()),
             self._disks[name],
         )
         self._controls[name] = _ControlProcess(node, link, timers)
-        self._network.attach(name, node.on_message)
+        self._network.attach(name, _held_by(timers, node.on_message))
         node.start()
 
     def kill_control(self, name: str) -> None:
@@ -205,12 +205,12 @@
         node = EntryNode(
             config,
             link,
-            MemoryEndpointPort(self._endpoints, name),
+            MemoryEndpointPort(self._endpoints, name, timers),
             timers,
             random.Random(self._random.random()),
         )
         self._entries[name] = _EntryProcess(node, link, timers)
-        self._network.attach(name, node.on_message)
+        self._network.attach(name, _held_by(timers, node.on_message))
         node.start()
 
     def kill_entry(self, name: str) -> None:
@@ -222,6 +222,22 @@
         for server in process.node.servers.by_group.values():
             server.stop()
 
+    def freeze(self, name: str) -> None:
+        """Freeze an entry or control host: it does nothing, but loses nothing."""
+        process = self._process(name)
+        if process is not None:
+            process.timers.pause()
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen host go on where it was."""
+        process = self._process(name)
+        if process is not None:
+            process.timers.resume()
+
+    def lose_disk(self, name: str) -> None:
+        """Replace the disk of a control host that is down by an empty one."""
+        self._disks[name] = MemoryDisk()
+
     def kill_endpoint(self, name: str) -> None:
         """Take an endpoint down; it keeps its data."""
         self._down.add(name)
@@ -244,11 +260,15 @@
         record = leader.state.groups.get(group) if leader else None
         return record.primary if record else None
 
+    def _process(self, name: str) -> "_EntryProcess | _ControlProcess | None":
+        return self._entries.get(name) or self._controls.get(name)
+
     async def _call(self, entry: str, request: CallerRequest) -> CallerAnswer | None:
         await sleep(self._timers, self._shape.to_callers_ms)
         process = self._entries.get(entry)
         if process is None:
             return None
+        await sleep(process.timers, 0.0)
         answer = await process.node.handle(request)
         if process.timers.is_closed:
             return None
@@ -291,7 +311,7 @@
             service_ms=self._shape.service_ms,
             lag_ms=self._shape.lag_ms,
         )
-        port = MemoryEndpointPort(self._endpoints, address)
+        port = MemoryEndpointPort(self._endpoints, address, self._timers)
         standin = StandinEndpoint(config, self._timers, port)
         self._standins[name] = standin
         self._endpoints.add(standin)
@@ -329,6 +349,15 @@
     return EndpointAnnouncement(endpoint, standin.term, position, age_ms=0)
 
 
+def _held_by(timers: ScopedTimerService, handler: Handler) -> Handler:
+    """Return a handler that waits while its process is frozen."""
+
+    def handle(sender: str, message: Any) -> None:
+        timers.run(lambda: handler(sender, message))
+
+    return handle
+
+
 def _is_serving(node: EntryNode, group: str) -> bool:
     server = node.servers.by_group.get(group)
     if server is None or server.is_retiring or not server.member.is_ready:
--- a/src/azurerelay/embedded/_memory_endpoints.py
+++ b/src/azurerelay/embedded/_memory_endpoints.py
@@ -55,10 +55,13 @@
 
 
 class MemoryEndpointPort:
-    """The endpoint port of one process."""
+    """The endpoint port of one process; answers wait while it is frozen."""
 
-    def __init__(self, endpoints: MemoryEndpoints, name: str) -> None:
+    def __init__(
+        self, endpoints: MemoryEndpoints, name: str, process: TimerService
+    ) -> None:
         self._endpoints = endpoints
+        self._process = process
         self._name = name
 
     def connect(
@@ -82,12 +85,10 @@
         timeout_ms: float,
     ) -> CallResult:
         """Carry a call there and its answer back, each after the latency."""
-        return _flattened(
-            await within(
-                self._endpoints.timers, spawn(self._carry(address, call)), timeout_ms
-            ),
-            address,
-        )
+        answer = spawn(self._carry(address, call))
+        outcome = await within(self._endpoints.timers, answer, timeout_ms)
+        await sleep(self._process, 0.0)
+        return _flattened(outcome, address)
 
     async def _connect(
         self, address: str, timeout_ms: float
--- a/src/azurerelay/experiments/_fault_plan.py
+++ b/src/azurerelay/experiments/_fault_plan.py
@@ -24,6 +24,10 @@
     KILL_CONTROL = "kill control host"
     ISOLATE_CONTROL = "isolate control host"
     KILL_LEADER = "kill control leader"
+    LOSE_DISK = "lose the disk of control host"
+    FREEZE_ENTRY = "freeze entry host"
+    FREEZE_CONTROL = "freeze control host"
+    LEAVE_PRIMARY = "primary leaves"
     LOSE_MESSAGES = "lose messages"
     SLOW_PROBES = "slow probes"
 
@@ -103,6 +107,14 @@
                 return self._isolate(names, fault)
             case FaultKind.KILL_CONTROL | FaultKind.KILL_LEADER:
                 return self._kill_control(fault)
+            case FaultKind.LOSE_DISK:
+                return self._lose_disk(fault)
+            case FaultKind.FREEZE_ENTRY:
+                return self._freeze(sorted(self._system.entries), fault)
+            case FaultKind.FREEZE_CONTROL:
+                return self._freeze(sorted(self._system.controls), fault)
+            case FaultKind.LEAVE_PRIMARY:
+                return self._knob(fault, "is_leaving", True, False)
             case FaultKind.ISOLATE_CONTROL:
                 return self._isolate(sorted(self._system.controls), fault)
             case FaultKind.LOSE_MESSAGES:
@@ -118,6 +130,7 @@
             FaultKind.ISOLATE_PRIMARY,
             FaultKind.CUT_REPLICATION,
             FaultKind.SLOW_PROBES,
+            FaultKind.LEAVE_PRIMARY,
         )
         if is_primary or primary is None:
             return primary
@@ -178,6 +191,26 @@
         self._system.kill_control(name)
         return name, lambda: self._system.start_control(name)
 
+    def _lose_disk(self, fault: Fault) -> tuple[str, Callable[[], object]] | None:
+        """Lose one disk, as long as all others are in use."""
+        controls = self._system.controls
+        is_whole = len(controls) == self._system.shape.control_hosts
+        if not is_whole or any(node.raft.is_learner for node in controls.values()):
+            return None
+        begun = self._kill_control(fault)
+        if begun is not None:
+            self._system.lose_disk(begun[0])
+        return begun
+
+    def _freeze(
+        self, names: list[str], fault: Fault
+    ) -> tuple[str, Callable[[], object]] | None:
+        if not names:
+            return None
+        name = names[fault.choice % len(names)]
+        self._system.freeze(name)
+        return name, lambda: self._system.thaw(name)
+
     def _isolate(
         self, names: list[str], fault: Fault
     ) -> tuple[str, Callable[[], object]] | None:
--- a/src/azurerelay/registry/_idempotency_registry.py
+++ b/src/azurerelay/registry/_idempotency_registry.py
@@ -1,6 +1,7 @@
 """One member's entries of a group's idempotency registry."""
 
 from collections.abc import Iterable
+from dataclasses import replace
 from typing import Final
 
 from azurerelay.registry._messages import (
@@ -8,6 +9,7 @@
     RegistryEntry,
 )
 
+CONTESTED: Final = "contested"
 CLOCK_SKEW_MS: Final = 2_000
 KEY_TIME_DIGITS: Final = 13
 
@@ -129,9 +131,16 @@
             del self._entries[key]
 
     def _merge(self, entry: RegistryEntry) -> None:
+        """Add an entry; an outcome decides, differing attempts without one do not.
+
+        One of two such attempts may have run, so neither may be forgotten on the
+        word of the other: their entry belongs to no attempt from then on.
+        """
         known = self._entries.get(entry.key)
-        if known is None or known.outcome is None:
+        if known is None or (known.outcome is None and entry.outcome is not None):
             self._entries[entry.key] = entry
+        elif known.outcome is None and known.attempt != entry.attempt:
+            self._entries[entry.key] = replace(known, attempt=CONTESTED)
 
     def _may_predate_loss(self, key: str, now_ms: int) -> bool:
         if now_ms >= self._lost_ms + self._retention_ms:
--- a/src/azurerelay/serving/_at_most_once.py
+++ b/src/azurerelay/serving/_at_most_once.py
@@ -30,6 +30,7 @@
 INTENT_TIMEOUT_MS = 300.0
 OUTCOME_TIMEOUT_MS = 300.0
 IN_FLIGHT_POLL_MS = 20.0
+IN_FLIGHT_POLL_MAX_MS = 200.0
 IN_FLIGHT_WAIT_MS = 2_000.0
 
 
@@ -56,9 +57,11 @@
         """Return a ticket, or the answer when the key must not run now."""
         context = self._context
         wait_until_ms = min(deadline_ms, context.now_ms() + IN_FLIGHT_WAIT_MS)
-        entry = self._new_entry(request)
+        poll_ms = IN_FLIGHT_POLL_MS
         while True:
-            ticket = self._ticket(entry)
+            # Each round is an attempt of its own, so that a late notice of an
+            # earlier round's abort cannot undo this one.
+            ticket = self._ticket(self._new_entry(request))
             decision = await self._ask_members(ticket, deadline_ms)
             if decision.verdict is IntentVerdict.RUN:
                 return Ok(ticket)
@@ -69,7 +72,8 @@
             )
             if not is_waiting or context.now_ms() >= wait_until_ms:
                 return Err(self._refusal(decision))
-            await sleep(context.timers, IN_FLIGHT_POLL_MS)
+            await sleep(context.timers, poll_ms)
+            poll_ms = min(2 * poll_ms, IN_FLIGHT_POLL_MAX_MS)
 
     async def finish(self, ticket: IntentTicket, answer: CallerAnswer) -> None:
         """Record the outcome at a majority, or for as long as that may take."""
--- a/src/azurerelay/serving/_registry_member.py
+++ b/src/azurerelay/serving/_registry_member.py
@@ -91,16 +91,16 @@
         context = self._context
         while context.record.epoch == epoch and not self._registry.is_ready:
             record = context.record
-            collected: dict[str, RegistryEntry] = {}
+            collected: list[RegistryEntry] = []
             sources = await self._ask_sources(record, collected)
             if sources >= _needed_sources(record):
-                self._registry.complete(epoch, collected.values())
+                self._registry.complete(epoch, collected)
                 context.on_suspicion()
                 return
             await sleep(context.timers, COLLECT_RETRY_MS)
 
     async def _ask_sources(
-        self, record: GroupRecord, collected: dict[str, RegistryEntry]
+        self, record: GroupRecord, collected: list[RegistryEntry]
     ) -> int:
         """Merge the entries of complete hosts and return how many there were."""
         context = self._context
@@ -126,7 +126,7 @@
             reply: CollectReply = outcome.ok_value
             if reply.is_ready:
                 sources += 1
-                collected.update((entry.key, entry) for entry in reply.entries)
+                collected.extend(reply.entries)
         return sources
 
     def _is_source(self, record: GroupRecord) -> bool:
--- a/src/azurerelay/timing/_scoped_timer_service.py
+++ b/src/azurerelay/timing/_scoped_timer_service.py
@@ -18,6 +18,8 @@
     def __init__(self, inner: TimerService) -> None:
         self._inner = inner
         self._is_closed = False
+        self._is_paused = False
+        self._held: list[Callable[[], object]] = []
 
     @property
     def is_closed(self) -> bool:
@@ -28,6 +30,27 @@
         """End the scope: no queued call runs any more."""
         self._is_closed = True
 
+    def pause(self) -> None:
+        """Hold every call that falls due, as for a frozen process."""
+        self._is_paused = True
+
+    def resume(self) -> None:
+        """Make the held calls, in order."""
+        self._is_paused = False
+        held = self._held
+        self._held = []
+        for callback in held:
+            self.run(callback)
+
+    def run(self, callback: Callable[[], object]) -> None:
+        """Make a call now, later when paused, and never when closed."""
+        if self._is_closed:
+            return
+        if self._is_paused:
+            self._held.append(callback)
+            return
+        callback()
+
     def now_ms(self) -> float:
         """Return the monotonic time of the inner service."""
         return self._inner.now_ms()
@@ -40,7 +63,7 @@
         """Run the callback once, unless the scope is closed by then."""
         if self._is_closed:
             return _NoTimer()
-        return self._inner.call_later(delay_ms, lambda: self._run(callback))
+        return self._inner.call_later(delay_ms, lambda: self.run(callback))
 
     def subscribe(self, interval_ms: float, callback: Callable[[], object]) -> Timer:
         """Run the callback at every interval, until the scope is closed."""
@@ -52,10 +75,6 @@
             if self._is_closed:
                 timer.cancel()
                 return
-            callback()
+            self.run(callback)
 
         return timer
-
-    def _run(self, callback: Callable[[], object]) -> None:
-        if not self._is_closed:
-            callback()
