Traces with stated outcomes; suspect a primary that runs in another role

Ruled out: control (it had a leader and was asked nothing). A first write also paid 12 ms for a connection that nobody had opened.

Change: two probes in a row that find the installed primary in another role are a suspicion. Channels open their window's connections when they are made.

--- a/src/azurerelay/cli/_app.py
+++ b/src/azurerelay/cli/_app.py
@@ -2,7 +2,12 @@
 
 import typer
 
-from azurerelay.cli import _daemon_commands, _demo_command, _operator_commands
+from azurerelay.cli import (
+    _daemon_commands,
+    _demo_command,
+    _operator_commands,
+    _replay_command,
+)
 
 app = typer.Typer(
     name="azurerelay",
@@ -13,6 +18,7 @@
 _daemon_commands.register(app)
 _demo_command.register(app)
 _operator_commands.register(app)
+_replay_command.register(app)
 
 
 def main() -> None:
--- a/src/azurerelay/experiments/_checker.py
+++ b/src/azurerelay/experiments/_checker.py
@@ -20,6 +20,14 @@
         return f"{self.promise}: {self.record.marker}: {self.explanation}"
 
 
+@dataclass(frozen=True, slots=True)
+class Freeze:
+    """A time in which some entry host was frozen."""
+
+    begin_ms: float
+    end_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Installation:
     """A primary's installation: the group, its term and when it was in force."""
@@ -33,11 +41,12 @@
     """Find broken promises in a history, given the groups' final data.
 
     `travel_ms` is the longest time that an answer takes from the host that decided
-    it to the caller.
+    it to the caller; a frozen host on the way keeps it for as long as it is frozen.
     """
 
-    def __init__(self, travel_ms: float) -> None:
+    def __init__(self, travel_ms: float, freezes: tuple[Freeze, ...] = ()) -> None:
         self._travel_ms = travel_ms
+        self._freezes = freezes
 
     def check(
         self,
@@ -74,7 +83,7 @@
     def _check_term(
         self, record: OperationRecord, installations: tuple[Installation, ...]
     ) -> Iterator[Violation]:
-        decided_ms = record.ended_ms - self._travel_ms
+        decided_ms = self._decided_ms(record)
         if not record.is_done or record.is_replay:
             # A replay tells of a confirmation that was given earlier.
             return
@@ -89,6 +98,18 @@
                     f"{installation.term} in force since {installation.at_ms:.1f}",
                 )
 
+    def _decided_ms(self, record: OperationRecord) -> float:
+        """Return the earliest time at which the answer may have been decided."""
+        frozen_ms = sum(
+            max(
+                0.0,
+                min(record.ended_ms, freeze.end_ms)
+                - max(record.started_ms, freeze.begin_ms),
+            )
+            for freeze in self._freezes
+        )
+        return record.ended_ms - self._travel_ms - frozen_ms
+
     def _check_staleness(
         self, record: OperationRecord, history: History
     ) -> Iterator[Violation]:
@@ -100,7 +121,7 @@
                 record,
                 f"{record.staleness_ms:.1f} ms is beyond {record.max_staleness_ms}",
             )
-        horizon_ms = record.ended_ms - self._travel_ms - record.staleness_ms
+        horizon_ms = self._decided_ms(record) - record.staleness_ms
         for write in history.confirmed_writes(record.group):
             if write.marker != record.marker or write.ended_ms > horizon_ms:
                 continue
--- a/src/azurerelay/experiments/_fault_plan.py
+++ b/src/azurerelay/experiments/_fault_plan.py
@@ -8,6 +8,7 @@
 
 from azurerelay.embedded import EmbeddedSystem
 from azurerelay.endpoints import KnobsCall
+from azurerelay.experiments._checker import Freeze
 from azurerelay.timing import TimerService
 
 
@@ -52,6 +53,7 @@
         self._timers = timers
         self._faults = faults
         self._log: list[tuple[float, str]] = []
+        self._freezes: list[Freeze] = []
         self._undo: list[Callable[[], object]] = []
 
     @property
@@ -59,6 +61,11 @@
         """What was done, with the time in milliseconds."""
         return tuple(self._log)
 
+    @property
+    def freezes(self) -> tuple[Freeze, ...]:
+        """When hosts were frozen."""
+        return tuple(self._freezes)
+
     def start(self) -> None:
         """Schedule all faults, relative to now."""
         for fault in self._faults:
@@ -208,8 +215,14 @@
         if not names:
             return None
         name = names[fault.choice % len(names)]
+        began_ms = self._timers.now_ms()
         self._system.freeze(name)
-        return name, lambda: self._system.thaw(name)
+
+        def thaw() -> None:
+            self._freezes.append(Freeze(began_ms, self._timers.now_ms()))
+            self._system.thaw(name)
+
+        return name, thaw
 
     def _isolate(
         self, names: list[str], fault: Fault
--- a/src/azurerelay/failover/_primary_watch.py
+++ b/src/azurerelay/failover/_primary_watch.py
@@ -1,13 +1,15 @@
 """A serving host's judgement of a group's primary."""
 
 from collections.abc import Mapping
+from typing import Final
 
 from azurerelay.endpoints import EndpointRole
 from azurerelay.membership import GroupRecord, Suspicion
 from azurerelay.routing import EndpointView
 from azurerelay.settings import GroupPolicy
 
-REPLICATION_SILENCE_PROBES = 12
+REPLICATION_SILENCE_PROBES: Final = 12
+DEMOTED_PROBES: Final = 2
 
 
 class PrimaryWatch:
@@ -31,6 +33,9 @@
         if view.misses >= policy.probe_misses:
             reason = f"{record.primary} missed {view.misses} probes in a row"
             return Suspicion(record.name, record.term, reason)
+        if view.demotions >= DEMOTED_PROBES:
+            reason = f"{record.primary} runs, but not as the primary"
+            return Suspicion(record.name, record.term, reason)
         silence_limit_ms = REPLICATION_SILENCE_PROBES * policy.probe_interval_ms
         if self._is_unheard(record, views, silence_limit_ms):
             reason = f"replicas have not heard {record.primary} for {silence_limit_ms}"
--- a/src/azurerelay/routing/_endpoint_view.py
+++ b/src/azurerelay/routing/_endpoint_view.py
@@ -11,7 +11,11 @@
 
 @dataclass(slots=True)
 class EndpointView:
-    """The newest answer of an endpoint and its health; times in milliseconds."""
+    """The newest answer of an endpoint and its health; times in milliseconds.
+
+    `misses` and `demotions` count probes in a row that failed, and that the group's
+    primary answered in another role.
+    """
 
     name: str
     failure_domain: str
@@ -23,6 +27,7 @@
     heard_ms: float | None = None
     sent_ms: float = 0.0
     misses: int = 0
+    demotions: int = 0
     primary_silence_ms: float = 0.0
     round_trip_ms: float = INITIAL_ROUND_TRIP_MS
 
--- a/src/azurerelay/serving/_channels.py
+++ b/src/azurerelay/serving/_channels.py
@@ -41,6 +41,7 @@
                 )
             else:
                 known.configure(endpoint, context.policy)
+            self._channels[name].warm_up()
 
     def mend(self, name: str) -> None:
         """Close the circuit of an endpoint that has answered a probe."""
@@ -65,12 +66,6 @@
         for channel in self._channels.values():
             channel.pool.release_idle()
 
-    def warm_up(self) -> None:
-        """Open as many connections as the windows allow, ahead of the first need."""
-        for channel in self._channels.values():
-            if channel.is_serving:
-                channel.pool.open_ahead(channel.gate.window.size)
-
     def hold_until_ms(self, deadline_ms: float) -> float:
         """Return until when work that starts now waits for a primary."""
         return min(deadline_ms, self._context.now_ms() + self._context.policy.hold_ms)
--- a/src/azurerelay/serving/_endpoint_channel.py
+++ b/src/azurerelay/serving/_endpoint_channel.py
@@ -85,6 +85,11 @@
         else:
             self._gate.close()
 
+    def warm_up(self) -> None:
+        """Open as many connections as the window allows, ahead of the first need."""
+        if self.is_serving and not self._pool.open_count:
+            self._pool.open_ahead(self._gate.window.size)
+
     def mend(self) -> None:
         """Take work again after a successful probe."""
         self._is_tripped = False
--- a/src/azurerelay/serving/_group_server.py
+++ b/src/azurerelay/serving/_group_server.py
@@ -101,7 +101,6 @@
     def start(self) -> None:
         """Open channels, begin to probe and collect the registry."""
         self.on_state_changed()
-        self._channels.warm_up()
         self._prober.start()
         self._timer = self._context.timers.subscribe(
             EXPIRY_INTERVAL_MS, self._transactions.expire
--- a/src/azurerelay/serving/_prober.py
+++ b/src/azurerelay/serving/_prober.py
@@ -4,7 +4,7 @@
 
 from result import Err, Ok
 
-from azurerelay.endpoints import EndpointAnswer, FollowCall, StatusCall
+from azurerelay.endpoints import EndpointAnswer, EndpointRole, FollowCall, StatusCall
 from azurerelay.failover import PrimaryWatch
 from azurerelay.membership import EndpointRecord, Suspicion
 from azurerelay.routing import PositionTracker
@@ -91,11 +91,19 @@
         if view is None:
             return
         view.misses = 0
+        is_demoted = self._is_demoted(endpoint, answer)
+        view.demotions = view.demotions + 1 if is_demoted else 0
         self._on_alive(endpoint.name)
         view.record_round_trip(now_ms - sent_ms)
         if self._needs_repointing(endpoint, answer):
             spawn(self._repoint(endpoint))
 
+    def _is_demoted(self, endpoint: EndpointRecord, answer: EndpointAnswer) -> bool:
+        """Return whether the installed primary has lost its role, as by a restart."""
+        record = self._context.record
+        is_installed = endpoint.name == record.primary and answer.term >= record.term
+        return is_installed and answer.role is EndpointRole.REPLICA
+
     def _needs_repointing(
         self, endpoint: EndpointRecord, answer: EndpointAnswer
     ) -> bool:
--- /dev/null
+++ b/src/azurerelay/traces/__init__.py
@@ -0,0 +1,25 @@
+"""Recorded traces: requests, faults and stated outcomes, replayed on fake time."""
+
+from azurerelay.traces._trace import Trace, read_trace
+from azurerelay.traces._trace_runner import Difference, TraceRunner
+from azurerelay.traces._trace_steps import (
+    ChangeStep,
+    CheckStep,
+    Expectation,
+    FaultStep,
+    HeaderStep,
+    RequestStep,
+)
+
+__all__ = [
+    "ChangeStep",
+    "CheckStep",
+    "Difference",
+    "Expectation",
+    "FaultStep",
+    "HeaderStep",
+    "RequestStep",
+    "Trace",
+    "TraceRunner",
+    "read_trace",
+]
