--- a/src/azurerelay/cli/_app.py
+++ b/src/azurerelay/cli/_app.py
@@ -5,6 +5,7 @@
 from azurerelay.cli import (
     _daemon_commands,
     _demo_command,
+    _local_commands,
     _operator_commands,
     _replay_command,
 )
@@ -18,6 +19,7 @@
 _daemon_commands.register(app)
 _demo_command.register(app)
 _operator_commands.register(app)
+_local_commands.register(app)
 _replay_command.register(app)
 
 
--- a/src/azurerelay/cli/_daemon_commands.py
+++ b/src/azurerelay/cli/_daemon_commands.py
@@ -11,6 +11,7 @@
 from azurerelay.control import StartRefusedError
 from azurerelay.daemons import (
     Application,
+    BadSettingsError,
     ControlSettings,
     EntrySettings,
     ProcessSettings,
@@ -79,6 +80,9 @@
     configure_logging(settings.log_format)
     try:
         status = asyncio.run(run_until_signal(build(settings)))
+    except BadSettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_BAD_SETTINGS) from error
     except StartRefusedError as error:
         typer.echo(f"{file}: the data folder is damaged: {error}", err=True)
         raise typer.Exit(EXIT_REFUSED) from error
--- a/src/azurerelay/cli/_operator_commands.py
+++ b/src/azurerelay/cli/_operator_commands.py
@@ -1,7 +1,287 @@
 """Commands that talk to a control host."""
 
+import json
+import secrets
+import time
+from datetime import UTC, datetime
+from typing import Annotated, Any
+from urllib.parse import urlencode
+
 import typer
 
+from azurerelay.cli._control_client import ControlClient, ControlReply
+from azurerelay.cli._table import print_table
+
+EXIT_REFUSED = 1
+EXIT_CONFLICT = 5
+WATCH_INTERVAL_S = 0.5
+MS_PER_S = 1_000
+
+Controls = Annotated[
+    list[str],
+    typer.Option(
+        "--control",
+        envvar="AZURERELAY_CONTROL",
+        help="The operators' address of a control host; may be repeated.",
+    ),
+]
+Token = Annotated[
+    str, typer.Option("--token", envvar="AZURERELAY_TOKEN", help="The bearer token.")
+]
+AsJson = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+TreePath = Annotated[str, typer.Argument(help="A path, such as /region/service.")]
+Reason = Annotated[str, typer.Option(help="Why; kept in the audit trail.")]
+Author = Annotated[str, typer.Option(help="Who; kept in the audit trail.")]
+BasedOn = Annotated[
+    int | None,
+    typer.Option(help="The settings number that the change is based on."),
+]
+ChangeId = Annotated[
+    str, typer.Option(help="Give it again to repeat a change whose answer was lost.")
+]
+
+settings_app = typer.Typer(help="Read and change the tree of settings.")
+explain_app = typer.Typer(help="Explain how the system came to its present state.")
+
 
 def register(app: typer.Typer) -> None:
     """Add the commands to the application."""
+    app.add_typer(settings_app, name="settings")
+    app.add_typer(explain_app, name="explain")
+    app.command("status")(status)
+    app.command("audit")(audit)
+
+
+@settings_app.command("show")
+def show(
+    control: Controls, token: Token, path: TreePath = "", as_json: AsJson = False
+) -> None:
+    """Show the values that the tree sets, at one path or everywhere."""
+    query = f"?{urlencode({'path': path})}" if path else ""
+    body = _get(ControlClient(control, token), f"/v1/settings{query}")
+    if as_json:
+        typer.echo(json.dumps(body))
+        return
+    rows = [
+        (node["path"], item["key"], item["value"])
+        for node in body["nodes"]
+        for item in node["assignments"]
+    ]
+    typer.echo(f"number {body['number']}")
+    print_table(("PATH", "SETTING", "VALUE"), rows)
+
+
+@settings_app.command("effective")
+def effective(
+    control: Controls, token: Token, path: TreePath = "/", as_json: AsJson = False
+) -> None:
+    """Show every setting in force at a path, and where it comes from."""
+    query = urlencode({"path": path})
+    body = _get(ControlClient(control, token), f"/v1/settings/effective?{query}")
+    if as_json:
+        typer.echo(json.dumps(body))
+        return
+    rows = [
+        (item["key"], item["value"], item["unit"], item["origin"])
+        for item in body["settings"]
+    ]
+    print_table(("SETTING", "VALUE", "UNIT", "SET AT"), rows)
+
+
+@settings_app.command("set")
+def set_values(
+    control: Controls,
+    token: Token,
+    path: TreePath,
+    assignments: Annotated[list[str], typer.Argument(help="KEY=VALUE")],
+    reason: Reason,
+    author: Author = "",
+    based_on: BasedOn = None,
+    change_id: ChangeId = "",
+) -> None:
+    """Set values at a path."""
+    values: dict[str, bool | int | str] = {}
+    for assignment in assignments:
+        key, separator, text = assignment.partition("=")
+        if not separator:
+            typer.echo(f"{assignment!r} is not KEY=VALUE", err=True)
+            raise typer.Exit(EXIT_REFUSED)
+        values[key] = _value(text)
+    body = {"path": path, "set": values, "reason": reason, "author": author}
+    _change(ControlClient(control, token), body, based_on, change_id)
+
+
+@settings_app.command("unset")
+def unset_values(
+    control: Controls,
+    token: Token,
+    path: TreePath,
+    keys: Annotated[list[str], typer.Argument(help="The settings to inherit again.")],
+    reason: Reason,
+    author: Author = "",
+    based_on: BasedOn = None,
+    change_id: ChangeId = "",
+) -> None:
+    """Remove values at a path, so that they are inherited again."""
+    body = {"path": path, "unset": keys, "reason": reason, "author": author}
+    _change(ControlClient(control, token), body, based_on, change_id)
+
+
+@settings_app.command("history")
+def history(control: Controls, token: Token, as_json: AsJson = False) -> None:
+    """Show all changes of settings."""
+    body = _get(ControlClient(control, token), "/v1/audit?path=/")
+    _print_records(body["records"], as_json)
+
+
+@settings_app.command("watch")
+def watch(
+    control: Controls,
+    token: Token,
+    seconds: Annotated[int, typer.Option(min=1, help="How long at most.")] = 30,
+) -> None:
+    """Wait until the newest settings are in force on every host; exit 1 if not."""
+    client = ControlClient(control, token)
+    end = time.monotonic() + seconds
+    while True:
+        body = _get(client, "/v1/status")
+        lagging = [host["name"] for host in body["hosts"] if host["is_lagging"]]
+        total = len(body["hosts"])
+        number = body["settings_number"]
+        typer.echo(f"number {number} is in force on {total - len(lagging)} of {total}")
+        if not lagging:
+            return
+        if time.monotonic() > end:
+            typer.echo(f"lagging: {', '.join(lagging)}", err=True)
+            raise typer.Exit(EXIT_REFUSED)
+        time.sleep(WATCH_INTERVAL_S)
+
+
+def status(control: Controls, token: Token, as_json: AsJson = False) -> None:
+    """Show hosts, groups and the settings number in force on each host."""
+    body = _get(ControlClient(control, token), "/v1/status")
+    if as_json:
+        typer.echo(json.dumps(body))
+        return
+    typer.echo(f"leader {body['leader']}, settings number {body['settings_number']}")
+    print_table(
+        ("HOST", "DOMAIN", "SETTINGS", "LEASE", "STATE"),
+        [
+            (
+                host["name"],
+                host["failure_domain"],
+                f"{host['settings_number']}{' (lags)' if host['is_lagging'] else ''}",
+                "held" if host["has_lease"] else "none",
+                "draining" if host["is_draining"] else "serving",
+            )
+            for host in body["hosts"]
+        ],
+    )
+    print_table(
+        ("GROUP", "TERM", "PRIMARY", "SERVING HOSTS", "TROUBLE"),
+        [
+            (
+                group["name"],
+                group["term"],
+                group["primary"] or "none",
+                ", ".join(group["serving"]),
+                group["trouble"],
+            )
+            for group in body["groups"]
+        ],
+    )
+
+
+def audit(
+    control: Controls,
+    token: Token,
+    path: Annotated[str, typer.Option(help="Only paths that begin so.")] = "",
+    actor: Annotated[str, typer.Option(help="Only actors that contain this.")] = "",
+    minutes: Annotated[int, typer.Option(help="Only the last minutes.")] = 0,
+    as_json: AsJson = False,
+) -> None:
+    """Show the audit trail."""
+    query: dict[str, object] = {"path": path, "actor": actor}
+    if minutes:
+        since_s = time.time() - minutes * 60
+        query["since_ms"] = int(since_s * MS_PER_S)
+    client = ControlClient(control, token)
+    _print_records(_get(client, f"/v1/audit?{urlencode(query)}")["records"], as_json)
+
+
+@explain_app.command("group")
+def explain_group(
+    control: Controls,
+    token: Token,
+    name: Annotated[str, typer.Argument(help="The group's name.")],
+    as_json: AsJson = False,
+) -> None:
+    """Tell how a group got its present primary, serving set and settings."""
+    client = ControlClient(control, token)
+    query = urlencode({"path": f"groups/{name}"})
+    records = _get(client, f"/v1/audit?{query}")["records"]
+    changes = _get(client, "/v1/audit?path=/")["records"]
+    inherited = [r for r in changes if _applies_to(r["path"], name)]
+    _print_records(sorted(records + inherited, key=lambda r: r["index"]), as_json)
+
+
+def _applies_to(path: str, group: str) -> bool:
+    names = [part for part in path.split("/") if part]
+    return len(names) < 3 or names[-1] == group
+
+
+def _get(client: ControlClient, path: str) -> Any:
+    reply = client.get(path)
+    if not reply.is_ok:
+        _fail(reply)
+    return reply.body
+
+
+def _change(
+    client: ControlClient, body: dict[str, Any], based_on: int | None, change_id: str
+) -> None:
+    if based_on is None:
+        based_on = int(_get(client, "/v1/settings")["number"])
+    body["based_on"] = based_on
+    body["change_id"] = change_id or secrets.token_hex(8)
+    if not body["author"]:
+        del body["author"]
+    reply = client.post("/v1/settings/changes", body)
+    if reply.is_ok:
+        typer.echo(f"accepted as number {reply.body['number']}")
+        return
+    if reply.status == 504:
+        typer.echo(f"repeat with --change-id {body['change_id']}", err=True)
+    if reply.body.get("status") == "conflict":
+        typer.echo(f"conflict: the number is {reply.body['number']} now", err=True)
+        raise typer.Exit(EXIT_CONFLICT)
+    _fail(reply)
+
+
+def _fail(reply: ControlReply) -> None:
+    findings = reply.body.get("findings") or []
+    for finding in findings:
+        typer.echo(f"{finding['place']}: {finding['problem']}", err=True)
+    if not findings:
+        typer.echo(str(reply.body.get("detail", reply.body)), err=True)
+    raise typer.Exit(EXIT_REFUSED)
+
+
+def _print_records(records: list[dict[str, Any]], as_json: bool) -> None:
+    if as_json:
+        typer.echo(json.dumps(records))
+        return
+    for record in records:
+        at = datetime.fromtimestamp(record["at_ms"] / MS_PER_S, UTC)
+        stamp = at.isoformat(timespec="milliseconds")
+        typer.echo(f"{stamp} {record['actor']}: {record['action']} {record['path']}")
+        typer.echo(f"    from  {record['before']}")
+        typer.echo(f"    to    {record['after']}")
+        typer.echo(f"    why   {record['reason']}")
+
+
+def _value(text: str) -> bool | int | str:
+    try:
+        return int(text)
+    except ValueError:
+        return text
--- a/src/azurerelay/consensus/_journal.py
+++ b/src/azurerelay/consensus/_journal.py
@@ -33,8 +33,11 @@
     def __init__(self, disk: Disk) -> None:
         self._disk = disk
 
-    def load(self) -> Result[JournalState, CorruptRecord]:
-        """Read all state, cutting a torn tail; damage before the tail is an error."""
+    def load(self, repairs: bool = True) -> Result[JournalState, CorruptRecord]:
+        """Read all state; damage before the tail is an error.
+
+        A torn tail is left out, and also cut from the file if `repairs` is set.
+        """
         snapshot = self._load_snapshot()
         if isinstance(snapshot, Err):
             return snapshot
@@ -44,7 +47,7 @@
         if isinstance(scan, Err):
             return scan
         torn_bytes = len(content) - scan.ok_value.valid_bytes
-        if torn_bytes:
+        if torn_bytes and repairs:
             self._disk.truncate(JOURNAL_FILE, scan.ok_value.valid_bytes)
         return _rebuild(scan.ok_value.payloads, mark, data, torn_bytes)
 
--- a/src/azurerelay/daemons/__init__.py
+++ b/src/azurerelay/daemons/__init__.py
@@ -2,9 +2,11 @@
 
 from azurerelay.daemons._application import Application, Part
 from azurerelay.daemons._asyncio_timer_service import AsyncioTimerService, as_future
+from azurerelay.daemons._bad_settings_error import BadSettingsError
 from azurerelay.daemons._control_daemon import control_application
 from azurerelay.daemons._entry_daemon import entry_application
 from azurerelay.daemons._http_endpoint_port import HttpEndpointPort
+from azurerelay.daemons._link_keys import LinkKeys, load_link_keys, new_link_keys
 from azurerelay.daemons._process_settings import (
     ControlSettings,
     EntrySettings,
@@ -22,9 +24,11 @@
 __all__ = [
     "Application",
     "AsyncioTimerService",
+    "BadSettingsError",
     "ControlSettings",
     "EntrySettings",
     "HttpEndpointPort",
+    "LinkKeys",
     "Part",
     "PeerSettings",
     "ProcessSettings",
@@ -35,7 +39,9 @@
     "configure_logging",
     "control_application",
     "entry_application",
+    "load_link_keys",
     "load_settings",
+    "new_link_keys",
     "run_until_signal",
     "standin_application",
 ]
--- a/src/azurerelay/daemons/_control_daemon.py
+++ b/src/azurerelay/daemons/_control_daemon.py
@@ -11,9 +11,9 @@
 from azurerelay.daemons._control_metrics import ControlMetrics
 from azurerelay.daemons._http_endpoint_port import HttpEndpointPort
 from azurerelay.daemons._http_server import HttpServer
+from azurerelay.daemons._link_builder import build_link
 from azurerelay.daemons._operator_api import OperatorApi
 from azurerelay.daemons._process_settings import ControlSettings
-from azurerelay.daemons._wire_codec import WIRE_CODEC
 from azurerelay.daemons._zmq_link import ZmqLink
 from azurerelay.membership import HostHeartbeat
 from azurerelay.storage import FolderDisk
@@ -42,6 +42,7 @@
         )
         for peer in settings.voters:
             link.learn(peer.name, peer.link)
+            self._set_delay(peer.name, peer.failure_domain)
         link.set_handler(self._on_message)
 
     @property
@@ -75,12 +76,17 @@
     def _on_message(self, sender: str, message: Any) -> None:
         if isinstance(message, HostHeartbeat):
             self._link.learn(message.host, message.address)
+            self._set_delay(message.host, message.failure_domain)
         self._node.on_message(sender, message)
 
+    def _set_delay(self, peer: str, failure_domain: str) -> None:
+        if failure_domain != self._settings.failure_domain:
+            self._link.delay(peer, self._settings.between_domains_ms)
+
 
 async def control_application(settings: ControlSettings) -> Application:
     """Build the application of a control host."""
-    link = ZmqLink(settings.name, settings.link, WIRE_CODEC)
+    link = build_link(settings.name, settings.link, settings.link_keys)
     port = HttpEndpointPort()
     part = ControlPart(settings, link, port)
     api = OperatorApi(part.node, settings.tokens, part.timers)
--- a/src/azurerelay/daemons/_entry_daemon.py
+++ b/src/azurerelay/daemons/_entry_daemon.py
@@ -13,8 +13,8 @@
 from azurerelay.daemons._entry_metrics import EntryMetrics
 from azurerelay.daemons._http_endpoint_port import HttpEndpointPort
 from azurerelay.daemons._http_server import HttpServer
+from azurerelay.daemons._link_builder import build_link
 from azurerelay.daemons._process_settings import EntrySettings
-from azurerelay.daemons._wire_codec import WIRE_CODEC
 from azurerelay.daemons._zmq_link import ZmqLink
 from azurerelay.entry import EntryConfig, EntryNode
 from azurerelay.timing import ScopedTimerService, spawn
@@ -48,6 +48,7 @@
         )
         for peer in settings.control_hosts:
             link.learn(peer.name, peer.link)
+            self._set_delay(peer.name, peer.failure_domain)
         self._hosts_version = 0
         link.set_handler(self._on_message)
 
@@ -85,6 +86,11 @@
             self._hosts_version = self._node.state.hosts_version
             for host in self._node.state.hosts.values():
                 self._link.learn(host.name, host.address)
+                self._set_delay(host.name, host.failure_domain)
+
+    def _set_delay(self, peer: str, failure_domain: str) -> None:
+        if failure_domain != self._settings.failure_domain:
+            self._link.delay(peer, self._settings.between_domains_ms)
 
 
 def control_order(settings: EntrySettings) -> tuple[str, ...]:
@@ -98,7 +104,7 @@
 
 async def entry_application(settings: EntrySettings) -> Application:
     """Build the application of an entry host."""
-    link = ZmqLink(settings.name, settings.link, WIRE_CODEC)
+    link = build_link(settings.name, settings.link, settings.link_keys)
     port = HttpEndpointPort()
     part = EntryPart(settings, link, port)
     metrics = EntryMetrics(part.node, link)
--- a/src/azurerelay/daemons/_entry_metrics.py
+++ b/src/azurerelay/daemons/_entry_metrics.py
@@ -40,6 +40,7 @@
             lambda: (
                 Observation(link.dropped, {"reason": "queue"}),
                 Observation(link.malformed, {"reason": "malformed"}),
+                Observation(link.untrusted, {"reason": "untrusted"}),
                 Observation(node.forwarder.dropped, {"reason": "late"}),
             ),
         )
--- /dev/null
+++ b/src/azurerelay/daemons/_link_builder.py
@@ -0,0 +1,20 @@
+"""Builds the link of a daemon from its settings."""
+
+from pathlib import Path
+
+from result import Err
+
+from azurerelay.daemons._bad_settings_error import BadSettingsError
+from azurerelay.daemons._link_keys import load_link_keys
+from azurerelay.daemons._wire_codec import WIRE_CODEC
+from azurerelay.daemons._zmq_link import ZmqLink
+
+
+def build_link(name: str, address: str, keys_file: str | None) -> ZmqLink:
+    """Return a link, encrypted when a key file is set; raise on a bad file."""
+    if keys_file is None:
+        return ZmqLink(name, address, WIRE_CODEC)
+    keys = load_link_keys(Path(keys_file))
+    if isinstance(keys, Err):
+        raise BadSettingsError("\n".join(str(finding) for finding in keys.err_value))
+    return ZmqLink(name, address, WIRE_CODEC, keys.ok_value)
--- a/src/azurerelay/daemons/_process_settings.py
+++ b/src/azurerelay/daemons/_process_settings.py
@@ -25,6 +25,7 @@
 
 Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 Address = Annotated[str, pydantic.AfterValidator(_check_address)]
+Delay = Annotated[float, pydantic.Field(ge=0, le=1_000)]
 Hash = Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
 
 
@@ -51,7 +52,11 @@
 
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
-    """The settings of an entry host."""
+    """The settings of an entry host.
+
+    `between_domains_ms` delays links to other failure domains, to measure a
+    deployment on one machine; it is zero elsewhere.
+    """
 
     __pydantic_config__: ClassVar[pydantic.ConfigDict] = _Strict
 
@@ -61,6 +66,8 @@
     callers: Address
     link: Address
     control_hosts: Annotated[list[PeerSettings], pydantic.Field(min_length=1)]
+    link_keys: str | None = None
+    between_domains_ms: Delay = 0.0
     drain_s: Annotated[int, pydantic.Field(ge=1, le=3_600)] = 30
     log_format: Literal["json", "text"] = "json"
 
@@ -79,6 +86,8 @@
     data_folder: Annotated[str, pydantic.Field(min_length=1)]
     voters: Annotated[list[PeerSettings], pydantic.Field(min_length=1, max_length=7)]
     tokens: Annotated[list[TokenSettings], pydantic.Field(min_length=1)]
+    link_keys: str | None = None
+    between_domains_ms: Delay = 0.0
     log_format: Literal["json", "text"] = "json"
 
 
@@ -99,6 +108,7 @@
     connect_ms: Annotated[float, pydantic.Field(ge=0, le=10_000)] = 12.0
     service_ms: Annotated[float, pydantic.Field(ge=0, le=10_000)] = 1.0
     lag_ms: Annotated[float, pydantic.Field(ge=0, le=86_400_000)] = 5.0
+    round_trip_ms: Delay = 0.0
     log_format: Literal["json", "text"] = "json"
 
 
--- a/src/azurerelay/daemons/_standin_daemon.py
+++ b/src/azurerelay/daemons/_standin_daemon.py
@@ -55,6 +55,8 @@
         if transport is None or is_isolated:
             await asyncio.Event().wait()
             return web.Response()
+        if self._endpoint.config.round_trip_ms:
+            await asyncio.sleep(self._endpoint.config.round_trip_ms / 1_000.0)
         outcome = await self._dispatch(transport, call)
         if self._endpoint.is_isolated and not isinstance(call, KnobsCall):
             await asyncio.Event().wait()
@@ -160,6 +162,7 @@
         connect_ms=settings.connect_ms,
         service_ms=settings.service_ms,
         lag_ms=settings.lag_ms,
+        round_trip_ms=settings.round_trip_ms,
     )
     port = HttpEndpointPort()
     timers = AsyncioTimerService(asyncio.get_running_loop())
--- a/src/azurerelay/daemons/_zmq_link.py
+++ b/src/azurerelay/daemons/_zmq_link.py
@@ -7,7 +7,9 @@
 import zmq
 from absl import logging
 from result import Err
+from zmq.auth.asyncio import AsyncioAuthenticator
 
+from azurerelay.daemons._link_keys import LinkKeys
 from azurerelay.messages import TaggedCodec
 
 QUEUE_MESSAGES: Final = 2_000
@@ -25,10 +27,21 @@
     and counted, and the decisions above repeat what matters.
     """
 
-    def __init__(self, name: str, address: str, codec: TaggedCodec) -> None:
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        codec: TaggedCodec,
+        keys: LinkKeys | None = None,
+    ) -> None:
         self._name = name.encode()
         self._address = address
         self._codec = codec
+        self._keys = keys
+        self._authenticator: AsyncioAuthenticator | None = None
+        self._delays_s: dict[str, float] = {}
+        self._untrusted = 0
+        self._trusted_keys: _TrustedKeys | None = None
         self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._peers: dict[str, str] = {}
         self._sockets: dict[str, zmq.Socket[bytes]] = {}
@@ -64,6 +77,16 @@
         """Frames that could not be decoded."""
         return self._malformed
 
+    @property
+    def untrusted(self) -> int:
+        """Connections and messages with a key that is not the named host's."""
+        refused = self._trusted_keys.refused if self._trusted_keys else 0
+        return self._untrusted + refused
+
+    def delay(self, peer: str, delay_ms: float) -> None:
+        """Deliver to a peer later, to measure a deployment on one machine."""
+        self._delays_s[peer] = delay_ms / 1_000.0
+
     def set_handler(self, handler: Callable[[str, Any], None]) -> None:
         """Deliver received messages to a handler."""
         self._handler = handler
@@ -86,6 +109,16 @@
             self._dropped += 1
             return
         frame = self._codec.encode(message)
+        delay_s = self._delays_s.get(peer)
+        if delay_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self._transmit, socket, frame)
+        else:
+            self._transmit(socket, frame)
+
+    def _transmit(self, socket: zmq.Socket[bytes], frame: bytes) -> None:
+        if socket.closed:
+            return
         try:
             socket.send_multipart((self._name, frame), zmq.NOBLOCK, copy=True)
         except zmq.Again:
@@ -98,6 +131,11 @@
         receiver = self._context.socket(zmq.PULL)
         receiver.setsockopt(zmq.RCVHWM, QUEUE_MESSAGES)
         receiver.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+        if self._keys is not None:
+            self._start_authenticator(self._keys)
+            receiver.curve_server = True
+            receiver.curve_publickey = self._keys.public.encode()
+            receiver.curve_secretkey = self._keys.secret.encode()
         receiver.bind(f"tcp://{self._address}")
         self._receiver = receiver
         asyncio.get_running_loop().add_reader(receiver, self._receive)
@@ -110,13 +148,32 @@
         """Close all sockets."""
         if self._receiver is not None:
             asyncio.get_running_loop().remove_reader(self._receiver)
+        if self._authenticator is not None:
+            self._authenticator.stop()
         self._context.destroy(linger=200)
 
+    def _start_authenticator(self, keys: LinkKeys) -> None:
+        """Refuse connections whose key belongs to no trusted host."""
+        self._authenticator = AsyncioAuthenticator(self._context)
+        self._authenticator.start()
+        self._trusted_keys = _TrustedKeys(keys)
+        self._authenticator.configure_curve_callback(
+            credentials_provider=self._trusted_keys
+        )
+
     def _connect(self, peer: str) -> zmq.Socket[bytes] | None:
         address = self._peers.get(peer)
         if address is None:
             return None
         socket = self._context.socket(zmq.PUSH)
+        if self._keys is not None:
+            server_key = self._keys.trusted.get(peer)
+            if server_key is None:
+                socket.close(linger=0)
+                return None
+            socket.curve_serverkey = server_key.encode()
+            socket.curve_publickey = self._keys.public.encode()
+            socket.curve_secretkey = self._keys.secret.encode()
         socket.setsockopt(zmq.SNDHWM, QUEUE_MESSAGES)
         socket.setsockopt(zmq.LINGER, 0)
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
@@ -132,27 +189,52 @@
             return
         for _ in range(RECEIVE_BURST):
             try:
-                frames = receiver.recv_multipart(zmq.NOBLOCK)
+                frames = receiver.recv_multipart(zmq.NOBLOCK, copy=False)
             except zmq.Again:
                 return
             self._handle(frames)
         asyncio.get_running_loop().call_soon(self._receive)
 
-    def _handle(self, frames: list[bytes]) -> None:
+    def _handle(self, frames: list[zmq.Frame]) -> None:
         if len(frames) != _FRAMES:
             self._count_malformed(f"{len(frames)} frames")
             return
-        sender, payload = frames
+        sender = frames[0].bytes.decode(errors="replace")
+        payload = frames[1].bytes
         self._received_bytes += len(payload)
+        if self._keys is not None:
+            user = str(frames[1].get("User-Id"))
+            if not self._keys.names_key(sender, user):
+                self._untrusted += 1
+                return
         decoded = self._codec.decode(payload)
         if isinstance(decoded, Err):
             self._count_malformed(decoded.err_value.reason)
             return
         if self._handler is not None:
-            self._handler(sender.decode(errors="replace"), decoded.ok_value)
+            self._handler(sender, decoded.ok_value)
 
     def _count_malformed(self, reason: str) -> None:
         self._malformed += 1
         logging.log_every_n_seconds(
             logging.WARNING, "dropped a malformed frame: %s", 10, reason
         )
+
+
+class _TrustedKeys:
+    """Tell the authenticator which public keys may connect."""
+
+    def __init__(self, keys: LinkKeys) -> None:
+        self._trusted = set(keys.trusted.values())
+        self._refused = 0
+
+    @property
+    def refused(self) -> int:
+        """Connections that were refused."""
+        return self._refused
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Return whether a public key belongs to a trusted host."""
+        is_trusted = key.decode() in self._trusted
+        self._refused += not is_trusted
+        return is_trusted
--- a/src/azurerelay/standin/_standin_config.py
+++ b/src/azurerelay/standin/_standin_config.py
@@ -16,4 +16,5 @@
     connect_ms: float = 12.0
     service_ms: float = 1.0
     lag_ms: float = 5.0
+    round_trip_ms: float = 0.0
     can_fence: bool = True
