--- a/src/azurerelay/entry/_entry_node.py
+++ b/src/azurerelay/entry/_entry_node.py
@@ -231,6 +231,10 @@
 
     async def _route_to_member(self, request: CallerRequest) -> CallerAnswer:
         """Try members until one answers; resend only what is safe to resend."""
+        if self._servers.is_serving(request.group):
+            answer = await self._servers.handle(request)
+            if answer.code is not ErrorCode.NO_ROUTE:
+                return answer
         deadline_ms = self._timers.now_ms() + request.timeout_ms
         tried: set[str] = set()
         last = _refused(
--- a/src/azurerelay/serving/_endpoint_channel.py
+++ b/src/azurerelay/serving/_endpoint_channel.py
@@ -1,5 +1,6 @@
 """The way to one endpoint: admission, a connection and a call."""
 
+import itertools
 from collections.abc import Callable
 
 from result import Err, Ok, Result
@@ -23,7 +24,7 @@
 )
 from azurerelay.membership import EndpointRecord, Presence
 from azurerelay.settings import GroupPolicy
-from azurerelay.timing import Promise, TimerService, either
+from azurerelay.timing import Promise, TimerService
 
 ChannelResult = Result[EndpointAnswer, EndpointFailure | Shed]
 CallGuard = Callable[[], EndpointCall | None]
@@ -46,7 +47,10 @@
         window = ConcurrencyWindow(record.slots, share)
         self._gate = AdmissionGate(timers, window, policy.queue_length)
         self._is_tripped = False
-        self._interruption: Promise[CallResult] = Promise()
+        self._calls = itertools.count()
+        self._outstanding: dict[int, tuple[EndpointConnection, Promise[CallResult]]] = (
+            {}
+        )
 
     @property
     def record(self) -> EndpointRecord:
@@ -96,10 +100,12 @@
 
     def interrupt(self, detail: str) -> None:
         """Give up all calls that are outstanding or wait for a connection."""
-        interruption = self._interruption
-        self._interruption = Promise()
         failure = EndpointFailure(FailureKind.LOST, f"{self._record.name}: {detail}")
-        interruption.resolve(Err(failure))
+        outstanding = self._outstanding
+        self._outstanding = {}
+        for connection, outcome in outstanding.values():
+            connection.close()
+            outcome.resolve(Err(failure))
         self._pool.fail_waiters(detail)
 
     def close(self) -> None:
@@ -157,16 +163,21 @@
             self._note_failure(outcome.err_value)
         return outcome
 
-    async def _interruptible(
+    def _interruptible(
         self, connection: EndpointConnection, answer: Promise[CallResult]
-    ) -> CallResult:
-        """Return the answer, or the interruption after closing the connection."""
+    ) -> Promise[CallResult]:
+        """Return the answer, or an interruption if that comes first."""
         if answer.is_done:
-            return answer.value
-        interruption = self._interruption
-        outcome = await either(answer, interruption)
-        if interruption.is_done:
-            connection.close()
+            return answer
+        number = next(self._calls)
+        outcome: Promise[CallResult] = Promise()
+        self._outstanding[number] = (connection, outcome)
+
+        def finish() -> None:
+            self._outstanding.pop(number, None)
+            outcome.resolve(answer.value)
+
+        answer.add_callback(finish)
         return outcome
 
     def _note_failure(self, failure: EndpointFailure) -> None:
--- a/src/azurerelay/timing/__init__.py
+++ b/src/azurerelay/timing/__init__.py
@@ -1,6 +1,6 @@
 """Time and deferred results for decisions, without a clock or an event loop."""
 
-from azurerelay.timing._flow import either, sleep, spawn, within
+from azurerelay.timing._flow import sleep, spawn, within
 from azurerelay.timing._manual_timer_service import ManualTimerService
 from azurerelay.timing._promise import Promise, gather
 from azurerelay.timing._scoped_timer_service import ScopedTimerService
@@ -14,7 +14,6 @@
     "TimedOut",
     "Timer",
     "TimerService",
-    "either",
     "gather",
     "sleep",
     "spawn",
--- a/src/azurerelay/timing/_flow.py
+++ b/src/azurerelay/timing/_flow.py
@@ -41,14 +41,6 @@
     return promise
 
 
-def either(first: Promise[T], second: Promise[T]) -> Promise[T]:
-    """Return the value of whichever promise is resolved first."""
-    outcome: Promise[T] = Promise()
-    first.add_callback(lambda: outcome.resolve(first.value))
-    second.add_callback(lambda: outcome.resolve(second.value))
-    return outcome
-
-
 def within(
     timers: TimerService, promise: Promise[T], limit_ms: float
 ) -> Promise[Result[T, TimedOut]]:
@@ -56,13 +48,15 @@
     outcome: Promise[Result[T, TimedOut]] = Promise()
     if promise.is_done:
         return Promise.of(Ok(promise.value))
-    timer = timers.call_later(
-        limit_ms, lambda: outcome.resolve(Err(TimedOut(limit_ms)))
-    )
 
     def finish() -> None:
         timer.cancel()
         outcome.resolve(Ok(promise.value))
 
+    def expire() -> None:
+        promise.discard_callback(finish)
+        outcome.resolve(Err(TimedOut(limit_ms)))
+
+    timer = timers.call_later(limit_ms, expire)
     promise.add_callback(finish)
     return outcome
--- a/src/azurerelay/timing/_promise.py
+++ b/src/azurerelay/timing/_promise.py
@@ -62,6 +62,11 @@
             return
         self._callbacks.append(callback)
 
+    def discard_callback(self, callback: Callable[[], object]) -> None:
+        """Forget a callback that is no longer wanted."""
+        if callback in self._callbacks:
+            self._callbacks.remove(callback)
+
     def __await__(self) -> Generator["Promise[Any]", None, T]:
         if not self._is_done:
             yield self
