Forget what a follower had before it lost its disk; tests of the replicated log

Change: the first reply of a learner resets the leader's record of it, replies to earlier rounds are dropped, and a promotion names the index that the learner must hold. Adds tests for each failure of the log, alone and in pairs, and a property-based test of three voters with lost messages, crashes and lost disks.

--- a/src/azurerelay/consensus/_messages.py
+++ b/src/azurerelay/consensus/_messages.py
@@ -118,9 +118,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LearnerPromotion:
-    """Tell a learner that it has all that was committed and may vote again."""
+    """Tell a learner that holds all up to an index that it may vote again."""
 
     term: int
+    index: int
 
 
 CONSENSUS_MESSAGES: Final = (
--- a/src/azurerelay/consensus/_peer.py
+++ b/src/azurerelay/consensus/_peer.py
@@ -5,7 +5,11 @@
 
 @dataclass(slots=True)
 class Peer:
-    """Replication progress of one follower, and when it was last heard."""
+    """Replication progress of one follower, and when it was last heard.
+
+    `learner_round` is the round of the first reply after a follower lost its disk;
+    replies to earlier rounds tell of what it no longer has.
+    """
 
     match_index: int = 0
     next_index: int = 1
@@ -15,3 +19,4 @@
     snapshot_offset: int | None = None
     is_learner: bool = False
     is_promotion_due: bool = False
+    learner_round: int = 0
--- a/src/azurerelay/consensus/_raft_node.py
+++ b/src/azurerelay/consensus/_raft_node.py
@@ -269,7 +269,8 @@
 
     def _on_promotion(self, sender: str, promotion: LearnerPromotion) -> None:
         is_current = promotion.term == self._term and sender == self._leader
-        if self._is_learner and is_current:
+        has_all = self._log.last_index >= promotion.index
+        if self._is_learner and is_current and has_all:
             # The vote of this term is taken to be given, as it may have been.
             self._become_voter(self._term, sender)
 
@@ -280,11 +281,19 @@
         peer.is_promotion_due = False
         if is_confirmed and self.is_leader and self._term == term and peer.is_learner:
             if peer.match_index >= self._commit_index:
-                self._link.send(voter, LearnerPromotion(term))
+                promotion = LearnerPromotion(term, self._commit_index)
+                self._link.send(voter, promotion)
+
+    def _forget_progress(self, peer: Peer, round_number: int) -> None:
+        """Start afresh with a follower that has come back with an empty disk."""
+        peer.learner_round = round_number
+        peer.match_index = 0
+        peer.next_index = self._log.last_index + 1
+        peer.snapshot_offset = None
+        peer.sent_ms = None
 
     def _note_learner(self, sender: str, is_learner: bool) -> None:
         peer = self._peers[sender]
-        peer.is_learner = is_learner
         has_all = peer.match_index >= self._commit_index and self.is_ready_leader
         if is_learner and has_all and not peer.is_promotion_due:
             peer.is_promotion_due = True
@@ -495,14 +504,15 @@
         )
 
     def _on_append_reply(self, sender: str, reply: AppendReply) -> None:
-        self._peers[sender].is_learner = reply.is_learner
-        if not self._accept_reply(sender, reply.term, reply.round):
+        if not self._accept_reply(sender, reply):
             return
         peer = self._peers[sender]
         if reply.is_success:
             peer.match_index = max(peer.match_index, reply.match_index)
             peer.next_index = peer.match_index + 1
         else:
+            if reply.is_learner:
+                peer.match_index = 0
             floor = peer.match_index + 1
             peer.next_index = max(floor, min(peer.next_index - 1, reply.match_index))
         if peer.sent_ms is not None or not reply.is_success:
@@ -512,15 +522,20 @@
         self._advance_commit()
         self._note_learner(sender, reply.is_learner)
 
-    def _accept_reply(self, sender: str, term: int, round_number: int) -> bool:
-        if term > self._term:
-            self._step_down(term)
+    def _accept_reply(self, sender: str, reply: AppendReply | SnapshotReply) -> bool:
+        if reply.term > self._term:
+            self._step_down(reply.term)
             return False
-        if not self.is_leader or term != self._term:
+        if not self.is_leader or reply.term != self._term:
             return False
         peer = self._peers[sender]
+        if reply.round < peer.learner_round:
+            return False
+        if reply.is_learner and not peer.is_learner:
+            self._forget_progress(peer, reply.round)
+        peer.is_learner = reply.is_learner
         peer.heard_ms = self._timers.now_ms()
-        peer.acked_round = max(peer.acked_round, round_number)
+        peer.acked_round = max(peer.acked_round, reply.round)
         self._settle_confirmations()
         return True
 
@@ -637,8 +652,7 @@
         self._save_compacted()
 
     def _on_snapshot_reply(self, sender: str, reply: SnapshotReply) -> None:
-        self._peers[sender].is_learner = reply.is_learner
-        if not self._accept_reply(sender, reply.term, reply.round):
+        if not self._accept_reply(sender, reply):
             return
         peer = self._peers[sender]
         if self._mark is None or reply.index != self._mark.index:
--- /dev/null
+++ b/tests/test_consensus.py
@@ -0,0 +1,181 @@
+import unittest
+
+from azurerelay.consensus import Journal
+from azurerelay.storage import MemoryDisk
+from tests.consensus_rig import ConsensusRig
+
+
+class ConsensusTest(unittest.TestCase):
+    def test_committed_entries_reach_every_voter_in_order(self) -> None:
+        rig = ConsensusRig()
+        for number in range(20):
+            self.assertTrue(rig.propose(b"%d" % number))
+        rig.timers.advance(200)
+        expected = [b"%d" % number for number in range(20)]
+        self.assertEqual([rig.applied(name) for name in rig.names], [expected] * 3)
+
+    def test_a_lost_leader_is_replaced_and_nothing_committed_is_lost(self) -> None:
+        rig = ConsensusRig()
+        rig.propose(b"a")
+        lost = rig.name_of(rig.elect())
+        rig.crash(lost)
+        self.assertTrue(rig.propose(b"b"))
+        rig.start(lost)
+        rig.timers.advance(1_000)
+        self.assertEqual(rig.applied(lost), [b"a", b"b"])
+
+    def test_a_voter_cut_off_for_long_returns_without_an_election(self) -> None:
+        rig = ConsensusRig()
+        leader = rig.elect()
+        silent = next(name for name in rig.names if name != rig.name_of(leader))
+        rig.cut.add(silent)
+        term = leader.term
+        for number in range(5):
+            rig.propose(b"%d" % number)
+        rig.timers.advance(600_000)
+        rig.cut.clear()
+        rig.timers.advance(2_000)
+        self.assertIs(rig.elect(), leader)
+        self.assertEqual(leader.term, term)
+        self.assertEqual(len(rig.applied(silent)), 5)
+
+    def test_a_leader_without_a_quorum_steps_down_and_confirms_nothing(self) -> None:
+        rig = ConsensusRig()
+        leader = rig.elect()
+        name = rig.name_of(leader)
+        rig.cut.add(name)
+        confirmation = leader.confirm_leadership()
+        proposal = leader.propose(b"lost")
+        rig.timers.advance(1_500)
+        self.assertFalse(leader.is_leader)
+        self.assertFalse(confirmation.value)
+        self.assertTrue(proposal.value.is_err())
+        rig.propose(b"kept")
+        rig.cut.clear()
+        rig.timers.advance(1_000)
+        self.assertEqual(rig.applied(name), [b"kept"])
+
+    def test_a_far_behind_voter_catches_up_from_a_snapshot_in_chunks(self) -> None:
+        rig = ConsensusRig(snapshot_entries=20)
+        leader = rig.elect()
+        behind = next(name for name in rig.names if name != rig.name_of(leader))
+        rig.crash(behind)
+        for number in range(95):
+            rig.propose(b"entry-%d" % number)
+        self.assertGreater(leader.log.base_index, 60)
+        rig.start(behind)
+        rig.timers.advance(3_000)
+        self.assertEqual(len(rig.applied(behind)), 95)
+
+    def test_a_restart_after_snapshots_returns_to_the_current_state(self) -> None:
+        rig = ConsensusRig(snapshot_entries=10)
+        for number in range(37):
+            rig.propose(b"%d" % number)
+        rig.timers.advance(500)
+        for name in rig.names:
+            rig.crash(name)
+        for name in rig.names:
+            rig.start(name)
+        rig.elect()
+        rig.timers.advance(500)
+        expected = [b"%d" % number for number in range(37)]
+        self.assertEqual([rig.applied(name) for name in rig.names], [expected] * 3)
+
+    def test_a_lost_disk_learns_before_it_votes(self) -> None:
+        rig = ConsensusRig()
+        for number in range(5):
+            rig.propose(b"%d" % number)
+        rig.timers.advance(200)
+        leader = rig.name_of(rig.elect())
+        lost, other = (name for name in rig.names if name != leader)
+        rig.cut.add(other)
+        rig.crash(lost, lose_disk=True)
+        rig.start(lost)
+        rig.timers.advance(5_000)
+        # The only complete quorum would need the empty disk: nobody may lead on it.
+        self.assertTrue(rig.nodes[lost].is_learner)
+        self.assertIsNone(rig.leader)
+        rig.cut.clear()
+        rig.timers.advance(5_000)
+        self.assertFalse(rig.nodes[lost].is_learner)
+        self.assertEqual(len(rig.applied(lost)), 5)
+
+    def test_a_second_loss_just_after_a_repair_loses_nothing(self) -> None:
+        for seed in range(10):
+            with self.subTest(seed):
+                rig = ConsensusRig(seed=seed)
+                for number in range(5):
+                    rig.propose(b"%d" % number)
+                leader = rig.name_of(rig.elect())
+                lost, other = (name for name in rig.names if name != leader)
+                rig.crash(lost, lose_disk=True)
+                rig.start(lost)
+                rig.timers.advance_until(
+                    lambda rig=rig, lost=lost: not rig.nodes[lost].is_learner, 5_000
+                )
+                rig.crash(leader)
+                self.assertTrue(rig.propose(b"5"))
+                rig.timers.advance(500)
+                expected = [b"%d" % number for number in range(6)]
+                self.assertEqual(rig.applied(lost), expected)
+                self.assertEqual(rig.applied(other), expected)
+
+    def test_a_full_disk_makes_the_leader_step_down_until_it_can_write(self) -> None:
+        rig = ConsensusRig()
+        leader = rig.elect()
+        name = rig.name_of(leader)
+        rig.disks[name].is_full = True
+        proposal = leader.propose(b"x")
+        rig.timers.advance(20)
+        self.assertTrue(proposal.value.is_err())
+        self.assertIn("no space left", leader.disk_error or "")
+        self.assertTrue(rig.propose(b"y"))
+        rig.disks[name].is_full = False
+        rig.timers.advance(3_000)
+        self.assertIsNone(leader.disk_error)
+        self.assertIn(b"y", rig.applied(name))
+
+    def test_a_crash_loses_only_what_no_answer_depended_on(self) -> None:
+        rig = ConsensusRig(seed=5)
+        confirmed = []
+        for number in range(30):
+            if rig.propose(b"%d" % number):
+                confirmed.append(b"%d" % number)
+            victim = rig.names[number % 3]
+            rig.crash(victim)
+            rig.start(victim)
+        rig.elect()
+        rig.timers.advance(1_000)
+        for name in rig.names:
+            kept = [payload for payload in rig.applied(name) if payload in confirmed]
+            self.assertEqual(kept, confirmed)
+
+
+class JournalTest(unittest.TestCase):
+    def _filled(self) -> MemoryDisk:
+        rig = ConsensusRig(count=1)
+        for number in range(10):
+            rig.propose(b"payload-%d" % number)
+        return rig.disks["v1"]
+
+    def test_a_torn_tail_is_cut(self) -> None:
+        disk = self._filled()
+        whole = disk.read("journal.bin")
+        disk.truncate("journal.bin", len(whole) - 3)
+        state = Journal(disk).load().ok_value
+        self.assertEqual(state.log.last_index, 10)
+        self.assertGreater(state.torn_bytes, 0)
+        self.assertLess(len(disk.read("journal.bin")), len(whole) - 3)
+
+    def test_damage_before_the_tail_names_file_and_offset(self) -> None:
+        disk = self._filled()
+        disk.corrupt("journal.bin", 100)
+        problem = str(Journal(disk).load().err_value)
+        self.assertRegex(problem, r"journal\.bin: offset \d+: record")
+
+    def test_looking_at_a_journal_changes_nothing(self) -> None:
+        disk = self._filled()
+        disk.truncate("journal.bin", len(disk.read("journal.bin")) - 3)
+        before = disk.read("journal.bin")
+        self.assertGreater(Journal(disk).load(repairs=False).ok_value.torn_bytes, 0)
+        self.assertEqual(disk.read("journal.bin"), before)
--- /dev/null
+++ b/tests/test_consensus_properties.py
@@ -0,0 +1,115 @@
+"""Random runs of three voters: crashes, lost messages, lost writes, cuts."""
+
+import os
+import unittest
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis.strategies import integers, sampled_from
+
+from tests.consensus_rig import ConsensusRig
+
+NAMES = ("v1", "v2", "v3")
+EXAMPLES = int(os.environ.get("AZURERELAY_EXAMPLES", "40"))
+
+
+class ConsensusMachine(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.rig = ConsensusRig(snapshot_entries=7)
+        self.count = 0
+        self.promises = []
+        self.confirmed: list[bytes] = []
+        self.history: list[bytes] = []
+
+    @rule(duration_ms=integers(1, 800))
+    def advance(self, duration_ms: int) -> None:
+        self.rig.timers.advance(duration_ms)
+        self._collect()
+
+    @rule(name=sampled_from(NAMES))
+    def propose(self, name: str) -> None:
+        node = self.rig.nodes.get(name)
+        if node is not None and node.is_leader:
+            self.count += 1
+            payload = b"%d" % self.count
+            self.promises.append((payload, node.propose(payload)))
+
+    @precondition(lambda self: len(self.rig.nodes) == 3)
+    @rule(name=sampled_from(NAMES))
+    def crash(self, name: str) -> None:
+        self.rig.crash(name)
+
+    @precondition(
+        lambda self: len(self.rig.nodes) == 3
+        and not any(n.is_learner for n in self.rig.nodes.values())
+    )
+    @rule(name=sampled_from(NAMES))
+    def lose_disk(self, name: str) -> None:
+        self.rig.crash(name, lose_disk=True)
+
+    @rule()
+    def restart(self) -> None:
+        for name in NAMES:
+            if name not in self.rig.nodes:
+                self.rig.start(name)
+
+    @rule(name=sampled_from(NAMES))
+    def cut(self, name: str) -> None:
+        self.rig.cut = {name}
+
+    @rule()
+    def heal(self) -> None:
+        self.rig.cut = set()
+
+    @rule(loss=sampled_from((0.0, 0.1, 0.4)))
+    def lose_messages(self, loss: float) -> None:
+        self.rig.loss = loss
+
+    def _collect(self) -> None:
+        for payload, promise in self.promises:
+            if promise.is_done and promise.value.is_ok():
+                self.confirmed.append(payload)
+        self.promises = [p for p in self.promises if not p[1].is_done]
+
+    @invariant()
+    def one_leader_a_term(self) -> None:
+        for term, leaders in self.rig.leaders_by_term.items():
+            assert len(leaders) == 1, f"term {term} has leaders {leaders}"
+
+    @invariant()
+    def applied_states_agree(self) -> None:
+        for name in self.rig.nodes:
+            applied = self.rig.applied(name)
+            shared = min(len(applied), len(self.history))
+            assert applied[:shared] == self.history[:shared]
+            if len(applied) > len(self.history):
+                self.history = list(applied)
+
+    def teardown(self) -> None:
+        self.rig.loss = 0.0
+        self.rig.cut = set()
+        self.restart()
+        self._collect()
+        self.rig.elect()
+        self.rig.timers.advance(3_000)
+        self._collect()
+        for name in NAMES:
+            missing = [p for p in self.confirmed if p not in self.rig.applied(name)]
+            assert not missing, f"{name} lost {missing}"
+        self.applied_states_agree()
+
+
+ConsensusMachine.TestCase.settings = settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    phases=(Phase.generate, Phase.shrink),
+    suppress_health_check=list(HealthCheck),
+)
+ConsensusPropertiesTest = ConsensusMachine.TestCase
+
+if __name__ == "__main__":
+    unittest.main()
