Count a fenced primary once; join resends at one host; tests of each promise

The tracker counts the primary as holding whatever a replica has shown; a primary that had been fenced answered as a replica and was counted twice, a majority of one. Ruled out: fencing and the choice of the new primary (both held). Also found by tests: resends of one key at several hosts kept each other from a majority until all gave up, and a forwarded request's answer came after the entry host had stopped waiting.

Change: the primary is left out by name; a host works on a key once and others of its callers join; contending hosts back off with jitter; the serving host is given 50 ms less. A refusal by role opens the endpoint's circuit until the next probe.

--- a/src/azurerelay/entry/_forwarder.py
+++ b/src/azurerelay/entry/_forwarder.py
@@ -18,6 +18,7 @@
 from azurerelay.timing import Promise, TimedOut, TimerService, within
 
 LOAD_SMOOTHING: Final = 0.3
+ANSWER_MARGIN_MS: Final = 50.0
 ANSWER_DECODER: Final = msgspec.msgpack.Decoder(CallerAnswer)
 
 
@@ -66,7 +67,9 @@
         self._pending[request_id] = pending
         self._forwarded += 1
         self._outstanding[peer] = self._outstanding.get(peer, 0) + 1
-        passed_on = replace(request, timeout_ms=timeout_ms)
+        # The serving host gives up first, so that its answer still arrives.
+        inner_ms = max(timeout_ms - ANSWER_MARGIN_MS, timeout_ms / 2)
+        passed_on = replace(request, timeout_ms=inner_ms)
         self._link.send(peer, ForwardRequest(request_id, passed_on))
         outcome = await within(self._timers, pending.promise, timeout_ms)
         del self._pending[request_id]
--- a/src/azurerelay/routing/_position_tracker.py
+++ b/src/azurerelay/routing/_position_tracker.py
@@ -14,6 +14,7 @@
 
     def __init__(self) -> None:
         self._term = 0
+        self._primary: str | None = None
         self._quorum = 1
         self._views: dict[str, EndpointView] = {}
         self._samples = SampleHistory()
@@ -52,10 +53,18 @@
         return self._progress
 
     def configure(
-        self, term: int, quorum: int, endpoints: Iterable[EndpointRecord]
+        self,
+        term: int,
+        primary: str | None,
+        quorum: int,
+        endpoints: Iterable[EndpointRecord],
     ) -> None:
-        """Set the group's term, majority and members; a new term starts afresh."""
+        """Set the group's term, primary, majority and members.
+
+        A new term starts afresh; without a primary nothing is confirmed.
+        """
         self._quorum = quorum
+        self._primary = primary
         known = {endpoint.name: endpoint for endpoint in endpoints}
         for name, endpoint in known.items():
             if name not in self._views:
@@ -64,6 +73,8 @@
             del self._views[name]
         if term != self._term:
             self._begin_term(term)
+        else:
+            self._advance()
 
     def observe(
         self, name: str, answer: EndpointAnswer, sent_ms: float, now_ms: float
@@ -125,11 +136,12 @@
 
     def _advance(self) -> None:
         holders = [v for v in self._views.values() if v.holds(self._term, 1)]
-        if not holders:
+        if not holders or self._primary is None:
             return
         # A replica's log is a prefix of the primary's, so the primary holds at
-        # least the highest position seen, also when its own answer is older.
-        positions = [v.position for v in holders if v.role is EndpointRole.REPLICA]
+        # least the highest position seen, also when its own answer is older. It
+        # counts once, also when it has been fenced and answers as a replica.
+        positions = [v.position for v in holders if v.name != self._primary]
         positions.append(max(view.position for view in holders))
         if len(positions) < self._quorum:
             return
--- a/src/azurerelay/serving/_at_most_once.py
+++ b/src/azurerelay/serving/_at_most_once.py
@@ -72,7 +72,9 @@
             )
             if not is_waiting or context.now_ms() >= wait_until_ms:
                 return Err(self._refusal(decision))
-            await sleep(context.timers, poll_ms)
+            # Jitter keeps hosts that contend for a key from doing so in step.
+            jitter = context.random_source.uniform(0.5, 1.5)
+            await sleep(context.timers, poll_ms * jitter)
             poll_ms = min(2 * poll_ms, IN_FLIGHT_POLL_MAX_MS)
 
     async def finish(self, ticket: IntentTicket, answer: CallerAnswer) -> None:
--- a/src/azurerelay/serving/_endpoint_channel.py
+++ b/src/azurerelay/serving/_endpoint_channel.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections.abc import Callable
+from typing import Final
 
 from result import Err, Ok, Result
 
@@ -26,6 +27,14 @@
 from azurerelay.settings import GroupPolicy
 from azurerelay.timing import Promise, TimerService
 
+TRIPPING: Final = frozenset(
+    {
+        FailureKind.UNREACHABLE,
+        FailureKind.LOST,
+        FailureKind.REFUSED_ROLE,
+    }
+)
+
 ChannelResult = Result[EndpointAnswer, EndpointFailure | Shed]
 CallGuard = Callable[[], EndpointCall | None]
 
@@ -181,8 +190,8 @@
         return outcome
 
     def _note_failure(self, failure: EndpointFailure) -> None:
-        """Open the circuit when the endpoint could not be reached at all."""
-        if failure.kind in (FailureKind.UNREACHABLE, FailureKind.LOST):
+        """Open the circuit when the endpoint is out of reach or not in its role."""
+        if failure.kind in TRIPPING:
             self._is_tripped = True
 
     def _remaining_ms(self, deadline_ms: float) -> float:
--- a/src/azurerelay/serving/_group_server.py
+++ b/src/azurerelay/serving/_group_server.py
@@ -131,7 +131,7 @@
         is_majority = policy.durability == "majority"
         quorum = record.quorum(policy.endpoints_expected) if is_majority else 1
         endpoints = context.state.group_endpoints(context.group)
-        self._tracker.configure(record.term, quorum, endpoints)
+        self._tracker.configure(record.term, record.primary, quorum, endpoints)
         self._channels.configure()
         self._budget.set_percent(policy.retry_budget_percent)
         self._member.on_state_changed()
--- a/src/azurerelay/serving/_write_path.py
+++ b/src/azurerelay/serving/_write_path.py
@@ -1,5 +1,7 @@
 """How a write is run and confirmed."""
 
+from dataclasses import dataclass, replace
+
 from result import Err, Ok, Result
 
 from azurerelay.endpoints import EndpointFailure, StatementCall
@@ -7,13 +9,13 @@
 from azurerelay.requests import CallerAnswer, CallerRequest, ErrorCode, Outcome
 from azurerelay.retries import Backoff, RetryBudget
 from azurerelay.routing import PositionTracker
-from azurerelay.serving._answers import failure_answer, shed_answer, unknown
-from azurerelay.serving._at_most_once import AtMostOnce
+from azurerelay.serving._answers import failure_answer, not_run, shed_answer, unknown
+from azurerelay.serving._at_most_once import AtMostOnce, fingerprint
 from azurerelay.serving._channels import Channels, guarded
 from azurerelay.serving._confirmer import Confirmer
 from azurerelay.serving._explanation import Explanation
 from azurerelay.serving._serving_context import ServingContext
-from azurerelay.timing import sleep
+from azurerelay.timing import Promise, sleep, within
 
 MAX_FREE_RETRIES = 8
 RETRYABLE = (
@@ -23,6 +25,14 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class _RunningKey:
+    """A keyed write that this host is working on."""
+
+    fingerprint: str
+    answer: Promise[CallerAnswer]
+
+
 class WritePath:
     """Send a write to the primary and confirm it at a majority under the lease."""
 
@@ -41,6 +51,7 @@
         self._confirmer = confirmer
         self._at_most_once = at_most_once
         self._budget = budget
+        self._running: dict[str, _RunningKey] = {}
 
     async def run(
         self, request: CallerRequest, deadline_ms: float, trail: Explanation
@@ -48,6 +59,38 @@
         """Run a write; one that is not idempotent at most once for its key."""
         if request.is_idempotent:
             return await self._run_with_retries(request, deadline_ms, trail)
+        key = request.idempotency_key or ""
+        running = self._running.get(key)
+        if running is not None:
+            return await self._join(request, running, deadline_ms)
+        running = _RunningKey(fingerprint(request), Promise())
+        self._running[key] = running
+        try:
+            answer = await self._run_keyed(request, deadline_ms, trail)
+        finally:
+            del self._running[key]
+        running.answer.resolve(answer)
+        return answer
+
+    async def _join(
+        self, request: CallerRequest, running: "_RunningKey", deadline_ms: float
+    ) -> CallerAnswer:
+        """Wait for the request with the same key that this host is working on."""
+        if running.fingerprint != fingerprint(request):
+            detail = "the idempotency key belongs to another request"
+            return not_run(ErrorCode.KEY_REUSED, detail)
+        context = self._context
+        remaining_ms = deadline_ms - context.now_ms()
+        answer = await within(context.timers, running.answer, remaining_ms)
+        if isinstance(answer, Ok):
+            context.counters.replays += 1
+            return replace(answer.ok_value, is_replay=answer.ok_value.is_done)
+        detail = "an earlier attempt with this key is still running"
+        return unknown(ErrorCode.KEY_IN_FLIGHT, detail)
+
+    async def _run_keyed(
+        self, request: CallerRequest, deadline_ms: float, trail: Explanation
+    ) -> CallerAnswer:
         begun = await self._at_most_once.begin(request, deadline_ms)
         if isinstance(begun, Err):
             self._context.counters.replays += begun.err_value.is_replay
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,230 @@
+import unittest
+
+from azurerelay.registry import (
+    IdempotencyRegistry,
+    IntentReply,
+    IntentStatus,
+    IntentVerdict,
+    RegistryCoordinator,
+    RegistryEntry,
+    StoredOutcome,
+)
+from azurerelay.requests import CallerAnswer, ErrorCode, Operation, Outcome
+from tests.support import GROUP, Rig
+
+NOW_MS = 1_700_000_100_000
+
+
+def _entry(
+    attempt: str, outcome: StoredOutcome | None = None, key: str = "k"
+) -> RegistryEntry:
+    return RegistryEntry(key, "print", attempt, NOW_MS, outcome)
+
+
+def _member(
+    epoch: int = 1, retention_ms: int = 60_000, max_entries: int = 100
+) -> IdempotencyRegistry:
+    registry = IdempotencyRegistry(retention_ms, max_entries)
+    registry.enter_epoch(epoch, 0)
+    registry.complete(epoch, ())
+    registry.settle(epoch)
+    return registry
+
+
+class RegistryTest(unittest.TestCase):
+    def test_a_member_records_one_attempt_a_key(self) -> None:
+        member = _member()
+        self.assertEqual(
+            member.record_intent(1, _entry("a"), NOW_MS), IntentStatus.RECORDED
+        )
+        self.assertEqual(
+            member.record_intent(1, _entry("a"), NOW_MS), IntentStatus.RECORDED
+        )
+        self.assertEqual(
+            member.record_intent(1, _entry("b"), NOW_MS), IntentStatus.KNOWN
+        )
+
+    def test_a_sealed_or_unsettled_member_records_nothing(self) -> None:
+        member = _member()
+        member.seal(2)
+        self.assertEqual(
+            member.record_intent(1, _entry("a"), NOW_MS), IntentStatus.WRONG_EPOCH
+        )
+        member.enter_epoch(2, 0)
+        self.assertEqual(
+            member.record_intent(2, _entry("a"), NOW_MS), IntentStatus.NOT_READY
+        )
+        member.complete(2, ())
+        self.assertEqual(
+            member.record_intent(2, _entry("a"), NOW_MS), IntentStatus.NOT_READY
+        )
+        member.settle(2)
+        self.assertEqual(
+            member.record_intent(2, _entry("a"), NOW_MS), IntentStatus.RECORDED
+        )
+
+    def test_differing_attempts_merge_into_one_that_nobody_can_abort(self) -> None:
+        member = _member()
+        member.record_intent(1, _entry("a"), NOW_MS)
+        member.enter_epoch(2, 0)
+        member.complete(2, [_entry("b")])
+        member.settle(2)
+        member.abort("k", "a")
+        member.abort("k", "b")
+        self.assertEqual(
+            member.record_intent(2, _entry("c"), NOW_MS), IntentStatus.KNOWN
+        )
+
+    def test_an_outcome_survives_every_merge(self) -> None:
+        outcome = StoredOutcome(1, 7, ((1,),))
+        member = _member()
+        member.record_intent(1, _entry("b"), NOW_MS)
+        member.enter_epoch(2, 0)
+        member.complete(2, [_entry("a", outcome), _entry("c")])
+        found = member.find("k")
+        self.assertEqual(found.outcome if found else None, outcome)
+
+    def test_entries_expire_and_their_number_is_bounded(self) -> None:
+        member = _member(max_entries=2)
+        for key in ("k1", "k2"):
+            member.record_intent(1, _entry("a", key=key), NOW_MS)
+        self.assertEqual(
+            member.record_intent(1, _entry("a", key="k3"), NOW_MS), IntentStatus.FULL
+        )
+        later_ms = NOW_MS + 61_000
+        self.assertEqual(
+            member.record_intent(1, _entry("a", key="k3"), later_ms),
+            IntentStatus.RECORDED,
+        )
+        self.assertEqual(len(member), 1)
+
+    def test_after_a_loss_only_keys_that_are_surely_younger_run(self) -> None:
+        member = _member()
+        member.enter_epoch(2, NOW_MS)
+        member.accept_loss(2)
+        member.settle(2)
+        now_ms = NOW_MS + 10_000
+        cases = (
+            ("plain", IntentStatus.PREDATES_LOSS),
+            (f"{NOW_MS - 1}-x", IntentStatus.PREDATES_LOSS),
+            (f"{NOW_MS + 5_000}-x", IntentStatus.RECORDED),
+            (f"{now_ms + 60_000}-x", IntentStatus.PREDATES_LOSS),
+        )
+        for key, expected in cases:
+            with self.subTest(key):
+                self.assertEqual(
+                    member.record_intent(2, _entry("a", key=key), now_ms), expected
+                )
+        after_ms = NOW_MS + 60_001
+        self.assertEqual(
+            member.record_intent(2, _entry("a", key="plain"), after_ms),
+            IntentStatus.RECORDED,
+        )
+
+    def test_only_a_majority_without_an_outcome_may_run(self) -> None:
+        coordinator = RegistryCoordinator(3)
+        recorded = IntentReply(0, IntentStatus.RECORDED, None)
+        known = IntentReply(0, IntentStatus.KNOWN, _entry("other"))
+        settled = IntentReply(
+            0, IntentStatus.KNOWN, _entry("other", StoredOutcome(1, 2, ()))
+        )
+        cases = (
+            ([recorded], IntentVerdict.UNAVAILABLE),
+            ([recorded, recorded], IntentVerdict.RUN),
+            ([recorded, recorded, known], IntentVerdict.RUN),
+            ([recorded, known], IntentVerdict.IN_FLIGHT),
+            ([recorded, recorded, settled], IntentVerdict.REPLAY),
+        )
+        for replies, expected in cases:
+            with self.subTest(expected):
+                self.assertEqual(
+                    coordinator.decide(_entry("mine"), replies).verdict, expected
+                )
+
+
+class ResendTest(unittest.TestCase):
+    """A keyed write whose host dies at every step, resent at another host."""
+
+    def _run_with_host_killed_after(self, delay_ms: float) -> tuple[Rig, CallerAnswer]:
+        rig = Rig(seed=3)
+        host = rig.system.leader.state.groups[GROUP].serving[0]
+        send = (Operation.WRITE, "append", "log", "x")
+        rig.send(host, *send, idempotency_key="key")
+        rig.timers.advance(delay_ms)
+        rig.system.kill_entry(host)
+        other = next(name for name in rig.system.entries if name != host)
+        answer = rig.write(
+            other, "append", "log", "x", idempotency_key="key", timeout_ms=9_000
+        )
+        return rig, answer
+
+    def test_the_write_runs_at_most_once_wherever_the_host_dies(self) -> None:
+        outcomes = set()
+        for tenth_ms in range(5, 200, 5):
+            with self.subTest(killed_after_ms=tenth_ms / 10):
+                rig, answer = self._run_with_host_killed_after(tenth_ms / 10)
+                rig.settle()
+                rig.timers.advance(1_000)
+                value = rig.read(
+                    "entry-1" if "entry-1" in rig.system.entries else "entry-5",
+                    "get",
+                    "log",
+                    max_staleness_ms=0,
+                )
+                ran = value.rows[0][0] if value.rows else ""
+                self.assertIn(ran, ("", "x"))
+                if answer.outcome is Outcome.DONE:
+                    self.assertEqual(ran, "x")
+                if answer.outcome is Outcome.NOT_RUN:
+                    self.assertEqual(ran, "")
+                outcomes.add(answer.outcome)
+        self.assertIn(Outcome.DONE, outcomes)
+        self.assertIn(Outcome.UNKNOWN, outcomes)
+
+    def test_resends_at_all_hosts_at_once_run_it_once(self) -> None:
+        rig = Rig()
+        sends = [
+            rig.send(
+                entry, Operation.WRITE, "append", "log", "x", idempotency_key="key"
+            )
+            for entry in rig.system.entries
+            for _ in range(3)
+        ]
+        answers = [rig.wait(send) for send in sends]
+        self.assertEqual(
+            {answer.rows for answer in answers if answer.is_done}, {(("x",),)}
+        )
+        value = rig.read("entry-1", "get", "log", max_staleness_ms=0)
+        self.assertEqual(value.rows, (("x",),))
+
+    def test_a_key_is_known_after_the_whole_serving_set_has_moved(self) -> None:
+        rig = Rig()
+        first = rig.write("entry-1", "append", "log", "x", idempotency_key="key")
+        for host in rig.system.leader.state.groups[GROUP].serving:
+            rig.system.kill_entry(host)
+            rig.timers.advance(6_000)
+            rig.settle()
+        again = rig.write(
+            next(iter(rig.system.entries)), "append", "log", "x", idempotency_key="key"
+        )
+        self.assertEqual((again.rows, again.is_replay), (first.rows, True))
+
+    def test_after_the_registrys_majority_is_lost_old_keys_are_not_run(self) -> None:
+        rig = Rig()
+        rig.write("entry-1", "append", "log", "x", idempotency_key="key")
+        for host in rig.system.leader.state.groups[GROUP].serving:
+            rig.system.kill_entry(host)
+        rig.timers.advance(8_000)
+        rig.settle()
+        entry = next(iter(rig.system.entries))
+        again = rig.write(entry, "append", "log", "x", idempotency_key="key")
+        self.assertEqual(
+            (again.outcome, again.code), (Outcome.UNKNOWN, ErrorCode.KEY_UNDECIDED)
+        )
+        fresh = f"{rig.timers.wall_ms()}-new"
+        self.assertEqual(
+            rig.write(entry, "append", "log", "y", idempotency_key=fresh).rows,
+            (("xy",),),
+        )
+        actions = [record.action for record in rig.system.leader.state.audit]
+        self.assertIn("lose registry", actions)
--- /dev/null
+++ b/tests/test_failover.py
@@ -0,0 +1,147 @@
+import unittest
+
+from azurerelay.endpoints import KnobsCall
+from azurerelay.requests import Outcome
+from tests.support import GROUP, Rig
+
+
+class FailoverTest(unittest.TestCase):
+    def _promotions(self, rig: Rig) -> list[str]:
+        return [
+            record.reason
+            for record in rig.system.leader.state.audit
+            if record.action == "begin term"
+            and record.path == f"groups/{GROUP}/primary"
+        ]
+
+    def test_an_isolated_primary_is_replaced_while_callers_write(self) -> None:
+        rig = Rig()
+        rig.write("entry-1", "put", "kept", 1)
+        isolated = rig.primary
+        rig.system.standins[isolated].request(KnobsCall(is_isolated=True))
+        in_flight = rig.send("entry-2", *_append("k-1"), idempotency_key="k-1")
+        answer = rig.write("entry-3", "put", "after", 2, timeout_ms=4_000)
+        self.assertEqual(answer.outcome, Outcome.DONE)
+        self.assertNotEqual(rig.primary, isolated)
+        # Sent to a primary that was cut off: it may have run there.
+        self.assertEqual(rig.wait(in_flight).outcome, Outcome.UNKNOWN)
+        rig.system.standins[isolated].request(KnobsCall(is_isolated=False))
+        rig.settle()
+        rig.timers.advance(1_000)
+        data = {
+            str(s.data.values)
+            for n, s in rig.system.standins.items()
+            if n.startswith(GROUP)
+        }
+        self.assertEqual(len(data), 1)
+
+    def test_one_slow_answer_promotes_nobody(self) -> None:
+        rig = Rig()
+        for _ in range(20):
+            standin = rig.system.standins[rig.primary]
+            standin.request(KnobsCall(status_delay_ms=350.0))
+            rig.timers.advance(90)
+            standin.request(KnobsCall(status_delay_ms=0.0))
+            rig.timers.advance(1_000)
+        self.assertEqual(len(self._promotions(rig)), 1)
+
+    def test_one_serving_host_cut_from_the_primary_promotes_nobody(self) -> None:
+        rig = Rig()
+        host = rig.system.leader.state.groups[GROUP].serving[0]
+        address = rig.system.standins[rig.primary].config.address
+        rig.system.network.cut(host, address)
+        rig.timers.advance(10_000)
+        self.assertEqual(len(self._promotions(rig)), 1)
+
+    def test_without_a_majority_of_endpoints_nobody_is_promoted_and_status_says_why(
+        self,
+    ) -> None:
+        rig = Rig()
+        rig.write("entry-1", "put", "kept", 1)
+        killed = [rig.primary, rig.replicas[0]]
+        for name in killed:
+            rig.system.kill_endpoint(name)
+        rig.timers.advance(5_000)
+        leader = rig.system.leader
+        group = leader.state.groups[GROUP]
+        self.assertIsNone(group.primary)
+        self.assertIn("2 endpoints are needed", leader.duties.failover.trouble(GROUP))
+        actions = [
+            r.action for r in leader.state.audit if r.path == f"groups/{GROUP}/primary"
+        ]
+        self.assertIn("refuse promotion", actions)
+        refused = rig.write("entry-1", "put", "x", 1, timeout_ms=300)
+        self.assertEqual(refused.outcome, Outcome.NOT_RUN)
+        for name in killed:
+            rig.system.restart_endpoint(name)
+        rig.settle()
+        self.assertEqual(
+            rig.read("entry-1", "get", "kept", max_staleness_ms=0).rows, ((1,),)
+        )
+
+    def test_a_primary_that_restarts_unseen_is_replaced(self) -> None:
+        rig = Rig()
+        name = rig.primary
+        rig.system.kill_endpoint(name)
+        rig.timers.advance(30)
+        rig.system.restart_endpoint(name)
+        answer = rig.write("entry-1", "put", "a", 1)
+        self.assertEqual(answer.outcome, Outcome.DONE)
+        self.assertIn("not as the primary", self._promotions(rig)[-1])
+
+    def test_a_lagging_replica_is_not_promoted_over_an_up_to_date_one(self) -> None:
+        rig = Rig()
+        behind = rig.replicas[0]
+        rig.system.standins[behind].request(KnobsCall(lag_ms=3_600_000.0))
+        for number in range(5):
+            rig.write("entry-1", "put", f"k{number}", number)
+        rig.system.kill_endpoint(rig.primary)
+        rig.timers.advance(1_500)
+        self.assertNotEqual(rig.primary, behind)
+        # Only one up-to-date endpoint is left: a majority cannot hold a write.
+        answer = rig.write("entry-2", "put", "after", 1, timeout_ms=500)
+        self.assertEqual(answer.outcome, Outcome.UNKNOWN)
+
+    def test_the_control_leader_and_a_primary_are_lost_together(self) -> None:
+        rig = Rig()
+        rig.write("entry-1", "put", "kept", 1)
+        rig.system.kill_endpoint(rig.primary)
+        rig.system.kill_control(rig.system.leader.name)
+        answer = rig.write(
+            "entry-2", "append", "log", "x", idempotency_key="k", timeout_ms=8_000
+        )
+        self.assertEqual(answer.outcome, Outcome.DONE)
+        self.assertEqual(answer.rows, (("x",),))
+
+    def test_a_planned_switch_by_settings_keeps_the_gap_under_300_ms(self) -> None:
+        rig = Rig()
+        target = rig.replicas[0]
+        rig.change_setting(f"/trinidad/roster/{GROUP}", "primary.preferred", target)
+        worst_ms = 0.0
+        while rig.primary != target:
+            began_ms = rig.timers.now_ms()
+            answer = rig.write("entry-1", "put", "k", began_ms)
+            self.assertEqual(answer.outcome, Outcome.DONE)
+            worst_ms = max(worst_ms, rig.timers.now_ms() - began_ms)
+        answer = rig.write("entry-1", "put", "k", "last")
+        self.assertEqual(answer.endpoint, target)
+        self.assertLess(worst_ms, 300)
+
+    def test_flapping_primaries_are_damped(self) -> None:
+        rig = Rig()
+        changes = 0
+        for _ in range(6):
+            name = rig.primary
+            rig.system.kill_endpoint(name)
+            rig.timers.advance(1_000)
+            rig.system.restart_endpoint(name)
+            rig.timers.advance(1_000)
+        changes = len(self._promotions(rig))
+        self.assertLess(changes, 6)
+        rig.settle(120_000)
+
+
+def _append(key: str) -> tuple[object, ...]:
+    from azurerelay.requests import Operation
+
+    return (Operation.WRITE, "append", "log", key)
