--- a/bench/client.py
+++ b/bench/client.py
@@ -36,6 +36,11 @@
             connector=connector, cookie_jar=aiohttp.DummyCookieJar()
         )
 
+    @property
+    def cluster(self) -> Cluster:
+        """The cluster that is asked."""
+        return self._cluster
+
     async def close(self) -> None:
         """Close all connections."""
         await self._session.close()
--- a/src/azurerelay/control/_failover_duties.py
+++ b/src/azurerelay/control/_failover_duties.py
@@ -20,10 +20,8 @@
 
 RETRY_MS: Final = 500.0
 BOOTSTRAP_WAIT_MS: Final = 500.0
-FLAP_WINDOW_MS: Final = 60_000.0
-FLAP_FREE_CHANGES: Final = 2
-FLAP_BASE_MS: Final = 2_000.0
-FLAP_LIMIT_MS: Final = 15_000.0
+FLAP_BASE_MS: Final = 1_000.0
+FLAP_LIMIT_MS: Final = 5_000.0
 
 
 class FailoverDuties:
@@ -164,9 +162,10 @@
     def _is_damped(self, group: str) -> bool:
         now_ms = self._timers.now_ms()
         changes = self._changes_ms.setdefault(group, deque())
-        while changes and now_ms - changes[0] > FLAP_WINDOW_MS:
+        policy = self._state.policy(group)
+        while changes and now_ms - changes[0] > policy.flap_window_ms:
             changes.popleft()
-        excess = len(changes) - FLAP_FREE_CHANGES
+        excess = len(changes) - policy.flap_free_changes
         if excess < 0:
             return False
         spacing_ms: float = min(FLAP_LIMIT_MS, FLAP_BASE_MS * 2.0**excess)
--- a/src/azurerelay/membership/_cluster_state.py
+++ b/src/azurerelay/membership/_cluster_state.py
@@ -1,6 +1,5 @@
 """The state that committed commands build, the same on every host."""
 
-from collections import deque
 from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import Any, Final
@@ -9,6 +8,7 @@
 from result import Err
 
 from azurerelay.membership._audit_record import AuditRecord
+from azurerelay.membership._audit_trail import AuditTrail
 from azurerelay.membership._change_outcome import ChangeOutcome, ChangeStatus
 from azurerelay.membership._commands import (
     COMMAND_CODEC,
@@ -31,8 +31,7 @@
 )
 from azurerelay.settings import GroupPolicy, SettingsTree, TreeNode
 
-MAX_AUDIT_RECORDS: Final = 20_000
-MAX_CHANGE_IDS: Final = 20_000
+MAX_CHANGE_IDS: Final = 2_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,7 +52,8 @@
     endpoints: tuple[EndpointRecord, ...]
     groups: tuple[GroupRecord, ...]
     changes: tuple[_RememberedChange, ...]
-    audit: tuple[AuditRecord, ...]
+    audit_older: bytes
+    audit_recent: tuple[AuditRecord, ...]
 
 
 class ClusterState:
@@ -69,7 +69,7 @@
         self._endpoints: dict[str, EndpointRecord] = {}
         self._groups: dict[str, GroupRecord] = {}
         self._changes: dict[str, ChangeOutcome] = {}
-        self._audit: deque[AuditRecord] = deque(maxlen=MAX_AUDIT_RECORDS)
+        self._audit = AuditTrail()
         self._policies: dict[str, GroupPolicy] = {}
 
     @property
@@ -110,7 +110,7 @@
     @property
     def audit(self) -> tuple[AuditRecord, ...]:
         """The audit trail, oldest first."""
-        return tuple(self._audit)
+        return self._audit.records
 
     def policy(self, group: str) -> GroupPolicy:
         """Return the settings in force for a group."""
@@ -157,11 +157,11 @@
 
     def snapshot(self) -> bytes:
         """Return the whole state."""
-        return self._encode(tuple(self._audit), tuple(self._changes.items()))
+        return self._encode(self._audit, tuple(self._changes.items()))
 
     def snapshot_for_hosts(self) -> bytes:
         """Return the state without the audit trail and the change ids."""
-        return self._encode((), ())
+        return self._encode(AuditTrail(), ())
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state by a snapshot."""
@@ -176,12 +176,12 @@
         )
         self._hosts_version += 1
         self._changes = {c.change_id: c.outcome for c in image.changes}
-        self._audit = deque(image.audit, maxlen=MAX_AUDIT_RECORDS)
+        self._audit = AuditTrail(image.audit_older, image.audit_recent)
         self._policies = {}
 
     def _encode(
         self,
-        audit: tuple[AuditRecord, ...],
+        audit: AuditTrail,
         changes: tuple[tuple[str, ChangeOutcome], ...],
     ) -> bytes:
         image = _StateImage(
@@ -191,7 +191,8 @@
             tuple(self._endpoints.values()),
             tuple(self._groups.values()),
             tuple(_RememberedChange(*change) for change in changes),
-            audit,
+            audit.older,
+            audit.recent,
         )
         return msgspec.msgpack.encode(image)
 
--- a/src/azurerelay/membership/_host_table.py
+++ b/src/azurerelay/membership/_host_table.py
@@ -17,6 +17,7 @@
     suspicions: dict[str, Suspicion] = field(default_factory=dict)
     unready_groups: frozenset[str] = frozenset()
     incarnation: int = 0
+    sequence: int = 0
 
 
 class HostTable:
@@ -37,15 +38,19 @@
         return self._sessions
 
     def observe(self, heartbeat: HostHeartbeat, now_ms: float) -> HostSession:
-        """Record a heartbeat; an older one than the last changes no index."""
+        """Record a heartbeat; one that was overtaken is only a sign of life."""
         session = self._sessions.get(heartbeat.host)
         if session is None:
             session = HostSession(now_ms, self._unknown_until_ms)
             self._sessions[heartbeat.host] = session
         session.heard_ms = now_ms
-        if heartbeat.incarnation != session.incarnation:
-            session.incarnation = heartbeat.incarnation
+        is_same_process = heartbeat.incarnation == session.incarnation
+        if is_same_process and heartbeat.sequence < session.sequence:
+            return session
+        if not is_same_process:
             session.acked_index = 0
+        session.incarnation = heartbeat.incarnation
+        session.sequence = heartbeat.sequence
         session.acked_index = max(session.acked_index, heartbeat.applied_index)
         session.settings_number = heartbeat.settings_number
         session.suspicions = {s.group: s for s in heartbeat.suspicions}
--- a/src/azurerelay/registry/_idempotency_registry.py
+++ b/src/azurerelay/registry/_idempotency_registry.py
@@ -116,10 +116,15 @@
         return IntentStatus.RECORDED
 
     def record_outcome(self, entry: RegistryEntry) -> bool:
-        """Record an outcome, which proves that its attempt is the one that ran."""
+        """Record an outcome, which proves that its attempt is the one that ran.
+
+        An attempt that was given up is recorded only over itself.
+        """
         known = self._entries.get(entry.key)
         if known is not None and known.outcome is not None:
             return known.attempt == entry.attempt
+        if entry.is_given_up and (known is None or known.attempt != entry.attempt):
+            return False
         self._entries[entry.key] = entry
         return True
 
--- a/src/azurerelay/registry/_messages.py
+++ b/src/azurerelay/registry/_messages.py
@@ -21,7 +21,8 @@
     """A key, the attempt that may run it, and its outcome once known.
 
     `fingerprint` identifies the request, so that a key reused for another one is
-    refused. `recorded_ms` is calendar time.
+    refused. `recorded_ms` is calendar time. `is_given_up` tells that the attempt has
+    ended and that nobody knows whether it has run.
     """
 
     key: str
@@ -29,6 +30,7 @@
     attempt: str
     recorded_ms: int
     outcome: StoredOutcome | None = None
+    is_given_up: bool = False
 
 
 class IntentStatus(Enum):
--- a/src/azurerelay/registry/_registry_coordinator.py
+++ b/src/azurerelay/registry/_registry_coordinator.py
@@ -19,6 +19,7 @@
     REPLAY = "replay"
     REUSED = "reused"
     IN_FLIGHT = "in_flight"
+    GIVEN_UP = "given_up"
     FULL = "full"
     UNDECIDED = "undecided"
     UNAVAILABLE = "unavailable"
@@ -61,6 +62,8 @@
         statuses = [reply.status for reply in received]
         if statuses.count(IntentStatus.RECORDED) >= self._majority:
             return IntentDecision(IntentVerdict.RUN)
+        if any(other.is_given_up for other in known):
+            return IntentDecision(IntentVerdict.GIVEN_UP)
         if IntentStatus.KNOWN in statuses:
             return IntentDecision(IntentVerdict.IN_FLIGHT)
         if IntentStatus.PREDATES_LOSS in statuses:
--- a/src/azurerelay/serving/_at_most_once.py
+++ b/src/azurerelay/serving/_at_most_once.py
@@ -102,6 +102,14 @@
             reply.add_callback(partial(count, reply))
         await recorded
 
+    def give_up(self, ticket: IntentTicket) -> None:
+        """Note that nobody knows whether the attempt has run."""
+        entry = replace(ticket.entry, is_given_up=True)
+        self._registry.record_outcome(entry)
+        for member in ticket.members:
+            if member != self._context.host:
+                self._send_outcome(member, ticket.epoch, entry)
+
     def abort(self, ticket: IntentTicket) -> None:
         """Forget an attempt that has surely not run."""
         key = ticket.entry.key
@@ -210,7 +218,7 @@
             case IntentVerdict.REUSED:
                 detail = "the idempotency key belongs to another request"
                 return not_run(ErrorCode.KEY_REUSED, detail)
-            case IntentVerdict.IN_FLIGHT:
+            case IntentVerdict.IN_FLIGHT | IntentVerdict.GIVEN_UP:
                 detail = "an earlier attempt with this key has no known outcome"
                 return unknown(ErrorCode.KEY_IN_FLIGHT, detail)
             case IntentVerdict.UNDECIDED:
--- a/src/azurerelay/serving/_write_path.py
+++ b/src/azurerelay/serving/_write_path.py
@@ -102,6 +102,8 @@
             await self._at_most_once.finish(ticket, answer)
         elif answer.outcome is Outcome.NOT_RUN:
             self._at_most_once.abort(ticket)
+        else:
+            self._at_most_once.give_up(ticket)
         return answer
 
     async def _run_with_retries(
--- a/src/azurerelay/settings/_group_policy.py
+++ b/src/azurerelay/settings/_group_policy.py
@@ -31,6 +31,8 @@
     endpoints_expected: int
     endpoints_expire_ms: int
     preferred_primary: str
+    flap_window_ms: int
+    flap_free_changes: int
 
     @classmethod
     def of(cls, tree: "SettingsTree", group: str) -> "GroupPolicy":
@@ -61,4 +63,6 @@
             endpoints_expected=number("endpoints.expected"),
             endpoints_expire_ms=number("endpoints.expire_ms"),
             preferred_primary=str(tree.value(path, "primary.preferred")),
+            flap_window_ms=number("failover.flap_window_ms"),
+            flap_free_changes=number("failover.flap_free_changes"),
         )
--- a/src/azurerelay/settings/_schema.py
+++ b/src/azurerelay/settings/_schema.py
@@ -167,6 +167,22 @@
         "",
         "The endpoint that should be primary; empty leaves the choice to failover.",
     ),
+    SettingSpec(
+        "failover.flap_window_ms",
+        60_000,
+        "ms",
+        "Changes of primary within this time are counted; 0 ends all damping.",
+        0,
+        _HOUR_MS,
+    ),
+    SettingSpec(
+        "failover.flap_free_changes",
+        2,
+        "changes",
+        "How many changes within the window are made without waiting.",
+        1,
+        100,
+    ),
     SettingSpec(
         "hosts.expire_ms",
         3_000,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,6 +1,11 @@
 import unittest
 
-from azurerelay.membership import HostRecord, choose_serving_set
+from azurerelay.membership import (
+    HostHeartbeat,
+    HostRecord,
+    HostTable,
+    choose_serving_set,
+)
 from azurerelay.requests import ErrorCode, Outcome
 from tests.support import GROUP, Rig
 
@@ -37,6 +42,49 @@
         self.assertEqual(choose_serving_set("g", hosts, 3), ("h2",))
 
 
+class HostTableTest(unittest.TestCase):
+    def _heartbeat(
+        self,
+        sequence: int,
+        applied_index: int,
+        unready: tuple[str, ...] = (),
+        incarnation: int = 1,
+    ) -> HostHeartbeat:
+        return HostHeartbeat(
+            "h",
+            "a",
+            "d",
+            incarnation,
+            sequence,
+            applied_index,
+            0,
+            False,
+            (),
+            unready,
+            (),
+        )
+
+    def test_a_heartbeat_that_was_overtaken_makes_no_group_ready(self) -> None:
+        table = HostTable(0.0, 1_000.0)
+        table.observe(self._heartbeat(2, 55, ("g",)), 10.0)
+        session = table.observe(self._heartbeat(1, 54), 20.0)
+        self.assertEqual((session.acked_index, session.unready_groups), (55, {"g"}))
+
+    def test_a_new_process_starts_without_what_the_old_one_had_applied(self) -> None:
+        table = HostTable(0.0, 1_000.0)
+        table.observe(self._heartbeat(9, 55), 10.0)
+        session = table.observe(self._heartbeat(1, 0, incarnation=2), 20.0)
+        self.assertEqual(session.acked_index, 0)
+
+    def test_a_new_leader_takes_every_lease_to_last_a_whole_duration(self) -> None:
+        table = HostTable(500.0, 1_000.0)
+        self.assertEqual(table.holders_until_ms(["never heard"], 7, 600.0), 1_500.0)
+        table.observe(self._heartbeat(1, 7), 700.0)
+        self.assertIsNone(table.holders_until_ms(["h"], 7, 700.0))
+        table.extend_lease("h", 2_000.0)
+        self.assertEqual(table.holders_until_ms(["h"], 8, 700.0), 2_000.0)
+
+
 class LeavingTest(unittest.TestCase):
     def test_a_leaving_endpoint_gets_no_new_work_after_three_seconds(self) -> None:
         from azurerelay.endpoints import KnobsCall
