--- a/bench/failover.py
+++ b/bench/failover.py
@@ -12,6 +12,7 @@
 import signal
 import time
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import aiohttp
 
@@ -48,6 +49,14 @@
     outcome: str = "open"
 
 
+class HasWrites(Protocol):
+    """Whoever has recorded writes."""
+
+    @property
+    def writes(self) -> list[Write]:
+        """The writes."""
+
+
 @dataclass(slots=True)
 class Gap:
     """The parts of one failover gap in milliseconds."""
@@ -207,7 +216,7 @@
     return bool(max(positions) - min(positions) < 50)
 
 
-async def check(client: Client, writers: Writers) -> tuple[int, int, int]:
+async def check(client: Client, writers: HasWrites) -> tuple[int, int, int]:
     """Return how many confirmed writes are lost, doubled or falsely not run."""
     group = await settled_group(client)
     reply = await client.statement(
--- a/src/azurerelay/experiments/_experiment.py
+++ b/src/azurerelay/experiments/_experiment.py
@@ -72,7 +72,7 @@
         self._random = random.Random(seed)
         self._system = EmbeddedSystem(shape, self._timers, self._random)
         self._history = History()
-        self._losses: list[tuple[float, str, int]] = []
+        self._on_settled: Callable[[], object] | None = None
 
     @property
     def system(self) -> EmbeddedSystem:
@@ -84,11 +84,22 @@
         """What callers saw."""
         return self._history
 
+    @property
+    def timers(self) -> ManualTimerService:
+        """The fake time of the run."""
+        return self._timers
+
+    def on_settled(self, callback: Callable[[], object]) -> None:
+        """Call back once the system has settled, before the load begins."""
+        self._on_settled = callback
+
     def run(self) -> ExperimentReport:
         """Run to the end and return the report."""
         self._system.start()
         if not self._timers.advance_until(self._system.is_settled, SETTLE_LIMIT_MS):
             raise RuntimeError("the system did not settle before the load")
+        if self._on_settled is not None:
+            self._on_settled()
         callers = self._start_callers()
         plan = FaultPlan(self._system, self._timers, self._faults)
         plan.start()
--- a/src/azurerelay/experiments/_load_mix.py
+++ b/src/azurerelay/experiments/_load_mix.py
@@ -6,7 +6,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadMix:
-    """Weights of operations, the pause between them and the staleness bound."""
+    """Weights of operations, the pause between them and the staleness bound.
+
+    `resend_percent` of the keyed writes are sent again at once through other hosts.
+    """
 
     stale_reads: int
     session_reads: int
@@ -16,6 +19,7 @@
     callers: int
     pause_ms: float
     max_staleness_ms: int
+    resend_percent: int = 0
 
 
 CHILDCARE_MIX: Final = LoadMix(
--- a/src/azurerelay/experiments/_simulated_caller.py
+++ b/src/azurerelay/experiments/_simulated_caller.py
@@ -116,8 +116,14 @@
         answer: CallerAnswer | None = None
         attempts = 0
         may_have_run = False
-        while attempts < MAX_ATTEMPTS and not self._is_stopped:
+        rounds = 0
+        while rounds < MAX_ATTEMPTS and not self._is_stopped:
+            rounds += 1
             attempts += 1
+            if is_keyed and self._random.randrange(100) < self._mix.resend_percent:
+                spawn(self._call(request))
+                spawn(self._call(request))
+                attempts += 2
             answer = await self._call(request)
             if answer is not None and answer.is_done:
                 break
