Give a registry up that stays incomplete

Change: a set that stays incomplete for 3 s, or two lease durations, is settled as a loss; keys that may be older than it are then undecided, never run.

--- a/src/azurerelay/control/_serving_assigner.py
+++ b/src/azurerelay/control/_serving_assigner.py
@@ -1,6 +1,7 @@
 """Assigns serving sets as hosts come and go."""
 
 from collections.abc import Iterable
+from typing import Final
 
 from azurerelay.control._proposer import Proposer
 from azurerelay.membership import (
@@ -13,6 +14,8 @@
 )
 from azurerelay.timing import TimerService
 
+UNSETTLED_LIMIT_MS: Final = 3_000.0
+
 
 class ServingAssigner:
     """Give each group its serving set; move as little as rendezvous hashing does."""
@@ -30,6 +33,7 @@
         self._table = table
         self._proposer = proposer
         self._timers = timers
+        self._unsettled: dict[str, tuple[int, float]] = {}
         self._seen: dict[str, tuple[object, ...]] = {}
 
     def on_heartbeat(self, groups: Iterable[str]) -> None:
@@ -77,6 +81,7 @@
         ready = [host for host in group.serving if self._is_ready(host, group)]
         is_ready = len(ready) >= len(group.serving) // 2 + 1
         is_lost = not is_ready and self._is_registry_lost(group)
+        is_lost = is_lost or (not is_ready and self._is_overdue(group))
         if not is_ready and not is_lost:
             return
         reason = f"the registry is complete on {_listed(ready)}"
@@ -93,6 +98,21 @@
         )
         self._proposer.propose_once(_key(group), command)
 
+    def _is_overdue(self, group: GroupRecord) -> bool:
+        """Return whether a set has stayed incomplete for so long that it will.
+
+        Its sources may be up and yet never have been complete themselves. Giving the
+        registry up is safe by then: a host that has not applied this epoch has no
+        lease left, and one that has refuses intents of earlier ones.
+        """
+        now_ms = self._timers.now_ms()
+        epoch, since_ms = self._unsettled.get(group.name, (0, 0.0))
+        if epoch != group.epoch:
+            self._unsettled[group.name] = (group.epoch, now_ms)
+            return False
+        lease_ms = self._state.settings.root_number("leases.duration_ms")
+        return now_ms - since_ms > max(UNSETTLED_LIMIT_MS, 2.0 * lease_ms)
+
     def _is_ready(self, host: str, group: GroupRecord) -> bool:
         session = self._table.sessions.get(host)
         if session is None or host not in self._state.valid_members(group):
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -228,3 +228,20 @@
         )
         actions = [record.action for record in rig.system.leader.state.audit]
         self.assertIn("lose registry", actions)
+
+    def test_a_registry_whose_holders_were_never_complete_is_given_up(self) -> None:
+        rig = Rig()
+        first, second, third = rig.system.leader.state.groups[GROUP].serving
+        idle = next(n for n in rig.system.entries if n not in (first, second, third))
+        rig.system.network.isolate(idle)
+        rig.system.kill_entry(first)
+        rig.timers.advance(200)
+        rig.system.kill_entry(second)
+        rig.system.start_entry(second)
+        rig.timers.advance(9_000)
+        rig.system.network.heal(idle)
+        rig.settle(30_000)
+        entry = next(iter(rig.system.entries))
+        key = f"{rig.timers.wall_ms()}-new"
+        answer = rig.write(entry, "append", "log", "x", idempotency_key=key)
+        self.assertEqual(answer.outcome, Outcome.DONE)
