Batch lease grants; send keyed outcomes without waiting

Cause: (1) the control leader spent 0.24 % of a core a host with few hosts: each heartbeat asked for a quorum round of its own.

Change: heartbeats are collected for 20 ms and their leases ride on the next regular round of the log, suspicions go on at once; a keyed write is answered when it is confirmed, its outcome is sent at the same time and up to three times.

--- a/src/azurerelay/consensus/_raft_node.py
+++ b/src/azurerelay/consensus/_raft_node.py
@@ -90,6 +90,7 @@
         self._leading_since_ms = 0.0
         self._proposals: dict[int, tuple[int, Promise[Result[Any, ProposalLost]]]] = {}
         self._confirmations: list[tuple[int, Promise[bool]]] = []
+        self._has_urgent = False
         self._incoming = bytearray()
         self._incoming_mark: SnapshotMark | None = None
         self._election_timer: Timer | None = None
@@ -188,15 +189,19 @@
         self._proposals[index] = (self._term, promise)
         return promise
 
-    def confirm_leadership(self) -> Promise[bool]:
-        """Return True once a quorum has followed this leader after the call."""
+    def confirm_leadership(self, is_urgent: bool = True) -> Promise[bool]:
+        """Return True once a quorum has followed this leader after the call.
+
+        What is not urgent waits for the next heartbeat, which costs no message.
+        """
         if not self.is_leader:
             return Promise.of(False)
         if not self._peers:
             return Promise.of(True)
         promise: Promise[bool] = Promise()
         self._confirmations.append((self._round + 1, promise))
-        if self._quorum_round == self._round:
+        self._has_urgent = self._has_urgent or is_urgent
+        if is_urgent and self._quorum_round == self._round:
             self._broadcast()
         return promise
 
@@ -554,7 +559,9 @@
         ]
         for promise in ready:
             promise.resolve(True)
-        if self._confirmations and self._quorum_round == self._round:
+        is_waiting = bool(self._confirmations) and self._has_urgent
+        if is_waiting and self._quorum_round == self._round:
+            self._has_urgent = False
             self._broadcast()
 
     def _advance_commit(self) -> None:
--- a/src/azurerelay/control/_control_node.py
+++ b/src/azurerelay/control/_control_node.py
@@ -37,7 +37,7 @@
 from azurerelay.storage import Disk
 from azurerelay.timing import Promise, TimerService, sleep, spawn
 
-RELAY_LINGER_MS: Final = 10.0
+RELAY_LINGER_MS: Final = 20.0
 REQUEST_TIMEOUT_MS: Final = 3_000.0
 BARRIER_POLL_MS: Final = 2.0
 LINK_ID_SPACE: Final = 2**32
@@ -107,8 +107,8 @@
         first_id = random_source.randrange(LINK_ID_SPACE)
         self._requester = Requester(link, timers, first_id)
         self._duties: LeaderDuties | None = None
-        self._relayed: dict[str, HostHeartbeat] = {}
-        self._is_relay_due = False
+        self._collected: dict[str, HostHeartbeat] = {}
+        self._is_pass_on_due = False
         self._raft.add_role_listener(self._on_role)
 
     @property
@@ -193,31 +193,36 @@
     # Heartbeats of hosts
 
     def _on_heartbeat(self, heartbeat: HostHeartbeat) -> None:
+        """Collect heartbeats for a moment; a suspicion goes on at once."""
         self._attached.on_heartbeat(heartbeat)
-        if self._duties is not None:
-            spawn(self._answer_heartbeat(self._duties, heartbeat))
-            return
-        self._relayed[heartbeat.host] = _merged(
-            self._relayed.get(heartbeat.host), heartbeat
+        self._collected[heartbeat.host] = _merged(
+            self._collected.get(heartbeat.host), heartbeat
         )
-        if not self._is_relay_due:
-            self._is_relay_due = True
-            self._timers.call_later(RELAY_LINGER_MS, self._relay)
+        if heartbeat.suspicions:
+            self._pass_on()
+        elif not self._is_pass_on_due:
+            self._is_pass_on_due = True
+            self._timers.call_later(RELAY_LINGER_MS, self._pass_on)
+
+    def _pass_on(self) -> None:
+        """Handle the collected heartbeats as leader, or relay them to the leader."""
+        self._is_pass_on_due = False
+        heartbeats = tuple(self._collected.values())
+        self._collected = {}
+        if not heartbeats:
+            return
+        leader = self._raft.leader
+        if self._duties is not None:
+            spawn(self._answer_heartbeats(self._duties, heartbeats))
+        elif leader is not None and leader != self.name:
+            self._link.send(leader, RelayedHeartbeats(heartbeats))
 
-    async def _answer_heartbeat(
-        self, duties: LeaderDuties, heartbeat: HostHeartbeat
+    async def _answer_heartbeats(
+        self, duties: LeaderDuties, heartbeats: tuple[HostHeartbeat, ...]
     ) -> None:
-        for reply in await duties.on_heartbeats((heartbeat,)):
+        for reply in await duties.on_heartbeats(heartbeats):
             self._link.send(reply.host, reply)
 
-    def _relay(self) -> None:
-        self._is_relay_due = False
-        heartbeats = tuple(self._relayed.values())
-        self._relayed = {}
-        leader = self._raft.leader
-        if leader is not None and leader != self.name:
-            self._link.send(leader, RelayedHeartbeats(heartbeats))
-
     async def _answer_relayed(self, sender: str, message: RelayedHeartbeats) -> None:
         if self._duties is None:
             return
--- a/src/azurerelay/control/_lease_grants.py
+++ b/src/azurerelay/control/_lease_grants.py
@@ -37,7 +37,7 @@
     ) -> tuple[HeartbeatReply, ...]:
         """Return the replies; none when the leadership was not confirmed."""
         received_ms = self._timers.now_ms()
-        if not await self._raft.confirm_leadership():
+        if not await self._raft.confirm_leadership(is_urgent=False):
             return ()
         return tuple(self._grant(beat, received_ms) for beat in heartbeats)
 
--- a/src/azurerelay/daemons/__init__.py
+++ b/src/azurerelay/daemons/__init__.py
@@ -19,9 +19,11 @@
 from azurerelay.daemons._run import run_until_signal
 from azurerelay.daemons._standin_daemon import standin_application
 from azurerelay.daemons._structured_logging import configure_logging
+from azurerelay.daemons._wire_codec import WIRE_CODEC
 from azurerelay.daemons._zmq_link import ZmqLink
 
 __all__ = [
+    "WIRE_CODEC",
     "Application",
     "AsyncioTimerService",
     "BadSettingsError",
--- a/src/azurerelay/daemons/_zmq_link.py
+++ b/src/azurerelay/daemons/_zmq_link.py
@@ -57,6 +57,11 @@
         """The name of this part in the log."""
         return "link"
 
+    @property
+    def address(self) -> str:
+        """Where this link is bound."""
+        return self._address
+
     @property
     def sent_bytes(self) -> int:
         """Payload bytes sent."""
--- a/src/azurerelay/membership/_control_session.py
+++ b/src/azurerelay/membership/_control_session.py
@@ -17,8 +17,8 @@
 from azurerelay.messages import Link
 from azurerelay.timing import TimerService
 
-HEARTBEAT_INTERVAL_MS: Final = 250.0
-SILENCE_BEFORE_SWITCH_MS: Final = 600.0
+HEARTBEAT_INTERVAL_MS: Final = 350.0
+SILENCE_BEFORE_SWITCH_MS: Final = 800.0
 LEASE_DRIFT_DIVISOR: Final = 20
 MAX_REMEMBERED_HEARTBEATS: Final = 64
 
--- a/src/azurerelay/serving/_at_most_once.py
+++ b/src/azurerelay/serving/_at_most_once.py
@@ -4,7 +4,6 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from functools import partial
 
 import msgspec
 from result import Err, Ok, Result
@@ -25,10 +24,11 @@
 from azurerelay.requests import CallerAnswer, CallerRequest, ErrorCode, Outcome
 from azurerelay.serving._answers import RETRY_AFTER_FAILOVER_MS, not_run, unknown
 from azurerelay.serving._serving_context import ServingContext
-from azurerelay.timing import Promise, TimedOut, sleep
+from azurerelay.timing import Promise, TimedOut, sleep, spawn
 
 INTENT_TIMEOUT_MS = 300.0
 OUTCOME_TIMEOUT_MS = 300.0
+OUTCOME_TRIES = 3
 IN_FLIGHT_POLL_MS = 20.0
 IN_FLIGHT_POLL_MAX_MS = 200.0
 IN_FLIGHT_WAIT_MS = 2_000.0
@@ -77,30 +77,18 @@
             await sleep(context.timers, poll_ms * jitter)
             poll_ms = min(2 * poll_ms, IN_FLIGHT_POLL_MAX_MS)
 
-    async def finish(self, ticket: IntentTicket, answer: CallerAnswer) -> None:
-        """Record the outcome at a majority, or for as long as that may take."""
+    def finish(self, ticket: IntentTicket, answer: CallerAnswer) -> None:
+        """Record the outcome here and send it to the other members.
+
+        The answer does not wait for their receipts: it was confirmed under a lease
+        that may end meanwhile. A member that misses the outcome says "unknown".
+        """
         outcome = StoredOutcome(answer.term, answer.position, answer.rows)
         entry = replace(ticket.entry, outcome=outcome)
         self._registry.record_outcome(entry)
-        majority = len(ticket.members) // 2 + 1
-        recorded: Promise[None] = Promise()
-        receipts = 1
-        others = [m for m in ticket.members if m != self._context.host]
-        answered = 0
-
-        def count(reply: Promise[Result[object, TimedOut]]) -> None:
-            nonlocal receipts, answered
-            answered += 1
-            receipts += isinstance(reply.value, Ok)
-            if receipts >= majority or answered == len(others):
-                recorded.resolve(None)
-
-        if receipts >= majority:
-            recorded.resolve(None)
-        for member in others:
-            reply = self._send_outcome(member, ticket.epoch, entry)
-            reply.add_callback(partial(count, reply))
-        await recorded
+        for member in ticket.members:
+            if member != self._context.host:
+                spawn(self._deliver_outcome(member, ticket.epoch, entry))
 
     def give_up(self, ticket: IntentTicket) -> None:
         """Note that nobody knows whether the attempt has run."""
@@ -199,6 +187,14 @@
             )
         )
 
+    async def _deliver_outcome(
+        self, member: str, epoch: int, entry: RegistryEntry
+    ) -> None:
+        for _ in range(OUTCOME_TRIES):
+            receipt = await self._send_outcome(member, epoch, entry)
+            if isinstance(receipt, Ok):
+                return
+
     def _send_outcome(
         self, member: str, epoch: int, entry: RegistryEntry
     ) -> Promise[Result[object, TimedOut]]:
--- a/src/azurerelay/serving/_write_path.py
+++ b/src/azurerelay/serving/_write_path.py
@@ -99,7 +99,7 @@
         trail.note(f"intent recorded in epoch {ticket.epoch}")
         answer = await self._run_with_retries(request, deadline_ms, trail)
         if answer.is_done:
-            await self._at_most_once.finish(ticket, answer)
+            self._at_most_once.finish(ticket, answer)
         elif answer.outcome is Outcome.NOT_RUN:
             self._at_most_once.abort(ticket)
         else:
