Reassign only the groups that a change of hosts concerns

Cause: with 950 hosts and 1,400 groups every host that came or went made the leader choose all serving sets anew, 1,400 times 1.4 ms: two seconds in which it sent no heartbeat, enough for an election.

Change: the assigner compares hosts and looks at the groups that one has left or may enter, broken ones first, 20 in one call.

--- a/src/azurerelay/control/__init__.py
+++ b/src/azurerelay/control/__init__.py
@@ -3,6 +3,7 @@
 from azurerelay.control._control_config import ControlConfig
 from azurerelay.control._control_node import ControlNode
 from azurerelay.control._control_status import ControlStatus, GroupStatus, HostStatus
+from azurerelay.control._leader_duties import LeaderDuties
 from azurerelay.control._messages import CONTROL_HOST_MESSAGES
 from azurerelay.control._start_refused_error import StartRefusedError
 
@@ -13,5 +14,6 @@
     "ControlStatus",
     "GroupStatus",
     "HostStatus",
+    "LeaderDuties",
     "StartRefusedError",
 ]
--- a/src/azurerelay/control/_serving_assigner.py
+++ b/src/azurerelay/control/_serving_assigner.py
@@ -8,13 +8,16 @@
     AssignServingSet,
     ClusterState,
     GroupRecord,
+    HostRecord,
     HostTable,
     SettleServingSet,
     choose_serving_set,
+    weight,
 )
 from azurerelay.timing import TimerService
 
 UNSETTLED_LIMIT_MS: Final = 3_000.0
+GROUPS_PER_CALL: Final = 20
 
 
 class ServingAssigner:
@@ -34,7 +37,11 @@
         self._proposer = proposer
         self._timers = timers
         self._unsettled: dict[str, tuple[int, float]] = {}
-        self._seen: dict[str, tuple[object, ...]] = {}
+        self._seen: dict[str, tuple[int, int]] = {}
+        self._urgent: dict[str, None] = {}
+        self._pending: dict[str, None] = {}
+        self._hosts_version = -1
+        self._known_hosts: dict[str, HostRecord] = {}
 
     def on_heartbeat(self, groups: Iterable[str]) -> None:
         """Settle the sets of groups that a host no longer reports as unready."""
@@ -44,16 +51,61 @@
                 self._settle(group)
 
     def assign(self) -> None:
-        """Propose a new serving set for every group whose choice has changed."""
-        hosts = self._state.hosts_version
-        for group in list(self._state.groups.values()):
+        """Propose a new serving set for every group whose choice may have changed.
+
+        A change of hosts concerns the groups that it may enter or has left, and a
+        bounded number of groups is looked at in one call.
+        """
+        changed = self._changed_hosts()
+        for group in self._state.groups.values():
             size = self._state.policy(group.name).set_size
-            basis = (hosts, group.epoch, size)
-            if self._seen.get(group.name) != basis:
-                self._assign_group(group, size)
-                if not self._proposer.is_pending(_key(group)):
-                    self._seen[group.name] = basis
-            self._settle(group)
+            is_new = self._seen.get(group.name) != (group.epoch, size)
+            if is_new or any(self._concerns(host, group) for host in changed):
+                self._seen[group.name] = (group.epoch, size)
+                queue = self._urgent if self._is_broken(group) else self._pending
+                queue[group.name] = None
+            if group.settled_epoch != group.epoch:
+                self._settle(group)
+        for name in [*self._urgent, *self._pending][:GROUPS_PER_CALL]:
+            self._assign_waiting(name)
+
+    def _assign_waiting(self, name: str) -> None:
+        group = self._state.groups[name]
+        if not self._proposer.is_pending(_key(group)):
+            self._urgent.pop(name, None)
+            self._pending.pop(name, None)
+            self._assign_group(group, self._state.policy(name).set_size)
+
+    def _is_broken(self, group: GroupRecord) -> bool:
+        """Return whether a group has lost a serving host or has none yet."""
+        valid = self._state.valid_members(group)
+        return not valid or len(valid) < len(group.serving)
+
+    def _changed_hosts(self) -> list[HostRecord]:
+        """Return the hosts that came, went or changed since the last call."""
+        if self._state.hosts_version == self._hosts_version:
+            return []
+        self._hosts_version = self._state.hosts_version
+        known, current = self._known_hosts, self._state.hosts
+        changed = [host for name, host in current.items() if known.get(name) != host]
+        changed += [host for name, host in known.items() if name not in current]
+        self._known_hosts = dict(current)
+        return changed
+
+    def _concerns(self, host: HostRecord, group: GroupRecord) -> bool:
+        """Return whether a host is in a group's serving set or may enter it."""
+        if host.name in group.serving:
+            return True
+        if host.is_draining or host.name not in self._state.hosts:
+            return False
+        members = [self._state.hosts.get(name) for name in group.serving]
+        present = [member for member in members if member is not None]
+        domains = {member.failure_domain for member in present}
+        has_repeated_domain = len(domains) < len(present)
+        if len(present) < len(group.serving) or has_repeated_domain:
+            return True
+        lowest = min((weight(group.name, m.name) for m in present), default=0)
+        return weight(group.name, host.name) > lowest
 
     def _assign_group(self, group: GroupRecord, size: int) -> None:
         chosen = choose_serving_set(group.name, self._state.hosts.values(), size)
--- a/src/azurerelay/daemons/__init__.py
+++ b/src/azurerelay/daemons/__init__.py
@@ -4,8 +4,10 @@
 from azurerelay.daemons._asyncio_timer_service import AsyncioTimerService, as_future
 from azurerelay.daemons._bad_settings_error import BadSettingsError
 from azurerelay.daemons._control_daemon import control_application
+from azurerelay.daemons._entry_api import EntryApi
 from azurerelay.daemons._entry_daemon import entry_application
 from azurerelay.daemons._http_endpoint_port import HttpEndpointPort
+from azurerelay.daemons._http_server import HttpServer
 from azurerelay.daemons._link_keys import LinkKeys, load_link_keys, new_link_keys
 from azurerelay.daemons._process_settings import (
     ControlSettings,
@@ -28,8 +30,10 @@
     "AsyncioTimerService",
     "BadSettingsError",
     "ControlSettings",
+    "EntryApi",
     "EntrySettings",
     "HttpEndpointPort",
+    "HttpServer",
     "LinkKeys",
     "Part",
     "PeerSettings",
--- a/src/azurerelay/daemons/_http_server.py
+++ b/src/azurerelay/daemons/_http_server.py
@@ -31,12 +31,17 @@
         """The name of this part in the log."""
         return self._name
 
-    async def start(self) -> None:
-        """Bind and serve."""
+    def build(self) -> web.Application:
+        """Return the application with its routes and limits."""
         app = web.Application(
             client_max_size=MAX_BODY_BYTES, middlewares=self._middlewares
         )
         app.add_routes(self._routes)
+        return app
+
+    async def start(self) -> None:
+        """Bind and serve."""
+        app = self.build()
         self._runner = web.AppRunner(
             app,
             access_log=None,
--- a/src/azurerelay/membership/__init__.py
+++ b/src/azurerelay/membership/__init__.py
@@ -35,7 +35,7 @@
     HostRecord,
     Presence,
 )
-from azurerelay.membership._serving_assignment import choose_serving_set
+from azurerelay.membership._serving_assignment import choose_serving_set, weight
 
 __all__ = [
     "COMMAND_CODEC",
@@ -71,4 +71,5 @@
     "StateSnapshot",
     "Suspicion",
     "choose_serving_set",
+    "weight",
 ]
--- /dev/null
+++ b/tests/test_entry_api.py
@@ -0,0 +1,186 @@
+import asyncio
+import json
+import unittest
+
+from aiohttp import web
+from aiohttp.test_utils import TestClient, TestServer
+
+from azurerelay.daemons import EntryApi, HttpServer
+from azurerelay.membership import ClusterState, EndpointAnnouncement
+from azurerelay.messages import TaggedCodec
+from azurerelay.requests import CallerAnswer, CallerRequest, ErrorCode, Outcome
+from azurerelay.sessions import GroupPosition, SessionToken, decode_token, encode_token
+from azurerelay.timing import Promise
+
+PATH = "/v1/groups/g/statements"
+READ = {"kind": "read", "statement": "get", "parameters": ["k"]}
+
+
+class _Node:
+    """Answers every request with what the test has set."""
+
+    def __init__(self) -> None:
+        self.state = ClusterState()
+        self.is_ready = True
+        self.answer = CallerAnswer(
+            Outcome.DONE,
+            rows=((1,),),
+            term=2,
+            position=7,
+            staleness_ms=12.0,
+            endpoint="e-1",
+            is_from_replica=True,
+            host="h",
+        )
+        self.requests: list[CallerRequest] = []
+        self.announced: list[EndpointAnnouncement] = []
+
+    def handle(self, request: CallerRequest) -> Promise[CallerAnswer]:
+        self.requests.append(request)
+        return Promise.of(self.answer)
+
+    def announce(self, announcement: EndpointAnnouncement) -> None:
+        self.announced.append(announcement)
+
+
+class EntryApiTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.node = _Node()
+        server = HttpServer("callers", "127.0.0.1:0", EntryApi(self.node).routes())
+        self.client = TestClient(TestServer(server.build()))
+        await self.client.start_server()
+
+    async def asyncTearDown(self) -> None:
+        await self.client.close()
+
+    async def _post(
+        self, body: object, headers: dict[str, str] | None = None, path: str = PATH
+    ) -> tuple[int, dict, web.Response]:
+        data = body if isinstance(body, bytes | str) else json.dumps(body)
+        response = await self.client.post(path, data=data, headers=headers)
+        return response.status, json.loads(await response.text()), response
+
+    async def test_an_answer_carries_token_staleness_and_server(self) -> None:
+        token = encode_token(SessionToken((GroupPosition(1, 3, "g"),)))
+        status, body, response = await self._post(READ, {"Azurerelay-Session": token})
+        self.assertEqual((status, body), (200, {"outcome": "done", "rows": [[1]]}))
+        request = self.node.requests[0]
+        self.assertEqual((request.token_term, request.token_position), (1, 3))
+        moved = decode_token(response.headers["Azurerelay-Session"]).ok_value
+        self.assertEqual(moved.position("g"), GroupPosition(2, 7, "g"))
+        self.assertEqual(response.headers["Azurerelay-Staleness-Ms"], "12")
+        self.assertEqual(
+            response.headers["Azurerelay-Served-By"], "e-1; role=replica; host=h"
+        )
+
+    async def test_bad_input_gets_400_with_every_finding_and_never_runs(self) -> None:
+        write = {"kind": "write", "statement": "put", "parameters": ["k", 1]}
+        cases = (
+            (
+                {"kind": "rad", "statment": "x"},
+                {},
+                ["$.kind", "$.statement", "$.statment"],
+            ),
+            ("{", {}, ["$"]),
+            ("[" * 5_000, {}, ["$"]),
+            ({**READ, "parameters": [[1]]}, {}, ["$.parameters[0]"]),
+            (write, {}, ["body:$.idempotent"]),
+            (READ, {"Azurerelay-Session": "broken"}, ["Azurerelay-Session"]),
+            (
+                READ,
+                {"Azurerelay-Timeout-Ms": "-1", "Azurerelay-Max-Staleness-Ms": "x"},
+                ["header Azurerelay-Timeout-Ms", "header Azurerelay-Max-Staleness-Ms"],
+            ),
+            (write, {"Idempotency-Key": "k" * 500}, ["header Idempotency-Key"]),
+        )
+        for body, headers, places in cases:
+            with self.subTest(body=str(body)[:60], headers=headers):
+                status, problem, response = await self._post(body, headers)
+                self.assertEqual((status, problem["outcome"]), (400, "not_run"))
+                self.assertEqual(response.content_type, "application/problem+json")
+                found = " ".join(finding["place"] for finding in problem["findings"])
+                for place in places:
+                    self.assertIn(place, found)
+        self.assertEqual(self.node.requests, [])
+
+    async def test_a_large_body_and_a_wrong_path_are_problems_too(self) -> None:
+        status, problem, _ = await self._post(b"x" * (1024 * 1024 + 1))
+        self.assertEqual((status, problem["outcome"]), (413, "not_run"))
+        status, problem, _ = await self._post(
+            READ, path="/v1/groups/BAD%20NAME/statements"
+        )
+        self.assertEqual(status, 400)
+        status, problem, _ = await self._post(READ, path="/nowhere")
+        self.assertEqual(status, 404)
+
+    async def test_each_outcome_has_its_status_and_says_whether_a_retry_is_safe(
+        self,
+    ) -> None:
+        cases = (
+            (Outcome.NOT_RUN, ErrorCode.OVERLOADED, 503, True),
+            (Outcome.NOT_RUN, ErrorCode.NO_PRIMARY, 503, True),
+            (Outcome.NOT_RUN, ErrorCode.REJECTED, 422, True),
+            (Outcome.UNKNOWN, ErrorCode.UNCONFIRMED, 504, False),
+            (Outcome.UNKNOWN, ErrorCode.ENDPOINT_LOST, 502, False),
+        )
+        for outcome, code, expected, is_safe in cases:
+            with self.subTest(code):
+                self.node.answer = CallerAnswer(
+                    outcome, code, "why", retry_after_ms=1_500
+                )
+                status, problem, response = await self._post(READ)
+                self.assertEqual(
+                    (status, problem["outcome"]), (expected, outcome.value)
+                )
+                self.assertEqual(problem["is_retry_safe"], is_safe)
+                self.assertEqual(response.headers["Retry-After"], "2")
+
+    async def test_an_endpoint_announces_itself(self) -> None:
+        body = {
+            "group": "g",
+            "address": "10.0.0.1:9000",
+            "failure_domain": "north",
+            "role": "replica",
+            "term": 1,
+            "position": 2,
+            "slots": 3,
+            "connection_limit": 45,
+            "leaving": True,
+        }
+        response = await self.client.put("/v1/endpoints/e-1", data=json.dumps(body))
+        self.assertEqual(response.status, 202)
+        self.assertEqual(self.node.announced[0].endpoint.presence.value, "leaving")
+        response = await self.client.put(
+            "/v1/endpoints/e-1", data=json.dumps({**body, "slots": 0})
+        )
+        self.assertEqual(response.status, 400)
+
+    async def test_readiness_turns_off(self) -> None:
+        self.assertEqual((await self.client.get("/readyz")).status, 200)
+        self.node.is_ready = False
+        self.assertEqual((await self.client.get("/readyz")).status, 503)
+        self.assertEqual((await self.client.get("/healthz")).status, 200)
+
+
+class CodecTest(unittest.TestCase):
+    def test_a_malformed_frame_is_a_finding_and_never_an_exception(self) -> None:
+        codec = TaggedCodec((GroupPosition,))
+        whole = codec.encode(GroupPosition(1, 2, "g"))
+        self.assertEqual(codec.decode(whole).ok_value, GroupPosition(1, 2, "g"))
+        for length in range(len(whole)):
+            self.assertTrue(codec.decode(whole[:length]).is_err())
+        for number in range(len(whole)):
+            for value in (0, 0xC1, 0xFF):
+                codec.decode(whole[:number] + bytes([value]) + whole[number + 1 :])
+
+
+class SmallEventLoopTest(unittest.TestCase):
+    def test_a_promise_is_followed_by_a_future(self) -> None:
+        from azurerelay.daemons import as_future
+
+        async def run() -> int:
+            promise: Promise[int] = Promise()
+            asyncio.get_running_loop().call_soon(promise.resolve, 7)
+            return await as_future(promise)
+
+        self.assertEqual(asyncio.run(run()), 7)
