--- a/Makefile
+++ b/Makefile
@@ -24,5 +24,13 @@
 unit: $(VENV)/.installed
 	$(PYTHON) tests/run.py
 
+capacity: $(VENV)/.installed
+	$(PYTHON) -m bench.capacity
+
+bench: $(VENV)/.installed
+	for name in overhead failover settings_in_force replica_reads overload at_most_once faults control_cost; do \
+	  $(PYTHON) -m bench.$$name || exit 1; \
+	done
+
 clean:
 	rm -rf $(VENV) .mypy_cache .ruff_cache
--- a/src/azurerelay/requests/_caller_answer.py
+++ b/src/azurerelay/requests/_caller_answer.py
@@ -21,7 +21,6 @@
     NO_PRIMARY = "no_primary"
     NO_ROUTE = "no_route"
     OVERLOADED = "overloaded"
-    DEADLINE = "deadline"
     REJECTED = "rejected"
     ENDPOINT_LOST = "endpoint_lost"
     UNCONFIRMED = "unconfirmed"
