Drain does not wait for control that is gone

Cause: from a fresh clone, stopping the whole fleet left three entry hosts running for 30 s: they waited for control to replace them, and control had stopped first.

Change: a drain ends when nothing is in flight and control is silent for 3 s; stop.sh ends the entry hosts first.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -175,10 +175,8 @@
 
 def rewrite(page: str, name: str, text: str) -> str:
     """Replace what stands between a table's two marks."""
-    pattern = re.compile(
-        rf"(<!-- {name} -->\n).*?(\n<!-- end of {name} -->)", re.DOTALL
-    )
-    replaced, count = pattern.subn(lambda m: m.group(1) + text + m.group(2), page)
+    pattern = re.compile(rf"(<!-- {name} -->\n).*?(<!-- end of {name} -->)", re.DOTALL)
+    replaced, count = pattern.subn(lambda m: f"{m.group(1)}{text}\n{m.group(2)}", page)
     if count != 1:
         raise ValueError(f"{PAGE}: the marks of table {name!r} are missing")
     return replaced
--- a/src/azurerelay/cli/_quickstart_command.py
+++ b/src/azurerelay/cli/_quickstart_command.py
@@ -106,5 +106,6 @@
 def _stop_script(roles: dict[str, str]) -> str:
     lines = ["#!/bin/sh", "# Ends the processes that start.sh has started."]
     lines.append('F="$(dirname "$0")"')
-    lines += [f'kill "$(cat "$F/{name}.pid")" 2>/dev/null' for name in roles]
+    entries_first = sorted(roles, key=lambda name: roles[name] != "entry")
+    lines += [f'kill "$(cat "$F/{name}.pid")" 2>/dev/null' for name in entries_first]
     return "\n".join([*lines, "true"]) + "\n"
--- a/src/azurerelay/entry/_entry_node.py
+++ b/src/azurerelay/entry/_entry_node.py
@@ -48,6 +48,7 @@
 FORWARD_MARGIN_MS: Final = 50.0
 FORWARD_TRY_MS: Final = 1_500.0
 DRAIN_POLL_MS: Final = 10.0
+CONTROL_SILENCE_MS: Final = 3_000.0
 ROUTE_POLL_MS: Final = 10.0
 LINK_ID_SPACE: Final = 2**32
 
@@ -170,7 +171,10 @@
         end_ms = self._timers.now_ms() + limit_ms
         while self._timers.now_ms() < end_ms:
             is_idle = self._in_flight == 0 and self._servers.is_idle
-            if is_idle and not self._sender.pending and not self._servers.is_needed:
+            # Without control nobody can take this host's place in a serving set.
+            is_alone = self._session.silence_ms > CONTROL_SILENCE_MS
+            is_needed = self._servers.is_needed and not is_alone
+            if is_idle and not self._sender.pending and not is_needed:
                 return True
             await sleep(self._timers, DRAIN_POLL_MS)
         return False
