One context for the leader's duties, one writer for the measurements

Cause: five classes of the leader repeated the same six constructor parameters, and two measurements the same writing and resending caller.

Change: DutyContext; bench/writers.py. No behaviour changes.

--- a/bench/failover.py
+++ b/bench/failover.py
@@ -11,8 +11,7 @@
 import random
 import signal
 import time
-from dataclasses import dataclass, field
-from typing import Protocol
+from dataclasses import dataclass
 
 import aiohttp
 
@@ -27,8 +26,8 @@
 from bench.client import Client
 from bench.processes import Cluster, ClusterShape
 from bench.report import finish, percentile
+from bench.writers import GROUP, KeyedWriter, Write
 
-GROUP = "roster"
 WRITERS = 8
 PAUSE_S = 0.01
 PROBE_INTERVAL_S = 0.02
@@ -39,24 +38,6 @@
 SETTLE_LIMIT_S = 30.0
 
 
-@dataclass(slots=True)
-class Write:
-    """One keyed write: when its answer came and what it said."""
-
-    marker: str
-    term: int = 0
-    ended: float = 0.0
-    outcome: str = "open"
-
-
-class HasWrites(Protocol):
-    """Whoever has recorded writes."""
-
-    @property
-    def writes(self) -> list[Write]:
-        """The writes."""
-
-
 @dataclass(slots=True)
 class Gap:
     """The parts of one failover gap in milliseconds."""
@@ -68,64 +49,36 @@
     resumption: float
 
 
-@dataclass(slots=True)
 class Writers:
-    """Callers that write without pause and resend what is not known."""
+    """Callers that write without pause, and one that starts a write every 20 ms."""
 
-    client: Client
-    entries: list[str]
-    writes: list[Write] = field(default_factory=list)
-    is_stopped: bool = False
+    def __init__(self, client: Client, entries: list[str]) -> None:
+        self.writer = KeyedWriter(client, entries)
+        self.is_stopped = False
 
     async def run(self, number: int) -> None:
         """Write until stopped."""
-        random_source = random.Random(number)
+        source = random.Random(number)
         count = 0
         while not self.is_stopped:
             count += 1
-            await self._write(Write(f"w{number}-{count}"), random_source)
+            await self.writer.write(f"w{number}-{count}", source)
             await asyncio.sleep(PAUSE_S)
 
     async def probe(self) -> None:
-        """Send a new write every 20 ms, whatever became of the ones before."""
-        tasks: set[asyncio.Task[None]] = set()
+        """Start a new write every 20 ms, whatever became of the ones before."""
+        tasks: set[asyncio.Task[tuple[Write, str]]] = set()
         count = 0
-        random_source = random.Random(0)
+        source = random.Random(0)
         while not self.is_stopped:
             count += 1
-            write = Write(f"w-probe-{count}")
-            task = asyncio.create_task(self._write(write, random_source))
+            steps = self.writer.write(f"w-probe-{count}", source)
+            task = asyncio.create_task(steps)
             tasks.add(task)
             task.add_done_callback(tasks.discard)
             await asyncio.sleep(PROBE_INTERVAL_S)
         await asyncio.gather(*tasks)
 
-    async def _write(self, write: Write, random_source: random.Random) -> None:
-        self.writes.append(write)
-        for _ in range(5):
-            try:
-                reply = await self.client.statement(
-                    random_source.choice(self.entries),
-                    GROUP,
-                    "write",
-                    "add",
-                    write.marker,
-                    1,
-                    headers={
-                        "Idempotency-Key": write.marker,
-                        "Azurerelay-Timeout-Ms": "3000",
-                    },
-                )
-            except (aiohttp.ClientError, OSError, TimeoutError):
-                write.outcome = "unknown"
-                continue
-            write.ended = time.time()
-            if reply.outcome == "done" or write.outcome != "unknown":
-                write.outcome = reply.outcome
-            if reply.outcome == "done":
-                return
-            await asyncio.sleep(0.05)
-
 
 async def lose_primary(
     cluster: Cluster, client: Client, kind: str, writers: Writers
@@ -166,7 +119,7 @@
         if installed[1]:
             done = [
                 write.ended
-                for write in writers.writes
+                for write in writers.writer.writes
                 if write.outcome == "done" and write.ended > installed[1]
             ]
             if done:
@@ -216,7 +169,7 @@
     return bool(max(positions) - min(positions) < 50)
 
 
-async def check(client: Client, writers: HasWrites) -> tuple[int, int, int]:
+async def check(client: Client, writes: list[Write]) -> tuple[int, int, int]:
     """Return how many confirmed writes are lost, doubled or falsely not run."""
     group = await settled_group(client)
     reply = await client.statement(
@@ -229,9 +182,9 @@
     )
     assert reply.status == 200, (group, reply.body)
     values = dict(reply.body["rows"])
-    lost = sum(w.outcome == "done" and w.marker not in values for w in writers.writes)
+    lost = sum(w.outcome == "done" and w.marker not in values for w in writes)
     doubled = sum(value != 1 for value in values.values())
-    false = sum(w.outcome == "not_run" and w.marker in values for w in writers.writes)
+    false = sum(w.outcome == "not_run" and w.marker in values for w in writes)
     return lost, doubled, false
 
 
@@ -272,14 +225,14 @@
         print(f"{number + 1} of {runs}: {kind}: {gap.total:.0f} ms", flush=True)
     writers.is_stopped = True
     await asyncio.gather(*tasks)
-    lost, doubled, false = await check(client, writers)
+    lost, doubled, false = await check(client, writers.writer.writes)
     await client.close()
     needless = needless_promotions()
     totals = [gap.total for gap in gaps]
     figures = {
         "runs": runs,
-        "writes": len(writers.writes),
-        "unknown": sum(write.outcome == "unknown" for write in writers.writes),
+        "writes": len(writers.writer.writes),
+        "unknown": sum(write.outcome == "unknown" for write in writers.writer.writes),
         "lost": lost,
         "doubled": doubled,
         "false_not_run": false,
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -12,31 +12,30 @@
 import signal
 import time
 from collections import Counter
-from dataclasses import dataclass, field
 
 import aiohttp
 
 from bench.client import Client
-from bench.failover import GROUP, Write, check, knob, settled_group
+from bench.failover import check, knob, settled_group
 from bench.processes import Cluster, ClusterShape
 from bench.report import finish
+from bench.writers import GROUP, KeyedWriter, Write
 
 CALLERS = 12
 PAUSE_S = 0.02
 FAULT_EVERY_S = 1.5
-RESEND_LIMIT = 5
 
 
-@dataclass(slots=True)
 class Session:
     """Callers of the run, their writes and the promises that they saw broken."""
 
-    client: Client
-    entries: list[str]
-    writes: list[Write] = field(default_factory=list)
-    reads: Counter[str] = field(default_factory=Counter)
-    broken: list[str] = field(default_factory=list)
-    is_stopped: bool = False
+    def __init__(self, client: Client, entries: list[str]) -> None:
+        self.client = client
+        self.entries = entries
+        self.writer = KeyedWriter(client, entries)
+        self.reads: Counter[str] = Counter()
+        self.broken: list[str] = []
+        self.is_stopped = False
 
     async def run(self, number: int) -> None:
         """Write, and read the own write through another host, until stopped."""
@@ -44,39 +43,11 @@
         count = 0
         while not self.is_stopped:
             count += 1
-            write = Write(f"w{number}-{count}")
-            self.writes.append(write)
-            token = await self._write(write, source)
-            if token and write.outcome == "done":
+            write, token = await self.writer.write(f"w{number}-{count}", source)
+            if token:
                 await self._read_own(write, token, source)
             await asyncio.sleep(PAUSE_S)
 
-    async def _write(self, write: Write, source: random.Random) -> str:
-        for _ in range(RESEND_LIMIT):
-            headers = {
-                "Idempotency-Key": write.marker,
-                "Azurerelay-Timeout-Ms": "3000",
-            }
-            try:
-                reply = await self.client.statement(
-                    source.choice(self.entries),
-                    GROUP,
-                    "write",
-                    "add",
-                    write.marker,
-                    1,
-                    headers=headers,
-                )
-            except (aiohttp.ClientError, OSError, TimeoutError):
-                write.outcome = "unknown"
-                continue
-            if reply.outcome == "done" or write.outcome != "unknown":
-                write.outcome = reply.outcome
-            if reply.outcome == "done":
-                return reply.headers.get("Azurerelay-Session", "")
-            await asyncio.sleep(0.1)
-        return ""
-
     async def _read_own(self, write: Write, token: str, source: random.Random) -> None:
         try:
             reply = await self.client.statement(
@@ -178,7 +149,7 @@
     await asyncio.gather(*tasks)
     await settled_group(client)
     await client.wait_until_settled()
-    lost, doubled, false = await check(client, session)
+    lost, doubled, false = await check(client, session.writer.writes)
     await client.close()
     finish(
         "faults",
@@ -186,7 +157,7 @@
             "seed": seed,
             "seconds": seconds,
             "faults": dict(Counter(entry.partition(":")[0] for entry in faults.log)),
-            "writes": dict(Counter(write.outcome for write in session.writes)),
+            "writes": dict(Counter(write.outcome for write in session.writer.writes)),
             "own_reads": dict(session.reads),
             "lost": lost,
             "doubled": doubled,
--- a/src/azurerelay/control/_endpoint_presence.py
+++ b/src/azurerelay/control/_endpoint_presence.py
@@ -2,32 +2,24 @@
 
 from dataclasses import replace
 
-from azurerelay.control._proposer import Proposer
+from azurerelay.control._duty_context import DutyContext
 from azurerelay.membership import (
-    ClusterState,
     EndpointAnnouncement,
     EndpointRecord,
     Presence,
     RecordEndpoint,
 )
-from azurerelay.timing import TimerService
 
 
 class EndpointPresence:
     """Record announcements that bring news, and expire those not renewed."""
 
-    def __init__(
-        self,
-        name: str,
-        state: ClusterState,
-        proposer: Proposer,
-        timers: TimerService,
-    ) -> None:
-        self._name = name
-        self._state = state
-        self._proposer = proposer
-        self._timers = timers
-        self._began_ms = timers.now_ms()
+    def __init__(self, context: DutyContext) -> None:
+        self._name = context.name
+        self._state = context.state
+        self._proposer = context.proposer
+        self._timers = context.timers
+        self._began_ms = context.timers.now_ms()
         self._seen_ms: dict[str, float] = {}
 
     def on_announcement(self, announcement: EndpointAnnouncement) -> None:
--- a/src/azurerelay/control/_failover_duties.py
+++ b/src/azurerelay/control/_failover_duties.py
@@ -5,18 +5,16 @@
 
 from result import Ok
 
+from azurerelay.control._duty_context import DutyContext
 from azurerelay.control._primary_change import PrimaryChange
-from azurerelay.control._proposer import Proposer
-from azurerelay.endpoints import EndpointPort, StatusCall
+from azurerelay.endpoints import StatusCall
 from azurerelay.membership import (
-    ClusterState,
     GroupRecord,
-    HostTable,
     Presence,
     RecordRefusal,
     Suspicion,
 )
-from azurerelay.timing import TimerService, sleep, spawn
+from azurerelay.timing import sleep, spawn
 
 RETRY_MS: Final = 500.0
 BOOTSTRAP_WAIT_MS: Final = 500.0
@@ -31,21 +29,14 @@
     answer or one cut link promotes nobody.
     """
 
-    def __init__(
-        self,
-        name: str,
-        state: ClusterState,
-        table: HostTable,
-        proposer: Proposer,
-        endpoints: EndpointPort,
-        timers: TimerService,
-    ) -> None:
-        self._name = name
-        self._state = state
-        self._table = table
-        self._proposer = proposer
-        self._endpoints = endpoints
-        self._timers = timers
+    def __init__(self, context: DutyContext) -> None:
+        self._name = context.name
+        self._state = context.state
+        self._context = context
+        self._table = context.table
+        self._proposer = context.proposer
+        self._endpoints = context.endpoints
+        self._timers = context.timers
         self._changing: set[str] = set()
         self._probing: set[str] = set()
         self._confirmed_by_probe: set[tuple[str, int]] = set()
@@ -176,17 +167,7 @@
         spawn(self._change(group.name, reason, preferred))
 
     async def _change(self, group: str, reason: str, preferred: str) -> None:
-        change = PrimaryChange(
-            self._name,
-            group,
-            reason,
-            preferred,
-            self._state,
-            self._table,
-            self._proposer,
-            self._endpoints,
-            self._timers,
-        )
+        change = PrimaryChange(self._context, group, reason, preferred)
         report = await change.run()
         if report.primary is not None:
             self._changes_ms.setdefault(group, deque()).append(self._timers.now_ms())
--- a/src/azurerelay/control/_host_duties.py
+++ b/src/azurerelay/control/_host_duties.py
@@ -1,33 +1,23 @@
 """Admits, marks and removes hosts."""
 
-from azurerelay.control._proposer import Proposer
+from azurerelay.control._duty_context import DutyContext
 from azurerelay.membership import (
     AdmitHost,
-    ClusterState,
     HostHeartbeat,
     HostRecord,
-    HostTable,
     RemoveHost,
 )
-from azurerelay.timing import TimerService
 
 
 class HostDuties:
     """Keep the hosts of the cluster state in step with the heartbeats."""
 
-    def __init__(
-        self,
-        name: str,
-        state: ClusterState,
-        table: HostTable,
-        proposer: Proposer,
-        timers: TimerService,
-    ) -> None:
-        self._name = name
-        self._state = state
-        self._table = table
-        self._proposer = proposer
-        self._timers = timers
+    def __init__(self, context: DutyContext) -> None:
+        self._name = context.name
+        self._state = context.state
+        self._table = context.table
+        self._proposer = context.proposer
+        self._timers = context.timers
 
     def on_heartbeat(self, heartbeat: HostHeartbeat) -> None:
         """Admit a host that is new, restarted, moved or draining."""
--- a/src/azurerelay/control/_leader_duties.py
+++ b/src/azurerelay/control/_leader_duties.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from azurerelay.consensus import RaftNode
+from azurerelay.control._duty_context import DutyContext
 from azurerelay.control._endpoint_presence import EndpointPresence
 from azurerelay.control._failover_duties import FailoverDuties
 from azurerelay.control._host_duties import HostDuties
@@ -37,14 +38,14 @@
         self._timers = timers
         lease_ms = state.settings.root_number("leases.duration_ms")
         self._table = HostTable(raft.leading_since_ms, lease_ms)
-        proposer = Proposer(raft)
         self._grants = LeaseGrants(raft, state, self._table, timers)
-        self._presence = EndpointPresence(name, state, proposer, timers)
-        self._hosts = HostDuties(name, state, self._table, proposer, timers)
-        self._assigner = ServingAssigner(name, state, self._table, proposer, timers)
-        self._failover = FailoverDuties(
-            name, state, self._table, proposer, endpoints, timers
+        context = DutyContext(
+            name, state, self._table, Proposer(raft), endpoints, timers
         )
+        self._presence = EndpointPresence(context)
+        self._hosts = HostDuties(context)
+        self._assigner = ServingAssigner(context)
+        self._failover = FailoverDuties(context)
         self._timer: Timer = timers.subscribe(TICK_MS, self._tick)
 
     @property
--- a/src/azurerelay/control/_primary_change.py
+++ b/src/azurerelay/control/_primary_change.py
@@ -5,24 +5,21 @@
 
 from result import Err, Ok
 
-from azurerelay.control._proposer import Proposer
+from azurerelay.control._duty_context import DutyContext
 from azurerelay.endpoints import (
     EndpointAnswer,
-    EndpointPort,
     FenceCall,
     PromoteCall,
     StatusCall,
 )
 from azurerelay.membership import (
     BeginTerm,
-    ClusterState,
     EndpointRecord,
     GroupRecord,
     HoldWrites,
-    HostTable,
     InstallPrimary,
 )
-from azurerelay.timing import Promise, TimerService, sleep, spawn, within
+from azurerelay.timing import Promise, sleep, spawn, within
 
 FENCE_TIMEOUT_MS: Final = 400.0
 FENCE_GRACE_MS: Final = 15.0
@@ -50,25 +47,20 @@
 
     def __init__(
         self,
-        name: str,
+        context: DutyContext,
         group: str,
         reason: str,
         preferred: str,
-        state: ClusterState,
-        table: HostTable,
-        proposer: Proposer,
-        endpoints: EndpointPort,
-        timers: TimerService,
     ) -> None:
-        self._name = name
+        self._name = context.name
         self._group = group
         self._reason = reason
         self._preferred = preferred
-        self._state = state
-        self._table = table
-        self._proposer = proposer
-        self._endpoints = endpoints
-        self._timers = timers
+        self._state = context.state
+        self._table = context.table
+        self._proposer = context.proposer
+        self._endpoints = context.endpoints
+        self._timers = context.timers
 
     async def run(self) -> ChangeReport:
         """Carry the change out; nothing is promoted without a fenced majority."""
--- a/src/azurerelay/control/_serving_assigner.py
+++ b/src/azurerelay/control/_serving_assigner.py
@@ -3,18 +3,15 @@
 from collections.abc import Iterable
 from typing import Final
 
-from azurerelay.control._proposer import Proposer
+from azurerelay.control._duty_context import DutyContext
 from azurerelay.membership import (
     AssignServingSet,
-    ClusterState,
     GroupRecord,
     HostRecord,
-    HostTable,
     SettleServingSet,
     choose_serving_set,
     weight,
 )
-from azurerelay.timing import TimerService
 
 UNSETTLED_LIMIT_MS: Final = 3_000.0
 GROUPS_PER_CALL: Final = 20
@@ -23,19 +20,12 @@
 class ServingAssigner:
     """Give each group its serving set; move as little as rendezvous hashing does."""
 
-    def __init__(
-        self,
-        name: str,
-        state: ClusterState,
-        table: HostTable,
-        proposer: Proposer,
-        timers: TimerService,
-    ) -> None:
-        self._name = name
-        self._state = state
-        self._table = table
-        self._proposer = proposer
-        self._timers = timers
+    def __init__(self, context: DutyContext) -> None:
+        self._name = context.name
+        self._state = context.state
+        self._table = context.table
+        self._proposer = context.proposer
+        self._timers = context.timers
         self._unsettled: dict[str, tuple[int, float]] = {}
         self._seen: dict[str, tuple[int, int]] = {}
         self._urgent: dict[str, None] = {}
