--- a/src/azurerelay/consensus/_raft_node.py
+++ b/src/azurerelay/consensus/_raft_node.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from azurerelay.consensus._followers import Followers
 from azurerelay.consensus._journal import Journal, JournalState
 from azurerelay.consensus._log import Log
 from azurerelay.consensus._messages import (
@@ -64,7 +65,7 @@
         config: RaftConfig | None = None,
     ) -> None:
         self._name = name
-        self._peers = {voter: Peer() for voter in sorted(voters) if voter != name}
+        self._peers = Followers(voter for voter in voters if voter != name)
         self._link = link
         self._timers = timers
         self._random = random_source
@@ -158,10 +159,6 @@
         """How many elections, without pre-votes, this voter has started."""
         return self._elections_started
 
-    @property
-    def _quorum(self) -> int:
-        return (len(self._peers) + 1) // 2 + 1
-
     @property
     def is_learner(self) -> bool:
         """Whether this host found an empty disk and may not vote yet."""
@@ -340,7 +337,7 @@
         self._count_votes()
 
     def _count_votes(self) -> None:
-        if len(self._votes) < self._quorum:
+        if len(self._votes) < self._peers.quorum:
             return
         if self._is_pre_vote:
             self._campaign(is_pre_vote=False)
@@ -388,10 +385,7 @@
         self._role = Role.LEADER
         self._leader = self._name
         self._leading_since_ms = self._timers.now_ms()
-        for voter in self._peers:
-            self._peers[voter] = Peer(
-                next_index=self._log.last_index + 1, heard_ms=self._leading_since_ms
-            )
+        self._peers.begin_term(self._log.last_index + 1, self._leading_since_ms)
         self._quorum_round = self._round
         self._term_start_index = self._append_as_leader(b"")
         self._notify_role()
@@ -459,11 +453,7 @@
 
     def _has_quorum(self) -> bool:
         horizon_ms = self._timers.now_ms() - self._config.election_max_ms
-        heard = sum(
-            peer.heard_ms >= horizon_ms and not peer.is_learner
-            for peer in self._peers.values()
-        )
-        return heard + 1 >= self._quorum
+        return self._peers.has_quorum_since(horizon_ms)
 
     def _broadcast(self) -> None:
         self._round += 1
@@ -545,11 +535,7 @@
         return True
 
     def _settle_confirmations(self) -> None:
-        rounds = [
-            0 if peer.is_learner else peer.acked_round for peer in self._peers.values()
-        ]
-        rounds.append(self._round)
-        confirmed = sorted(rounds, reverse=True)[self._quorum - 1]
+        confirmed = self._peers.quorum_round(self._round)
         self._quorum_round = max(self._quorum_round, confirmed)
         ready = [p for target, p in self._confirmations if target <= confirmed]
         if not ready:
@@ -565,11 +551,7 @@
             self._broadcast()
 
     def _advance_commit(self) -> None:
-        matches = [
-            0 if peer.is_learner else peer.match_index for peer in self._peers.values()
-        ]
-        matches.append(self._durable_index)
-        candidate = sorted(matches, reverse=True)[self._quorum - 1]
+        candidate = self._peers.quorum_index(self._durable_index)
         is_own_term = self._log.term_at(candidate) == self._term
         if candidate > self._commit_index and is_own_term:
             self._commit_index = candidate
@@ -705,8 +687,7 @@
         self._mark = SnapshotMark(index, term, len(data))
         self._snapshot = data
         self._log.compact(index, term)
-        for peer in self._peers.values():
-            peer.snapshot_offset = None
+        self._peers.forget_snapshots()
         try:
             self._save_compacted()
         except DiskError as error:
