--- a/src/azurerelay/membership/_cluster_state.py
+++ b/src/azurerelay/membership/_cluster_state.py
@@ -1,5 +1,6 @@
 """The state that committed commands build, the same on every host."""
 
+from collections import OrderedDict
 from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import Any, Final
@@ -68,7 +69,7 @@
         self._hosts: dict[str, HostRecord] = {}
         self._endpoints: dict[str, EndpointRecord] = {}
         self._groups: dict[str, GroupRecord] = {}
-        self._changes: dict[str, ChangeOutcome] = {}
+        self._changes: OrderedDict[str, ChangeOutcome] = OrderedDict()
         self._audit = AuditTrail()
         self._policies: dict[str, GroupPolicy] = {}
 
@@ -175,7 +176,7 @@
             (max(g.term_index, g.set_index) for g in image.groups), default=0
         )
         self._hosts_version += 1
-        self._changes = {c.change_id: c.outcome for c in image.changes}
+        self._changes = OrderedDict((c.change_id, c.outcome) for c in image.changes)
         self._audit = AuditTrail(image.audit_older, image.audit_recent)
         self._policies = {}
 
@@ -394,7 +395,7 @@
         if self._keeps_audit:
             self._changes[command.change_id] = outcome
             while len(self._changes) > MAX_CHANGE_IDS:
-                del self._changes[next(iter(self._changes))]
+                self._changes.popitem(last=False)
         return outcome
 
     def _record_settings(self, command: ChangeSettings, index: int) -> None:
--- a/src/azurerelay/registry/_idempotency_registry.py
+++ b/src/azurerelay/registry/_idempotency_registry.py
@@ -1,5 +1,6 @@
 """One member's entries of a group's idempotency registry."""
 
+from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import replace
 from typing import Final
@@ -24,7 +25,7 @@
     def __init__(self, retention_ms: int, max_entries: int) -> None:
         self._retention_ms = retention_ms
         self._max_entries = max_entries
-        self._entries: dict[str, RegistryEntry] = {}
+        self._entries: OrderedDict[str, RegistryEntry] = OrderedDict()
         self._epoch = 0
         self._sealed_epoch = 0
         self._ready_epoch = 0
@@ -161,7 +162,7 @@
             oldest = next(iter(self._entries.values()))
             if oldest.recorded_ms >= horizon_ms:
                 return
-            del self._entries[oldest.key]
+            self._entries.popitem(last=False)
 
 
 def key_created_ms(key: str) -> int | None:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -1,5 +1,8 @@
 import unittest
 
+from hypothesis import given, settings
+from hypothesis.strategies import integers, lists, tuples
+
 from azurerelay.registry import (
     IdempotencyRegistry,
     IntentReply,
@@ -10,6 +13,7 @@
     StoredOutcome,
 )
 from azurerelay.requests import CallerAnswer, ErrorCode, Operation, Outcome
+from azurerelay.serving._at_most_once import record_intent
 from tests.support import GROUP, Rig
 
 NOW_MS = 1_700_000_100_000
@@ -142,6 +146,31 @@
                 )
 
 
+class RegistryPropertyTest(unittest.TestCase):
+    @settings(derandomize=True, database=None, max_examples=300)
+    @given(lists(tuples(integers(0, 3), integers(0, 2), integers(0, 3)), max_size=40))
+    def test_no_interleaving_lets_two_attempts_run(
+        self, steps: list[tuple[int, int, int]]
+    ) -> None:
+        """Intents and aborts of four attempts reach three members in any order, or not."""
+        members = [_member() for _ in range(3)]
+        coordinator = RegistryCoordinator(3)
+        replies: dict[int, dict[int, IntentReply]] = {}
+        may_run: set[int] = set()
+        for attempt, member, kind in steps:
+            entry = _entry(f"a{attempt}")
+            if kind == 0 and attempt not in may_run:
+                members[member].abort("k", entry.attempt)
+                replies[attempt] = {-1: IntentReply(0, IntentStatus.NOT_READY, None)}
+            elif -1 not in replies.get(attempt, {}):
+                reply = record_intent(members[member], 0, 1, entry, NOW_MS)
+                replies.setdefault(attempt, {})[member] = reply
+                verdict = coordinator.decide(entry, replies[attempt].values()).verdict
+                if verdict is IntentVerdict.RUN:
+                    may_run.add(attempt)
+            self.assertLessEqual(len(may_run), 1)
+
+
 class ResendTest(unittest.TestCase):
     """A keyed write whose host dies at every step, resent at another host."""
 
