--- a/src/azurerelay/control/_failover_duties.py
+++ b/src/azurerelay/control/_failover_duties.py
@@ -10,6 +10,7 @@
 from azurerelay.endpoints import StatusCall
 from azurerelay.membership import (
     GroupRecord,
+    HoldWrites,
     Presence,
     RecordRefusal,
     Suspicion,
@@ -75,6 +76,20 @@
         preferred = self._planned_target(group)
         if preferred and not self._is_damped(group.name):
             self._begin(group, f"planned switch to {preferred}", preferred)
+        elif group.is_held:
+            self._release(group)
+
+    def _release(self, group: GroupRecord) -> None:
+        """Let writes go on that an earlier leader held for a switch it did not end."""
+        command = HoldWrites(
+            self._timers.wall_ms(),
+            self._name,
+            group.name,
+            group.term,
+            False,
+            "no switch of primary is under way",
+        )
+        self._proposer.propose_once(f"hold/{group.name}", command)
 
     def _check_without_primary(self, group: GroupRecord) -> None:
         now_ms = self._timers.now_ms()
--- a/src/azurerelay/membership/_host_table.py
+++ b/src/azurerelay/membership/_host_table.py
@@ -87,7 +87,3 @@
             if self.acked_index(host) < index and self.lease_until_ms(host) > now_ms
         ]
         return max(ends, default=None)
-
-    def forget(self, host: str) -> None:
-        """Drop a removed host."""
-        self._sessions.pop(host, None)
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -127,6 +127,24 @@
         self.assertEqual(answer.endpoint, target)
         self.assertLess(worst_ms, 300)
 
+    def test_writes_held_by_a_leader_that_is_lost_go_on(self) -> None:
+        rig = Rig()
+        path = f"/trinidad/roster/{GROUP}"
+        target = rig.replicas[0]
+        lag = KnobsCall(lag_ms=60_000.0)
+        rig.system.standins[target].request(lag)
+        rig.write("entry-1", "put", "k", 1)
+        rig.change_setting(path, "primary.preferred", target)
+        rig.timers.advance_until(
+            lambda: rig.system.leader.state.groups[GROUP].is_held, 5_000
+        )
+        rig.change_setting(path, "primary.preferred", "")
+        rig.system.kill_control(rig.system.leader.name)
+        rig.timers.advance_until(lambda: rig.system.leader is not None, 5_000)
+        self.assertTrue(rig.system.leader.state.groups[GROUP].is_held)
+        answer = rig.write("entry-2", "put", "k", 2)
+        self.assertEqual(answer.outcome, Outcome.DONE)
+
     def test_flapping_primaries_are_damped(self) -> None:
         rig = Rig()
         changes = 0
