--- a/src/azurerelay/daemons/_entry_metrics.py
+++ b/src/azurerelay/daemons/_entry_metrics.py
@@ -46,6 +46,7 @@
         )
         page.gauge("azurerelay_connections", "Open connections", self._connections)
         page.gauge("azurerelay_queued", "Requests in queues", self._queued)
+        page.counter("azurerelay_queue_ms", "Time in queues", self._queue_time)
         page.gauge("azurerelay_staleness_ms", "Staleness of replicas", self._staleness)
         page.gauge(
             "azurerelay_in_flight", "Requests in work", single(lambda: node.in_flight)
@@ -92,6 +93,12 @@
                     channel.gate.queued, {"group": group, "endpoint": name}
                 )
 
+    def _queue_time(self) -> Iterable[Observation]:
+        for group, server in self._node.servers.by_group.items():
+            for name, channel in server.channels.by_name.items():
+                labels = {"group": group, "endpoint": name}
+                yield Observation(channel.gate.waited_ms, labels)
+
     def _staleness(self) -> Iterable[Observation]:
         for group, server in self._node.servers.by_group.items():
             tracker = server.tracker
--- a/src/azurerelay/limits/_admission_gate.py
+++ b/src/azurerelay/limits/_admission_gate.py
@@ -23,6 +23,7 @@
         self._queue_length = queue_length
         self._queue = FairQueue()
         self._outstanding = 0
+        self._waited_ms = 0.0
         self._is_closed = False
 
     @property
@@ -35,6 +36,11 @@
         """Calls that wait."""
         return len(self._queue)
 
+    @property
+    def waited_ms(self) -> float:
+        """The time that all calls so far have spent in the queue together."""
+        return self._waited_ms
+
     @property
     def window(self) -> ConcurrencyWindow:
         """The concurrency window."""
@@ -117,7 +123,13 @@
         self._queue.push(request)
         remaining_ms = max(0.0, deadline_ms - self._timers.now_ms())
         timer = self._timers.call_later(remaining_ms, lambda: self._expire(request))
-        request.admission.add_callback(timer.cancel)
+        queued_ms = self._timers.now_ms()
+
+        def leave() -> None:
+            timer.cancel()
+            self._waited_ms += self._timers.now_ms() - queued_ms
+
+        request.admission.add_callback(leave)
         return request.admission
 
     def _expire(self, request: QueuedRequest) -> None:
--- a/src/azurerelay/traces/_trace_runner.py
+++ b/src/azurerelay/traces/_trace_runner.py
@@ -2,8 +2,8 @@
 
 import random
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
-from functools import singledispatchmethod
+from dataclasses import dataclass, replace
+from functools import partial, singledispatchmethod
 from typing import Any, Final
 
 from azurerelay.embedded import ALERT_DESK, CHILDCARE, EmbeddedSystem
@@ -13,6 +13,7 @@
 from azurerelay.timing import ManualTimerService, Promise, spawn
 from azurerelay.traces._trace import NumberedStep, Trace
 from azurerelay.traces._trace_steps import (
+    EVERY_MS,
     ChangeStep,
     CheckStep,
     Expectation,
@@ -158,6 +159,9 @@
 
     @_start.register
     def _(self, step: ChangeStep, place: str) -> None:
+        if step.times > 1:
+            self._repeat(step, place)
+            return
         promise = self._system.change_settings(
             step.path,
             step.key,
@@ -180,6 +184,18 @@
             if expected != found:
                 self._differ(place, expected, found)
 
+    def _repeat(self, step: ChangeStep, place: str) -> None:
+        for count in range(step.times):
+            one = replace(
+                step,
+                times=1,
+                value=int(step.value) + count,
+                based_on=step.based_on + count,
+                change_id=f"{step.change_id}-{count}",
+            )
+            delay_ms = count * EVERY_MS
+            self._timers.call_later(delay_ms, partial(self._start, one, place))
+
     def _transaction(self, step: RequestStep) -> str | None:
         if step.step == "begin" or step.transaction is None:
             return None
--- a/src/azurerelay/traces/_trace_steps.py
+++ b/src/azurerelay/traces/_trace_steps.py
@@ -8,6 +8,7 @@
 from azurerelay.endpoints import Scalar
 
 _Strict = pydantic.ConfigDict(extra="forbid", strict=True, frozen=True)
+EVERY_MS: Final = 20.0
 Milliseconds = Annotated[float, pydantic.Field(ge=0, le=3_600_000)]
 
 
@@ -91,7 +92,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeStep:
-    """A change of one setting, with the status that it must get."""
+    """A change of one setting, with the status that it must get.
+
+    With `times` it is made that often, `EVERY_MS` apart, each based on the one before.
+    """
 
     __pydantic_config__: ClassVar[pydantic.ConfigDict] = _Strict
 
@@ -105,6 +109,7 @@
     based_on: int
     control: str = "control-1"
     number: int | None = None
+    times: Annotated[int, pydantic.Field(ge=1, le=1_000)] = 1
 
 
 @dataclass(frozen=True, slots=True)
