--- a/src/azurerelay/control/_proposer.py
+++ b/src/azurerelay/control/_proposer.py
@@ -6,7 +6,7 @@
 
 from azurerelay.consensus import RaftNode
 from azurerelay.membership import COMMAND_CODEC
-from azurerelay.timing import Promise, spawn
+from azurerelay.timing import spawn
 
 
 class Proposer:
@@ -31,7 +31,3 @@
     def is_pending(self, key: str) -> bool:
         """Return whether a command with this key is under way."""
         return key in self._pending
-
-    def submit(self, payload: bytes) -> Promise[Any]:
-        """Propose an encoded command."""
-        return self._raft.propose(payload)
--- a/src/azurerelay/daemons/_entry_metrics.py
+++ b/src/azurerelay/daemons/_entry_metrics.py
@@ -61,6 +61,11 @@
             "Settings number in force",
             single(lambda: node.state.number),
         )
+        page.counter(
+            "azurerelay_control_switches",
+            "How often another control host was tried",
+            single(lambda: node.session.switches),
+        )
         page.gauge(
             "azurerelay_control_silence_ms",
             "Time since control was last heard",
--- a/src/azurerelay/entry/_entry_node.py
+++ b/src/azurerelay/entry/_entry_node.py
@@ -42,7 +42,7 @@
     Operation,
     Outcome,
 )
-from azurerelay.serving import ServingCounters
+from azurerelay.serving import ServingCounters, transaction_host
 from azurerelay.timing import Promise, TimerService, sleep, spawn
 
 FORWARD_MARGIN_MS: Final = 50.0
@@ -217,7 +217,7 @@
     async def _route_transaction(
         self, request: CallerRequest, transaction: str
     ) -> CallerAnswer:
-        host = transaction.partition("~")[0]
+        host = transaction_host(transaction)
         if host == self.name:
             return await self._servers.handle(request)
         if host not in self._state.hosts:
