Move the plumbing of processes into runtime; time that counts suspension

The hosts of the platform need timers, links and logs without aiohttp and pydantic, which cost them most of their start. Leases and ages are measured on the boot-time clock, since the monotonic one stops while a machine is suspended. Links send ZMTP pings: a connection can go silent without a reset.

--- a/src/azurerelay/daemons/__init__.py
+++ b/src/azurerelay/daemons/__init__.py
@@ -1,7 +1,5 @@
 """Thin daemons around the decisions: HTTP, links, files, signals."""
 
-from azurerelay.daemons._application import Application, Part
-from azurerelay.daemons._asyncio_timer_service import AsyncioTimerService, as_future
 from azurerelay.daemons._bad_settings_error import BadSettingsError
 from azurerelay.daemons._control_daemon import control_application
 from azurerelay.daemons._entry_api import EntryApi
@@ -20,9 +18,15 @@
 )
 from azurerelay.daemons._run import run_until_signal
 from azurerelay.daemons._standin_daemon import standin_application
-from azurerelay.daemons._structured_logging import configure_logging
 from azurerelay.daemons._wire_codec import WIRE_CODEC
-from azurerelay.daemons._zmq_link import ZmqLink
+from azurerelay.runtime import (
+    Application,
+    AsyncioTimerService,
+    Part,
+    ZmqLink,
+    as_future,
+    configure_logging,
+)
 
 __all__ = [
     "WIRE_CODEC",
--- a/src/azurerelay/daemons/_control_daemon.py
+++ b/src/azurerelay/daemons/_control_daemon.py
@@ -6,16 +6,14 @@
 from typing import Any
 
 from azurerelay.control import ControlConfig, ControlNode
-from azurerelay.daemons._application import Application
-from azurerelay.daemons._asyncio_timer_service import AsyncioTimerService
 from azurerelay.daemons._control_metrics import ControlMetrics
 from azurerelay.daemons._http_endpoint_port import HttpEndpointPort
 from azurerelay.daemons._http_server import HttpServer, input_errors
 from azurerelay.daemons._link_builder import build_link
 from azurerelay.daemons._operator_api import OperatorApi
 from azurerelay.daemons._process_settings import ControlSettings
-from azurerelay.daemons._zmq_link import ZmqLink
 from azurerelay.membership import HostHeartbeat
+from azurerelay.runtime import Application, AsyncioTimerService, ZmqLink
 from azurerelay.storage import FolderDisk
 from azurerelay.timing import ScopedTimerService
 
--- a/src/azurerelay/daemons/_control_metrics.py
+++ b/src/azurerelay/daemons/_control_metrics.py
@@ -5,7 +5,7 @@
 
 from azurerelay.control import ControlNode
 from azurerelay.daemons._metrics_page import MetricsPage, single
-from azurerelay.daemons._zmq_link import ZmqLink
+from azurerelay.runtime import ZmqLink
 
 
 class ControlMetrics:
--- a/src/azurerelay/daemons/_entry_api.py
+++ b/src/azurerelay/daemons/_entry_api.py
@@ -10,7 +10,6 @@
 from aiohttp import web
 from result import Err, Ok, Result
 
-from azurerelay.daemons._asyncio_timer_service import as_future
 from azurerelay.daemons._caller_bodies import (
     ANNOUNCEMENT_ADAPTER,
     STATEMENT_ADAPTER,
@@ -27,6 +26,7 @@
 from azurerelay.entry import EntryNode
 from azurerelay.membership import EndpointAnnouncement, EndpointRecord, Presence
 from azurerelay.requests import CallerAnswer, CallerRequest, Operation
+from azurerelay.runtime import as_future
 from azurerelay.sessions import (
     EMPTY_TOKEN,
     GroupPosition,
--- a/src/azurerelay/daemons/_entry_daemon.py
+++ b/src/azurerelay/daemons/_entry_daemon.py
@@ -8,16 +8,14 @@
 from absl import logging
 from aiohttp import web
 
-from azurerelay.daemons._application import Application
-from azurerelay.daemons._asyncio_timer_service import AsyncioTimerService, as_future
 from azurerelay.daemons._entry_api import EntryApi
 from azurerelay.daemons._entry_metrics import EntryMetrics
 from azurerelay.daemons._http_endpoint_port import HttpEndpointPort
 from azurerelay.daemons._http_server import HttpServer, not_found
 from azurerelay.daemons._link_builder import build_link
 from azurerelay.daemons._process_settings import EntrySettings
-from azurerelay.daemons._zmq_link import ZmqLink
 from azurerelay.entry import EntryConfig, EntryNode
+from azurerelay.runtime import Application, AsyncioTimerService, ZmqLink, as_future
 from azurerelay.timing import ScopedTimerService, spawn
 
 _MS_PER_S = 1_000.0
--- a/src/azurerelay/daemons/_entry_metrics.py
+++ b/src/azurerelay/daemons/_entry_metrics.py
@@ -6,8 +6,8 @@
 from opentelemetry.metrics import Observation
 
 from azurerelay.daemons._metrics_page import MetricsPage, single
-from azurerelay.daemons._zmq_link import ZmqLink
 from azurerelay.entry import EntryNode
+from azurerelay.runtime import ZmqLink
 
 
 class EntryMetrics:
--- a/src/azurerelay/daemons/_http_endpoint_port.py
+++ b/src/azurerelay/daemons/_http_endpoint_port.py
@@ -6,7 +6,6 @@
 
 from result import Err, Ok, Result
 
-from azurerelay.daemons._asyncio_timer_service import AsyncioTimerService, as_future
 from azurerelay.daemons._endpoint_wire import CALL_PATHS, decode_result, encode_call
 from azurerelay.daemons._http_client_protocol import (
     HttpClientProtocol,
@@ -21,6 +20,7 @@
     EndpointFailure,
     FailureKind,
 )
+from azurerelay.runtime import AsyncioTimerService, as_future
 from azurerelay.timing import Promise, TimerService
 
 MS_PER_S: Final = 1_000.0
--- a/src/azurerelay/daemons/_link_builder.py
+++ b/src/azurerelay/daemons/_link_builder.py
@@ -7,7 +7,7 @@
 from azurerelay.daemons._bad_settings_error import BadSettingsError
 from azurerelay.daemons._link_keys import load_link_keys
 from azurerelay.daemons._wire_codec import WIRE_CODEC
-from azurerelay.daemons._zmq_link import ZmqLink
+from azurerelay.runtime import ZmqLink
 
 
 def build_link(name: str, address: str, keys_file: str | None) -> ZmqLink:
--- a/src/azurerelay/daemons/_operator_api.py
+++ b/src/azurerelay/daemons/_operator_api.py
@@ -12,10 +12,10 @@
 from aiohttp.typedefs import Handler
 
 from azurerelay.control import ControlNode
-from azurerelay.daemons._asyncio_timer_service import as_future
 from azurerelay.daemons._problem import input_problem, problem_response
 from azurerelay.daemons._process_settings import TokenSettings, findings_of
 from azurerelay.membership import ChangeOutcome, ChangeSettings, ChangeStatus
+from azurerelay.runtime import as_future
 from azurerelay.settings import Assignment, Finding, path_finding
 from azurerelay.timing import TimerService
 
--- a/src/azurerelay/daemons/_run.py
+++ b/src/azurerelay/daemons/_run.py
@@ -8,7 +8,7 @@
 
 from absl import logging
 
-from azurerelay.daemons._application import Application
+from azurerelay.runtime import Application
 
 COLLECTION_THRESHOLD: Final = 20_000
 
--- a/src/azurerelay/daemons/_standin_daemon.py
+++ b/src/azurerelay/daemons/_standin_daemon.py
@@ -11,8 +11,6 @@
 from aiohttp import web
 from result import Err
 
-from azurerelay.daemons._application import Application
-from azurerelay.daemons._asyncio_timer_service import AsyncioTimerService, as_future
 from azurerelay.daemons._endpoint_wire import CALL_DECODERS, encode_result
 from azurerelay.daemons._http_endpoint_port import HttpEndpointPort
 from azurerelay.daemons._http_server import HttpServer
@@ -25,6 +23,7 @@
     KnobsCall,
     StatusCall,
 )
+from azurerelay.runtime import Application, AsyncioTimerService, as_future
 from azurerelay.standin import StandinConfig, StandinConnection, StandinEndpoint
 
 ANNOUNCE_S: Final = 1.0
--- a/src/azurerelay/daemons/_asyncio_timer_service.py
+++ b/src/azurerelay/runtime/_asyncio_timer_service.py
@@ -37,14 +37,18 @@
 
 
 class AsyncioTimerService:
-    """Implement `TimerService` on the running loop's monotonic clock."""
+    """Implement `TimerService` on a running loop.
+
+    Time is read from the boot-time clock, which goes on while the machine is
+    suspended, so that leases and the ages of positions are never underestimated.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
 
     def now_ms(self) -> float:
-        """Return the loop's time, which is the system's monotonic time."""
-        return time.monotonic() * _MS_PER_S
+        """Return the time since boot, including the time suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * _MS_PER_S
 
     def wall_ms(self) -> int:
         """Return the system's calendar time."""
--- a/src/azurerelay/daemons/_zmq_link.py
+++ b/src/azurerelay/runtime/_zmq_link.py
@@ -9,14 +9,18 @@
 from result import Err
 from zmq.auth.asyncio import AsyncioAuthenticator
 
-from azurerelay.daemons._link_keys import LinkKeys
 from azurerelay.messages import TaggedCodec
+from azurerelay.runtime._key_set import KeySet
 
 QUEUE_MESSAGES: Final = 2_000
 MAX_FRAME_BYTES: Final = 64 * 1024 * 1024
 RECONNECT_MS: Final = 50
 RECONNECT_MAX_MS: Final = 500
 RECEIVE_BURST: Final = 256
+# A peer that answers no ZMTP ping for this long is reconnected: a connection may
+# go silent without a reset.
+PING_INTERVAL_MS: Final = 700
+PING_TIMEOUT_MS: Final = 1_500
 _FRAMES: Final = 2
 
 
@@ -32,7 +36,7 @@
         name: str,
         address: str,
         codec: TaggedCodec,
-        keys: LinkKeys | None = None,
+        keys: KeySet | None = None,
     ) -> None:
         self._name = name.encode()
         self._address = address
@@ -136,6 +140,8 @@
         receiver = self._context.socket(zmq.PULL)
         receiver.setsockopt(zmq.RCVHWM, QUEUE_MESSAGES)
         receiver.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+        receiver.setsockopt(zmq.HEARTBEAT_IVL, PING_INTERVAL_MS)
+        receiver.setsockopt(zmq.HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS)
         if self._keys is not None:
             self._start_authenticator(self._keys)
             receiver.curve_server = True
@@ -157,7 +163,7 @@
             self._authenticator.stop()
         self._context.destroy(linger=200)
 
-    def _start_authenticator(self, keys: LinkKeys) -> None:
+    def _start_authenticator(self, keys: KeySet) -> None:
         """Refuse connections whose key belongs to no trusted host."""
         self._authenticator = AsyncioAuthenticator(self._context)
         self._authenticator.start()
@@ -181,6 +187,9 @@
             socket.curve_secretkey = self._keys.secret.encode()
         socket.setsockopt(zmq.SNDHWM, QUEUE_MESSAGES)
         socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.HEARTBEAT_IVL, PING_INTERVAL_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, PING_TIMEOUT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
         socket.connect(f"tcp://{address}")
@@ -229,7 +238,7 @@
 class _TrustedKeys:
     """Tell the authenticator which public keys may connect."""
 
-    def __init__(self, keys: LinkKeys) -> None:
+    def __init__(self, keys: KeySet) -> None:
         self._trusted = set(keys.trusted.values())
         self._refused = 0
 
