--- /dev/null
+++ b/src/azurerelay/attachment/__init__.py
@@ -0,0 +1,25 @@
+"""How entry hosts follow control: configuration, endpoints, suspicions."""
+
+from azurerelay.attachment._control_follower import ControlFollower
+from azurerelay.attachment._entry_host_table import EntryHostTable
+from azurerelay.attachment._messages import (
+    ATTACHMENT_MESSAGES,
+    ControlHost,
+    DirectoryMark,
+    DirectoryUpdate,
+    PrimarySuspicion,
+    SyncReply,
+    SyncRequest,
+)
+
+__all__ = [
+    "ATTACHMENT_MESSAGES",
+    "ControlFollower",
+    "ControlHost",
+    "DirectoryMark",
+    "DirectoryUpdate",
+    "EntryHostTable",
+    "PrimarySuspicion",
+    "SyncReply",
+    "SyncRequest",
+]
--- /dev/null
+++ b/src/azurerelay/cluster/__init__.py
@@ -0,0 +1,45 @@
+"""Control hosts that form and repair their own cluster, and what their leader does."""
+
+from azurerelay.cluster._cluster_config import ClusterConfig
+from azurerelay.cluster._cluster_node import (
+    CONTROL_LINK_CODEC,
+    RAFT_CONFIG,
+    ClusterNode,
+    OrderOutcome,
+)
+from azurerelay.cluster._messages import CLUSTER_MESSAGES
+from azurerelay.cluster._promotion_duty import PromotionDuty
+from azurerelay.cluster._promotion_policy import (
+    GroupHealth,
+    candidates,
+    most_advanced,
+    promotion_reason,
+)
+from azurerelay.cluster._promotion_port import (
+    PromotionAnswer,
+    PromotionOrder,
+    PromotionPort,
+)
+from azurerelay.cluster._voter_duty import VoterDuty
+from azurerelay.cluster._voter_plan import MAX_VOTERS, host_address, next_voters
+
+__all__ = [
+    "CLUSTER_MESSAGES",
+    "CONTROL_LINK_CODEC",
+    "MAX_VOTERS",
+    "RAFT_CONFIG",
+    "ClusterConfig",
+    "ClusterNode",
+    "GroupHealth",
+    "OrderOutcome",
+    "PromotionAnswer",
+    "PromotionDuty",
+    "PromotionOrder",
+    "PromotionPort",
+    "VoterDuty",
+    "candidates",
+    "host_address",
+    "most_advanced",
+    "next_voters",
+    "promotion_reason",
+]
--- /dev/null
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -0,0 +1,499 @@
+"""The decisions of a control host."""
+
+import random
+from enum import Enum
+from typing import Any, Final
+
+from result import Ok
+
+from azurerelay.attachment import (
+    ATTACHMENT_MESSAGES,
+    ControlHost,
+    EntryHostTable,
+    PrimarySuspicion,
+    SyncRequest,
+)
+from azurerelay.cluster._cluster_config import ClusterConfig
+from azurerelay.cluster._messages import (
+    CLUSTER_MESSAGES,
+    AnnouncementRelay,
+    AttachmentReport,
+    BarrierReply,
+    BarrierRequest,
+    DepartureRelay,
+    DirectoryDigest,
+    JoinReply,
+    JoinRequest,
+    LeaveReply,
+    LeaveRequest,
+    ProposalReply,
+    ProposalRequest,
+)
+from azurerelay.cluster._promotion_duty import PromotionDuty
+from azurerelay.cluster._promotion_port import PromotionPort
+from azurerelay.cluster._voter_duty import VoterDuty
+from azurerelay.cluster._voter_plan import host_address
+from azurerelay.consensus import (
+    CONSENSUS_MESSAGES,
+    Journal,
+    JournalState,
+    RaftConfig,
+    RaftNode,
+)
+from azurerelay.discovery import Announcement, Departure, EndpointDirectory
+from azurerelay.events import EventLog, RoleChanged
+from azurerelay.membership import COMMAND_CODEC, ClusterState, ReplaceConfiguration
+from azurerelay.messages import Link, Requester, TaggedCodec
+from azurerelay.routes import Configuration
+from azurerelay.statements import EndpointConnector
+from azurerelay.timing import Promise, TimerService, sleep, spawn, within
+
+# Heartbeats several round trips between regions apart; an election starts after five
+# of them are missed, so that a busy host or a slow disk starts none.
+RAFT_CONFIG: Final = RaftConfig(
+    heartbeat_ms=150.0,
+    election_min_ms=750.0,
+    election_max_ms=1_500.0,
+    resend_ms=400.0,
+    chunk_bytes=64 * 1024,
+    snapshot_entries=64,
+    has_dynamic_voters=True,
+)
+JOIN_INTERVAL_MS: Final = 300.0
+DIGEST_INTERVAL_MS: Final = 1_000.0
+REPORT_INTERVAL_MS: Final = 400.0
+REPORT_LIMIT_MS: Final = 1_500.0
+# Within the second that operators and endpoints wait for an answer.
+REQUEST_TIMEOUT_MS: Final = 850.0
+BARRIER_POLL_MS: Final = 5.0
+# A leader that has not heard a majority for this long takes note of nothing.
+LEADER_FRESH_MS: Final = 750.0
+EXPIRE_HEARTBEATS: Final = 10.0
+LINK_ID_SPACE: Final = 2**32
+
+CONTROL_LINK_CODEC: Final = TaggedCodec(
+    (*CONSENSUS_MESSAGES, *ATTACHMENT_MESSAGES, *CLUSTER_MESSAGES)
+)
+
+
+class OrderOutcome(Enum):
+    """What became of an operator's order."""
+
+    DURABLE = "durable"
+    UNKNOWN = "unknown"
+
+
+class _ReportedState:
+    """The replicated state, with a call after each change of the configuration."""
+
+    def __init__(self, state: ClusterState) -> None:
+        self._state = state
+        self.on_applied: Any = lambda: None
+
+    def apply(self, index: int, payload: bytes) -> Any:
+        """Apply and report."""
+        outcome = self._state.apply(index, payload)
+        self.on_applied()
+        return outcome
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return self._state.snapshot()
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state and report."""
+        self._state.restore(data)
+        self.on_applied()
+
+
+class ClusterNode:
+    """A control host: log, directory of endpoints, entry hosts, duties."""
+
+    def __init__(
+        self,
+        config: ClusterConfig,
+        link: Link,
+        connector: EndpointConnector,
+        promotions: PromotionPort,
+        timers: TimerService,
+        random_source: random.Random,
+        journal: Journal,
+        journal_state: JournalState,
+        events: EventLog,
+        raft_config: RaftConfig = RAFT_CONFIG,
+    ) -> None:
+        self._config = config
+        self._link = link
+        self._timers = timers
+        self._events = events
+        self._state = ClusterState()
+        machine = _ReportedState(self._state)
+        self._raft = RaftNode(
+            config.name,
+            config.initial_voters,
+            link,
+            timers,
+            random_source,
+            journal,
+            journal_state,
+            machine,
+            raft_config,
+        )
+        self._directory = EndpointDirectory()
+        incarnation = random_source.randrange(1, LINK_ID_SPACE)
+        self._requester = Requester(link, timers, incarnation)
+        self._entry_hosts = EntryHostTable(link, timers, self._directory, incarnation)
+        self._domains: dict[str, str] = {
+            host_address(config.name): config.failure_domain
+        }
+        self._reports: dict[str, tuple[AttachmentReport, float]] = {}
+        self._total_entry_hosts = 1
+        self._known_voters: frozenset[str] = frozenset()
+        machine.on_applied = self._on_applied
+        self._on_applied()
+        self._entry_hosts.set_sources(
+            lambda: self._raft.leader_silence_ms,
+            self._count_entry_hosts,
+            self._control_hosts,
+        )
+        self._raft.add_role_listener(self._on_role)
+        self._voter_duty = VoterDuty(
+            config.name, self._raft, config.disk_losses, timers, events
+        )
+        self._promotion_duty = PromotionDuty(
+            config.holder,
+            self._raft,
+            self._state,
+            self._directory,
+            connector,
+            promotions,
+            timers,
+            events,
+            config.heartbeat_interval_ms,
+        )
+        self._promotion_duty.set_sources(self._suspicions, self._count_entry_hosts)
+
+    @property
+    def raft(self) -> RaftNode:
+        """The replicated log."""
+        return self._raft
+
+    @property
+    def state(self) -> ClusterState:
+        """The replicated state as applied here."""
+        return self._state
+
+    @property
+    def directory(self) -> EndpointDirectory:
+        """The endpoints as known here."""
+        return self._directory
+
+    @property
+    def entry_hosts(self) -> EntryHostTable:
+        """The entry hosts that follow this host."""
+        return self._entry_hosts
+
+    def start(self) -> None:
+        """Begin to vote, to learn or to ask to join."""
+        self._raft.start()
+        self._timers.subscribe(JOIN_INTERVAL_MS, self._join)
+        self._timers.subscribe(DIGEST_INTERVAL_MS, self._send_digest)
+        self._timers.subscribe(REPORT_INTERVAL_MS, self._report)
+        self._join()
+
+    def on_message(self, sender: str, message: Any) -> None:
+        """Handle a message of a control host or an entry host."""
+        if isinstance(message, CONSENSUS_MESSAGES):
+            self._raft.on_message(sender, message)
+            return
+        match message:
+            case SyncRequest():
+                self._on_sync_request(sender, message)
+            case JoinRequest():
+                self._on_join_request(sender, message)
+            case JoinReply():
+                self._known_voters |= frozenset(message.voters)
+            case AnnouncementRelay():
+                self._merge(message.announcement)
+            case DepartureRelay():
+                self._depart(message.departure)
+            case DirectoryDigest():
+                self._on_digest(sender, message)
+            case AttachmentReport():
+                self._domains[host_address(sender)] = message.failure_domain
+                self._reports[sender] = (message, self._timers.now_ms())
+            case LeaveRequest():
+                self._on_leave_request(sender, message)
+            case ProposalRequest():
+                spawn(self._answer_proposal(sender, message))
+            case BarrierRequest():
+                spawn(self._answer_barrier(sender, message))
+            case LeaveReply() | ProposalReply() | BarrierReply():
+                self._requester.on_reply(sender, message.request_id, message)
+
+    # Operators
+
+    def replace_configuration(
+        self, configuration: Configuration
+    ) -> Promise[OrderOutcome]:
+        """Order a configuration; durable also if a higher version has overtaken it."""
+        command = ReplaceConfiguration(
+            self._timers.wall_ms(), "operator", configuration
+        )
+        return spawn(self._replace(COMMAND_CODEC.encode(command)))
+
+    def read_configuration(self) -> Promise[Configuration | None]:
+        """Return the newest configuration; None when that cannot be known now."""
+        return spawn(self._read())
+
+    async def _replace(self, payload: bytes) -> OrderOutcome:
+        if self._raft.is_leader:
+            is_committed = await self._propose(payload)
+        else:
+            is_committed = False
+            leader = self._raft.leader
+            if leader is not None:
+                answer = await self._requester.call(
+                    leader,
+                    lambda request_id: ProposalRequest(request_id, payload),
+                    REQUEST_TIMEOUT_MS,
+                )
+                is_committed = isinstance(answer, Ok) and answer.ok_value.is_committed
+        return OrderOutcome.DURABLE if is_committed else OrderOutcome.UNKNOWN
+
+    async def _propose(self, payload: bytes) -> bool:
+        """Append a command, and wait until so many disks hold it as must be."""
+        if not self._raft.is_ready_leader or not self._is_durable_set:
+            return False
+        outcome = await within(
+            self._timers, self._raft.propose(payload), REQUEST_TIMEOUT_MS
+        )
+        is_applied = isinstance(outcome, Ok) and isinstance(outcome.ok_value, Ok)
+        return is_applied and self._is_durable_set
+
+    @property
+    def _is_durable_set(self) -> bool:
+        """Whether a majority is one disk more than may be lost."""
+        return len(self._raft.voters) // 2 + 1 > self._config.disk_losses
+
+    async def _answer_proposal(self, sender: str, request: ProposalRequest) -> None:
+        is_committed = await self._propose(request.payload)
+        self._link.send(sender, ProposalReply(request.request_id, is_committed))
+
+    async def _read(self) -> Configuration | None:
+        index = await self._committed_index()
+        if index is None:
+            return None
+        end_ms = self._timers.now_ms() + REQUEST_TIMEOUT_MS
+        while self._raft.applied_index < index:
+            if self._timers.now_ms() >= end_ms:
+                return None
+            await sleep(self._timers, BARRIER_POLL_MS)
+        return self._state.configuration
+
+    async def _committed_index(self) -> int | None:
+        if self._raft.is_leader:
+            return await self._own_committed_index()
+        leader = self._raft.leader
+        if leader is None:
+            return None
+        answer = await self._requester.call(leader, BarrierRequest, REQUEST_TIMEOUT_MS)
+        return answer.ok_value.index if isinstance(answer, Ok) else None
+
+    async def _own_committed_index(self) -> int | None:
+        if not self._raft.is_ready_leader:
+            return None
+        index = self._raft.commit_index
+        confirmed = await within(
+            self._timers, self._raft.confirm_leadership(), REQUEST_TIMEOUT_MS
+        )
+        return index if isinstance(confirmed, Ok) and confirmed.ok_value else None
+
+    async def _answer_barrier(self, sender: str, request: BarrierRequest) -> None:
+        index = await self._own_committed_index() if self._raft.is_leader else None
+        self._link.send(sender, BarrierReply(request.request_id, index))
+
+    # Endpoints
+
+    def announce(self, announcement: Announcement) -> Promise[bool]:
+        """Take a heartbeat; True once it may be acknowledged.
+
+        That an endpoint drains is acknowledged only when the leader knows it, too:
+        this host may be cut off from those that entry hosts follow.
+        """
+        known = self._directory.get(announcement.endpoint)
+        is_news = known is None or not announcement.says_same_as(known)
+        self._merge(announcement)
+        self._relay(AnnouncementRelay(announcement))
+        if announcement.is_draining and is_news:
+            return spawn(self._confirm_leaving(announcement, None))
+        if announcement.is_draining and self._raft.leader_silence_ms > LEADER_FRESH_MS:
+            return spawn(self._confirm_leaving(announcement, None))
+        return Promise.of(True)
+
+    def depart(self, endpoint: str, incarnation: int | None) -> Promise[bool]:
+        """Take note that an endpoint is gone; True once it may be acknowledged."""
+        known = self._directory.get(endpoint)
+        if incarnation is None:
+            incarnation = known.incarnation if known else self._timers.wall_ms()
+        departure = Departure(endpoint, incarnation)
+        self._depart(departure)
+        self._relay(DepartureRelay(departure))
+        return spawn(self._confirm_leaving(None, departure))
+
+    async def _confirm_leaving(
+        self, announcement: Announcement | None, departure: Departure | None
+    ) -> bool:
+        if self._raft.is_leader:
+            return self._raft.leader_silence_ms < LEADER_FRESH_MS
+        leader = self._raft.leader
+        if leader is None:
+            return False
+        answer = await self._requester.call(
+            leader,
+            lambda request_id: LeaveRequest(request_id, announcement, departure),
+            REQUEST_TIMEOUT_MS,
+        )
+        return isinstance(answer, Ok) and answer.ok_value.is_noted
+
+    def _on_leave_request(self, sender: str, request: LeaveRequest) -> None:
+        if request.announcement is not None:
+            self._merge(request.announcement)
+        if request.departure is not None:
+            self._depart(request.departure)
+        is_noted = (
+            self._raft.is_leader and self._raft.leader_silence_ms < LEADER_FRESH_MS
+        )
+        if is_noted:
+            self._send_digest()
+        self._link.send(sender, LeaveReply(request.request_id, is_noted))
+
+    def _merge(self, announcement: Announcement) -> None:
+        before = self._directory.revision
+        self._directory.merge(announcement, self._timers.now_ms())
+        if self._directory.revision != before:
+            self._entry_hosts.push()
+
+    def _depart(self, departure: Departure) -> None:
+        before = self._directory.revision
+        self._directory.depart(departure, self._timers.now_ms())
+        if self._directory.revision != before:
+            self._entry_hosts.push()
+
+    def _relay(self, message: Any) -> None:
+        for peer in self._peers():
+            self._link.send(peer, message)
+
+    def _send_digest(self) -> None:
+        """Send all that is known to the other control hosts, as leader."""
+        now_ms = self._timers.now_ms()
+        limit_ms = EXPIRE_HEARTBEATS * self._config.heartbeat_interval_ms
+        if self._directory.expire(limit_ms, now_ms):
+            self._entry_hosts.push()
+        if not self._raft.is_leader:
+            return
+        digest = DirectoryDigest(
+            self._directory.announcements,
+            self._directory.departures,
+            self._count_entry_hosts(),
+        )
+        for peer in self._peers():
+            self._link.send(peer, digest)
+
+    def _on_digest(self, sender: str, digest: DirectoryDigest) -> None:
+        if sender != self._raft.leader:
+            return
+        self._total_entry_hosts = digest.entry_hosts
+        before = self._directory.revision
+        self._directory.merge_all(
+            digest.announcements, digest.departures, self._timers.now_ms()
+        )
+        if self._directory.revision != before:
+            self._entry_hosts.push()
+
+    # Entry hosts
+
+    def _on_sync_request(self, sender: str, request: SyncRequest) -> None:
+        self._entry_hosts.on_request(sender, request)
+        if request.suspicions:
+            self._report()
+
+    def _report(self) -> None:
+        """Tell the leader who follows this host and what they suspect."""
+        leader = self._raft.leader
+        if leader is None or leader == self._config.name:
+            return
+        self._link.send(
+            leader,
+            AttachmentReport(
+                self._config.failure_domain,
+                self._entry_hosts.count,
+                self._entry_hosts.suspicions,
+            ),
+        )
+
+    def _fresh_reports(self) -> tuple[AttachmentReport, ...]:
+        horizon_ms = self._timers.now_ms() - REPORT_LIMIT_MS
+        return tuple(
+            report for report, at_ms in self._reports.values() if at_ms >= horizon_ms
+        )
+
+    def _count_entry_hosts(self) -> int:
+        if not self._raft.is_leader:
+            return max(self._total_entry_hosts, self._entry_hosts.count)
+        others = sum(report.entry_hosts for report in self._fresh_reports())
+        return self._entry_hosts.count + others
+
+    def _suspicions(self) -> tuple[tuple[str, PrimarySuspicion], ...]:
+        others = (report.suspicions for report in self._fresh_reports())
+        return sum(others, self._entry_hosts.suspicions)
+
+    def _control_hosts(self) -> tuple[ControlHost, ...]:
+        addresses = sorted({host_address(name) for name in self._raft.voters})
+        return tuple(
+            ControlHost(address, self._domains.get(address, ""))
+            for address in addresses
+        )
+
+    # The cluster
+
+    def _join(self) -> None:
+        """Ask everyone known, unless this host votes already."""
+        if self._raft.is_voter:
+            return
+        addresses = {host_address(name) for name in self._known_voters}
+        addresses |= {host_address(name) for name in self._raft.voters}
+        addresses |= set(self._config.seeds)
+        addresses.discard(host_address(self._config.name))
+        for address in sorted(addresses):
+            self._link.send(address, JoinRequest(self._config.failure_domain))
+
+    def _on_join_request(self, sender: str, request: JoinRequest) -> None:
+        self._domains[host_address(sender)] = request.failure_domain
+        if self._raft.is_leader:
+            self._raft.add_learner(sender)
+            return
+        reply = JoinReply(self._raft.leader, tuple(sorted(self._raft.voters)))
+        self._link.send(sender, reply)
+        leader = self._raft.leader
+        if leader is not None and sender != leader:
+            self._known_voters |= {leader}
+
+    def _peers(self) -> tuple[str, ...]:
+        names = set(self._raft.voters)
+        if self._raft.is_leader:
+            names |= {follower.name for follower in self._raft.followers()}
+        names.discard(self._config.name)
+        return tuple(sorted(names))
+
+    def _on_applied(self) -> None:
+        configuration = self._state.configuration
+        if configuration is not None:
+            self._entry_hosts.set_configuration(configuration)
+
+    def _on_role(self) -> None:
+        self._events.record(
+            RoleChanged(
+                self._raft.role.value, self._raft.term, self._raft.leader or "none"
+            )
+        )
--- /dev/null
+++ b/src/azurerelay/cluster/_promotion_duty.py
@@ -0,0 +1,222 @@
+"""The leader's care for the primaries of all groups."""
+
+from collections.abc import Callable
+from typing import Final
+
+from result import Err, Ok
+
+from azurerelay.attachment import PrimarySuspicion
+from azurerelay.cluster._promotion_policy import (
+    GroupHealth,
+    candidates,
+    most_advanced,
+    promotion_reason,
+)
+from azurerelay.cluster._promotion_port import PromotionOrder, PromotionPort
+from azurerelay.consensus import RaftNode
+from azurerelay.discovery import Announcement, EndpointDirectory
+from azurerelay.events import EventLog, PromotionAnswered, PromotionDecided
+from azurerelay.membership import COMMAND_CODEC, ClusterState, RecordPromotion
+from azurerelay.statements import AskStatus, EndpointConnector, Position
+from azurerelay.timing import TimerService, gather, sleep, spawn, within
+
+CHECK_MS: Final = 100.0
+STATUS_TIMEOUT_MS: Final = 500.0  # a round trip between regions and a full queue
+ANSWER_TIMEOUT_MS: Final = 1_000.0  # then the platform may still do it later
+RETRY_MS: Final = 200.0
+# The platform switches some hundred milliseconds after it has answered; the new
+# primary says so at once.
+SWITCH_LIMIT_MS: Final = 4_000.0
+# A new leader hears the heartbeats of all endpoints before it judges.
+SETTLE_HEARTBEATS: Final = 2.5
+TOKENS_PER_TERM: Final = 1_000_000
+MAX_TRIES: Final = 10
+
+Suspicions = Callable[[], tuple[tuple[str, PrimarySuspicion], ...]]
+
+
+class PromotionDuty:
+    """Replace primaries that are lost or leave.
+
+    Fencing tokens are taken from the term of the log, so no two leaders share one,
+    and each order of a leader has a higher one: an order that got no answer is void
+    once a later one for the same group has been answered.
+    """
+
+    def __init__(
+        self,
+        holder: str,
+        raft: RaftNode,
+        state: ClusterState,
+        directory: EndpointDirectory,
+        connector: EndpointConnector,
+        port: PromotionPort,
+        timers: TimerService,
+        events: EventLog,
+        heartbeat_ms: float,
+    ) -> None:
+        self._holder = holder
+        self._raft = raft
+        self._state = state
+        self._directory = directory
+        self._connector = connector
+        self._port = port
+        self._timers = timers
+        self._events = events
+        self._heartbeat_ms = heartbeat_ms
+        self._orders = 0
+        self._busy: set[str] = set()
+        self._ready_ms = float("inf")
+        self._suspicions: Suspicions = tuple
+        self._entry_hosts: Callable[[], int] = lambda: 1
+        raft.add_role_listener(self._on_role)
+        timers.subscribe(CHECK_MS, self._check)
+
+    def set_sources(
+        self, suspicions: Suspicions, entry_hosts: Callable[[], int]
+    ) -> None:
+        """Tell where the judgement of the entry hosts comes from."""
+        self._suspicions = suspicions
+        self._entry_hosts = entry_hosts
+
+    def _on_role(self) -> None:
+        self._orders = 0
+        self._ready_ms = self._timers.now_ms() + SETTLE_HEARTBEATS * self._heartbeat_ms
+
+    def _check(self) -> None:
+        configuration = self._state.configuration
+        is_ready = self._timers.now_ms() >= self._ready_ms
+        if not self._raft.is_ready_leader or not is_ready or configuration is None:
+            return
+        for group in configuration.groups:
+            if group.name not in self._busy and self._directory.group(group.name):
+                reason = promotion_reason(self._health(group.name), self._heartbeat_ms)
+                if reason is not None:
+                    self._busy.add(group.name)
+                    spawn(self._replace_primary(group.name, reason))
+
+    def _health(self, group: str) -> GroupHealth:
+        now_ms = self._timers.now_ms()
+        primaries = tuple(e for e in self._directory.group(group) if e.is_primary)
+        silences = [self._directory.silence_ms(p.endpoint, now_ms) for p in primaries]
+        names = {primary.endpoint for primary in primaries}
+        suspicions = {
+            host: suspicion
+            for host, suspicion in self._suspicions()
+            if suspicion.group == group and suspicion.endpoint in names
+        }
+        return GroupHealth(
+            primaries,
+            min(silences, default=0.0),
+            len(suspicions),
+            max((s.silent_ms for s in suspicions.values()), default=0.0),
+            self._entry_hosts(),
+        )
+
+    async def _replace_primary(self, group: str, reason: str) -> None:
+        failed = tuple(p.endpoint for p in self._health(group).primaries)
+        chosen = await self._choose(group, failed)
+        if chosen is not None and await self._raft.confirm_leadership():
+            endpoint, stated = chosen
+            await self._order(group, endpoint, reason, stated)
+        else:
+            await sleep(self._timers, RETRY_MS)
+        self._busy.discard(group)
+
+    async def _choose(
+        self, group: str, failed: tuple[str, ...]
+    ) -> tuple[str, str] | None:
+        """Return the endpoint that has received most, and what all have stated."""
+        possible = candidates(
+            self._directory,
+            group,
+            failed,
+            self._heartbeat_ms,
+            self._timers.now_ms(),
+        )
+        answers = await gather(
+            [spawn(self._ask_received(endpoint)) for endpoint in possible]
+        )
+        received = {
+            endpoint.endpoint: position
+            for endpoint, position in zip(possible, answers, strict=True)
+            if position is not None
+        }
+        endpoint = most_advanced(received)
+        if endpoint is None:
+            return None
+        stated = ", ".join(f"{name} {position}" for name, position in received.items())
+        return endpoint, stated
+
+    async def _ask_received(self, endpoint: Announcement) -> Position | None:
+        connected = await within(
+            self._timers, self._connector.connect(endpoint), STATUS_TIMEOUT_MS
+        )
+        if isinstance(connected, Err) or isinstance(connected.ok_value, Err):
+            return None
+        session = connected.ok_value.ok_value
+        answer = await within(
+            self._timers, session.request(AskStatus()), STATUS_TIMEOUT_MS
+        )
+        session.close()
+        if isinstance(answer, Ok) and isinstance(answer.ok_value, Ok):
+            reply = answer.ok_value.ok_value
+            if reply.is_success and reply.received is not None:
+                return reply.received
+        return session.position
+
+    async def _order(self, group: str, endpoint: str, reason: str, stated: str) -> None:
+        """Ask until the platform answers; then wait for the switch."""
+        for attempt in range(MAX_TRIES):
+            if not self._raft.is_ready_leader:
+                return
+            token = self._next_token()
+            self._events.record(
+                PromotionDecided(group, endpoint, token, reason, stated)
+            )
+            if attempt == 0:
+                self._raft.propose(
+                    COMMAND_CODEC.encode(
+                        RecordPromotion(
+                            self._timers.wall_ms(),
+                            self._holder,
+                            group,
+                            endpoint,
+                            token,
+                            reason,
+                        )
+                    )
+                )
+            asked_ms = self._timers.now_ms()
+            answer = await self._port.promote(
+                PromotionOrder(group, endpoint, self._holder, token)
+            )
+            self._events.record(
+                PromotionAnswered(
+                    group,
+                    endpoint,
+                    token,
+                    answer.status,
+                    self._timers.now_ms() - asked_ms,
+                )
+            )
+            if answer.is_done:
+                await self._wait_for_switch(group, endpoint)
+                return
+            if answer.is_fenced:
+                # Another leader is at work, or the endpoint is gone: judge anew.
+                await sleep(self._timers, RETRY_MS)
+                return
+            await sleep(self._timers, RETRY_MS)
+
+    async def _wait_for_switch(self, group: str, endpoint: str) -> None:
+        until_ms = self._timers.now_ms() + SWITCH_LIMIT_MS
+        while self._timers.now_ms() < until_ms:
+            record = self._directory.get(endpoint)
+            if record is None or record.is_primary or not self._raft.is_leader:
+                return
+            await sleep(self._timers, CHECK_MS)
+
+    def _next_token(self) -> int:
+        self._orders += 1
+        return self._raft.term * TOKENS_PER_TERM + self._orders
--- a/src/azurerelay/consensus/__init__.py
+++ b/src/azurerelay/consensus/__init__.py
@@ -1,5 +1,6 @@
 """The replicated log of the control hosts, as a state machine without I/O."""
 
+from azurerelay.consensus._follower_progress import FollowerProgress
 from azurerelay.consensus._journal import Journal, JournalState
 from azurerelay.consensus._log import Log
 from azurerelay.consensus._messages import (
@@ -27,6 +28,7 @@
     "AppendReply",
     "AppendRequest",
     "Entry",
+    "FollowerProgress",
     "FreshnessProbe",
     "FreshnessReply",
     "HardState",
--- a/src/azurerelay/consensus/_log.py
+++ b/src/azurerelay/consensus/_log.py
@@ -41,6 +41,13 @@
         offset = start - self._base_index - 1
         return tuple(self._entries[offset : offset + count])
 
+    def last_voters(self, up_to_index: int) -> tuple[int, tuple[str, ...]] | None:
+        """Return the newest entry that changes the voters, as index and voters."""
+        for entry in reversed(self._entries[: up_to_index - self._base_index]):
+            if entry.voters:
+                return entry.index, entry.voters
+        return None
+
     def append(self, entries: Iterable[Entry]) -> None:
         """Add entries that follow the last one."""
         self._entries.extend(entries)
--- a/src/azurerelay/consensus/_messages.py
+++ b/src/azurerelay/consensus/_messages.py
@@ -10,11 +10,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """One log entry; `payload` is an encoded command, empty for a new leader."""
+    """One log entry; `payload` is an encoded command, empty for a new leader.
+
+    An entry with `voters` changes the voter set as soon as it is in a log.
+    """
 
     index: int
     term: int
     payload: bytes
+    voters: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,11 +35,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotMark:
-    """The last entry that a snapshot covers, and its length in bytes."""
+    """The last entry that a snapshot covers, its length in bytes and its voters.
+
+    `voters` is empty where the voter set never changed.
+    """
 
     index: int
     term: int
     length: int
+    voters: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurerelay/consensus/_raft_config.py
+++ b/src/azurerelay/consensus/_raft_config.py
@@ -5,7 +5,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RaftConfig:
-    """Intervals in milliseconds, batch sizes in entries and bytes."""
+    """Intervals in milliseconds, batch sizes in entries and bytes.
+
+    With `has_dynamic_voters`, a voter's name is that of its disk: who lost a disk
+    comes back under another name, joins as a learner and is made a voter by an
+    entry of the log. Otherwise the voters are fixed, and one that finds its disk
+    empty learns under its old name.
+    """
 
     heartbeat_ms: float = 50.0
     election_min_ms: float = 250.0
@@ -14,3 +20,4 @@
     batch_entries: int = 256
     chunk_bytes: int = 256 * 1024
     snapshot_entries: int = 1000
+    has_dynamic_voters: bool = False
--- a/src/azurerelay/consensus/_raft_node.py
+++ b/src/azurerelay/consensus/_raft_node.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from azurerelay.consensus._follower_progress import FollowerProgress
 from azurerelay.consensus._followers import Followers
 from azurerelay.consensus._journal import Journal, JournalState
 from azurerelay.consensus._log import Log
@@ -65,7 +66,9 @@
         config: RaftConfig | None = None,
     ) -> None:
         self._name = name
-        self._peers = Followers(voter for voter in voters if voter != name)
+        self._initial_voters = tuple(sorted(voters))
+        self._peers = Followers(name, self._initial_voters)
+        self._voters_index = 0
         self._link = link
         self._timers = timers
         self._random = random_source
@@ -99,11 +102,36 @@
         self._disk_error: str | None = None
         self._role_listeners: list[Callable[[], None]] = []
         self._elections_started = 0
-        self._is_learner = not state.hard_state.is_voter
+        is_dynamic = self._config.has_dynamic_voters
+        self._is_learner = not state.hard_state.is_voter and not is_dynamic
         self._fresh_peers: set[str] = set()
+        self._refresh_voters()
         if self._mark is not None:
             machine.restore(self._snapshot)
 
+    @property
+    def voters(self) -> frozenset[str]:
+        """The voter set as this host's log has it."""
+        return self._peers.voters
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this host may vote for itself."""
+        return self._name in self._peers.voters and not self._is_learner
+
+    @property
+    def is_changing_voters(self) -> bool:
+        """Whether a change of voters is in the log and not yet committed."""
+        return self._voters_index > self._commit_index
+
+    @property
+    def leader_silence_ms(self) -> float:
+        """How long ago the leader, or as leader a quorum, was last heard."""
+        now_ms = self._timers.now_ms()
+        if self.is_leader:
+            return now_ms - self._peers.quorum_heard_ms(now_ms)
+        return now_ms - self._leader_heard_ms
+
     @property
     def role(self) -> Role:
         """What this voter does now."""
@@ -169,12 +197,16 @@
         self._role_listeners.append(listener)
 
     def start(self) -> None:
-        """Begin to wait for a leader."""
+        """Begin to wait for a leader.
+
+        A voter that restarts may just have heard one, so it waits as if it had.
+        """
+        self._leader_heard_ms = self._timers.now_ms()
         self._reset_election_timer()
         self._timers.subscribe(self._config.heartbeat_ms, self._on_heartbeat)
         if self._is_learner:
             self._probe_freshness()
-        if not self._peers and not self._is_learner:
+        if not self._peers and self.is_voter:
             self._campaign(is_pre_vote=True)
 
     def propose(self, payload: bytes) -> Promise[Result[Any, ProposalLost]]:
@@ -186,6 +218,48 @@
         self._proposals[index] = (self._term, promise)
         return promise
 
+    def propose_voters(
+        self, voters: Iterable[str]
+    ) -> Promise[Result[Any, ProposalLost]]:
+        """Change the voter set by one voter; the promise holds once it is committed.
+
+        The sets before and after then share a voter in any two majorities. Refused
+        while an earlier change is not committed, or before the leader has committed
+        an entry of its own term (Ongaro's thesis, chapter 4).
+        """
+        wanted = frozenset(voters)
+        is_step = len(wanted ^ self.voters) == 1 and self._name in wanted
+        if not self.is_ready_leader or self.is_changing_voters or not is_step:
+            return Promise.of(Err(ProposalLost(True, self._leader)))
+        promise: Promise[Result[Any, ProposalLost]] = Promise()
+        index = self._append_as_leader(b"", tuple(sorted(wanted)))
+        self._proposals[index] = (self._term, promise)
+        self._refresh_voters()
+        return promise
+
+    def add_learner(self, name: str) -> None:
+        """Replicate to a host that asked to join; only the leader does so."""
+        if self.is_leader:
+            next_index = self._log.last_index + 1
+            self._peers.add_learner(name, next_index, self._timers.now_ms())
+
+    def drop_learner(self, name: str) -> None:
+        """Stop to replicate to a host that is no voter."""
+        self._peers.drop_learner(name)
+
+    def followers(self) -> tuple[FollowerProgress, ...]:
+        """Return what this leader knows of its voters and learners."""
+        now_ms = self._timers.now_ms()
+        return tuple(
+            FollowerProgress(
+                name,
+                name in self.voters,
+                peer.match_index >= self._commit_index,
+                now_ms - peer.heard_ms,
+            )
+            for name, peer in self._peers.items()
+        )
+
     def confirm_leadership(self, is_urgent: bool = True) -> Promise[bool]:
         """Return True once a quorum has followed this leader after the call.
 
@@ -193,7 +267,7 @@
         """
         if not self.is_leader:
             return Promise.of(False)
-        if not self._peers:
+        if self._peers.quorum == 1:
             return Promise.of(True)
         promise: Promise[bool] = Promise()
         self._confirmations.append((self._round + 1, promise))
@@ -204,7 +278,11 @@
 
     def on_message(self, sender: str, message: Any) -> None:
         """Handle a message of another voter; others are ignored."""
-        if sender not in self._peers or self._disk_error is not None:
+        is_known = sender in self._peers
+        may_be_new = self._config.has_dynamic_voters and isinstance(
+            message, (VoteRequest, AppendRequest, SnapshotChunk)
+        )
+        if not (is_known or may_be_new) or self._disk_error is not None:
             return
         try:
             self._dispatch(sender, message)
@@ -313,8 +391,7 @@
 
     def _on_election(self) -> None:
         self._reset_election_timer()
-        may_campaign = not self.is_leader and not self._is_learner
-        if may_campaign and self._disk_error is None:
+        if not self.is_leader and self.is_voter and self._disk_error is None:
             try:
                 self._campaign(is_pre_vote=True)
             except DiskError as error:
@@ -332,8 +409,8 @@
         request = VoteRequest(
             term, is_pre_vote, self._log.last_index, self._log.last_term
         )
-        for peer in self._peers:
-            self._link.send(peer, request)
+        for voter in sorted(self.voters - {self._name}):
+            self._link.send(voter, request)
         self._count_votes()
 
     def _count_votes(self) -> None:
@@ -377,7 +454,7 @@
             return
         expected = self._term + 1 if self._is_pre_vote else self._term
         is_ours = reply.term == expected and reply.is_pre_vote == self._is_pre_vote
-        if self._role is Role.CANDIDATE and is_ours:
+        if self._role is Role.CANDIDATE and is_ours and sender in self.voters:
             self._votes.add(sender)
             self._count_votes()
 
@@ -417,9 +494,9 @@
 
     # Leading
 
-    def _append_as_leader(self, payload: bytes) -> int:
+    def _append_as_leader(self, payload: bytes, voters: tuple[str, ...] = ()) -> int:
         index = self._log.last_index + 1
-        self._log.append([Entry(index, self._term, payload)])
+        self._log.append([Entry(index, self._term, payload, voters)])
         if not self._is_flush_due:
             self._is_flush_due = True
             self._timers.call_later(0.0, self._flush)
@@ -457,7 +534,7 @@
 
     def _broadcast(self) -> None:
         self._round += 1
-        if not self._peers:
+        if self._peers.quorum == 1:
             self._quorum_round = self._round
         for voter, peer in self._peers.items():
             self._send_append(voter, peer)
@@ -526,9 +603,10 @@
         peer = self._peers[sender]
         if reply.round < peer.learner_round:
             return False
-        if reply.is_learner and not peer.is_learner:
-            self._forget_progress(peer, reply.round)
-        peer.is_learner = reply.is_learner
+        if not self._config.has_dynamic_voters:
+            if reply.is_learner and not peer.is_learner:
+                self._forget_progress(peer, reply.round)
+            peer.is_learner = reply.is_learner
         peer.heard_ms = self._timers.now_ms()
         peer.acked_round = max(peer.acked_round, reply.round)
         self._settle_confirmations()
@@ -598,6 +676,7 @@
                 self._log.truncate_from(entry.index)
             self._log.append(entries[position:])
             self._journal.append(entries[position:])
+            self._refresh_voters()
             break
         self._durable_index = self._log.last_index
 
@@ -639,6 +718,7 @@
         self._commit_index = mark.index
         self._applied_index = mark.index
         self._save_compacted()
+        self._refresh_voters()
 
     def _on_snapshot_reply(self, sender: str, reply: SnapshotReply) -> None:
         if not self._accept_reply(sender, reply):
@@ -656,6 +736,26 @@
         peer.sent_ms = None
         self._send_append(sender, peer)
 
+    # The voter set
+
+    def _refresh_voters(self) -> None:
+        """Count the newest voter set in the log, committed or not."""
+        if not self._config.has_dynamic_voters:
+            return
+        index, voters = self._voters_at(self._log.last_index)
+        self._voters_index = index
+        if self._peers.voters != frozenset(voters):
+            next_index = self._log.last_index + 1
+            self._peers.set_voters(voters, next_index, self._timers.now_ms())
+
+    def _voters_at(self, index: int) -> tuple[int, tuple[str, ...]]:
+        changed = self._log.last_voters(index)
+        if changed is not None:
+            return changed
+        if self._mark is not None and self._mark.voters:
+            return self._mark.index, self._mark.voters
+        return 0, self._initial_voters
+
     # Applying and storing
 
     def _apply(self) -> None:
@@ -684,7 +784,8 @@
         index = self._applied_index
         term = self._log.term_at(index) or 0
         data = self._machine.snapshot()
-        self._mark = SnapshotMark(index, term, len(data))
+        _, voters = self._voters_at(index)
+        self._mark = SnapshotMark(index, term, len(data), voters)
         self._snapshot = data
         self._log.compact(index, term)
         self._peers.forget_snapshots()
--- a/src/azurerelay/daemons/_http_endpoint_port.py
+++ b/src/azurerelay/daemons/_http_endpoint_port.py
@@ -7,11 +7,6 @@
 from result import Err, Ok, Result
 
 from azurerelay.daemons._endpoint_wire import CALL_PATHS, decode_result, encode_call
-from azurerelay.daemons._http_client_protocol import (
-    HttpClientProtocol,
-    HttpLost,
-    HttpResponse,
-)
 from azurerelay.endpoints import (
     CallResult,
     ConnectCall,
@@ -20,7 +15,13 @@
     EndpointFailure,
     FailureKind,
 )
-from azurerelay.runtime import AsyncioTimerService, as_future
+from azurerelay.runtime import (
+    AsyncioTimerService,
+    HttpClientProtocol,
+    HttpLost,
+    HttpResponse,
+    as_future,
+)
 from azurerelay.timing import Promise, TimerService
 
 MS_PER_S: Final = 1_000.0
--- /dev/null
+++ b/src/azurerelay/events/__init__.py
@@ -0,0 +1,44 @@
+"""Typed events of all decisions, and the port that they are written to."""
+
+from azurerelay.events._event_log import EventLog, NoEvents
+from azurerelay.events._events import (
+    AnnouncementRefused,
+    ConfigurationInForce,
+    ConfigurationOrdered,
+    ControlHostChosen,
+    DirectoryChanged,
+    EndpointLost,
+    EndpointRegained,
+    Event,
+    PrimaryProven,
+    ProcessChanged,
+    PromotionAnswered,
+    PromotionDecided,
+    RoleChanged,
+    SessionRefused,
+    StatementRefused,
+    StatementRetried,
+    VotersChanged,
+)
+
+__all__ = [
+    "AnnouncementRefused",
+    "ConfigurationInForce",
+    "ConfigurationOrdered",
+    "ControlHostChosen",
+    "DirectoryChanged",
+    "EndpointLost",
+    "EndpointRegained",
+    "Event",
+    "EventLog",
+    "NoEvents",
+    "PrimaryProven",
+    "ProcessChanged",
+    "PromotionAnswered",
+    "PromotionDecided",
+    "RoleChanged",
+    "SessionRefused",
+    "StatementRefused",
+    "StatementRetried",
+    "VotersChanged",
+]
--- a/src/azurerelay/membership/__init__.py
+++ b/src/azurerelay/membership/__init__.py
@@ -12,8 +12,10 @@
     HoldWrites,
     InstallPrimary,
     RecordEndpoint,
+    RecordPromotion,
     RecordRefusal,
     RemoveHost,
+    ReplaceConfiguration,
     SettleServingSet,
 )
 from azurerelay.membership._control_session import ControlSession, HostIdentity
@@ -62,10 +64,12 @@
     "InstallPrimary",
     "Presence",
     "RecordEndpoint",
+    "RecordPromotion",
     "RecordRefusal",
     "RelayedHeartbeats",
     "RelayedReplies",
     "RemoveHost",
+    "ReplaceConfiguration",
     "SettleServingSet",
     "StateDelta",
     "StateSnapshot",
--- a/src/azurerelay/membership/_cluster_state.py
+++ b/src/azurerelay/membership/_cluster_state.py
@@ -20,8 +20,10 @@
     HoldWrites,
     InstallPrimary,
     RecordEndpoint,
+    RecordPromotion,
     RecordRefusal,
     RemoveHost,
+    ReplaceConfiguration,
     SettleServingSet,
 )
 from azurerelay.membership._records import (
@@ -30,6 +32,7 @@
     HostRecord,
     Presence,
 )
+from azurerelay.routes import Configuration
 from azurerelay.settings import GroupPolicy, SettingsTree, TreeNode
 
 MAX_CHANGE_IDS: Final = 2_000
@@ -55,6 +58,7 @@
     changes: tuple[_RememberedChange, ...]
     audit_older: bytes
     audit_recent: tuple[AuditRecord, ...]
+    configuration: Configuration | None = None
 
 
 class ClusterState:
@@ -72,6 +76,12 @@
         self._changes: OrderedDict[str, ChangeOutcome] = OrderedDict()
         self._audit = AuditTrail()
         self._policies: dict[str, GroupPolicy] = {}
+        self._configuration: Configuration | None = None
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The routes and groups in force; None before the first replacement."""
+        return self._configuration
 
     @property
     def number(self) -> int:
@@ -179,6 +189,7 @@
         self._changes = OrderedDict((c.change_id, c.outcome) for c in image.changes)
         self._audit = AuditTrail(image.audit_older, image.audit_recent)
         self._policies = {}
+        self._configuration = image.configuration
 
     def _encode(
         self,
@@ -194,6 +205,7 @@
             tuple(_RememberedChange(*change) for change in changes),
             audit.older,
             audit.recent,
+            self._configuration,
         )
         return msgspec.msgpack.encode(image)
 
@@ -372,6 +384,35 @@
         path = f"groups/{command.group}/primary"
         self._record(index, command, "refuse promotion", path, now, now, command.reason)
 
+    @_apply.register
+    def _(self, command: ReplaceConfiguration, index: int) -> bool:
+        before = self._configuration
+        if before is not None and command.configuration.version <= before.version:
+            return False
+        self._configuration = command.configuration
+        self._record(
+            index,
+            command,
+            "replace configuration",
+            "configuration",
+            f"version {before.version}" if before else "absent",
+            f"version {command.configuration.version}",
+            f"{len(command.configuration.routes)} routes",
+        )
+        return True
+
+    @_apply.register
+    def _(self, command: RecordPromotion, index: int) -> None:
+        self._record(
+            index,
+            command,
+            "ask for promotion",
+            f"groups/{command.group}/primary",
+            "",
+            f"{command.endpoint} under token {command.fencing_token}",
+            command.reason,
+        )
+
     @_apply.register
     def _(self, command: ChangeSettings, index: int) -> ChangeOutcome:
         known = self._changes.get(command.change_id)
--- a/src/azurerelay/membership/_commands.py
+++ b/src/azurerelay/membership/_commands.py
@@ -5,6 +5,7 @@
 
 from azurerelay.membership._records import EndpointRecord, HostRecord
 from azurerelay.messages import TaggedCodec
+from azurerelay.routes import Configuration
 from azurerelay.settings import Assignment
 
 
@@ -124,6 +125,27 @@
     unset: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ReplaceConfiguration:
+    """Replace all routes and groups; ignored unless the version is higher."""
+
+    at_ms: int
+    actor: str
+    configuration: Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class RecordPromotion:
+    """Note in the audit trail that a promotion is asked for, and why."""
+
+    at_ms: int
+    actor: str
+    group: str
+    endpoint: str
+    fencing_token: int
+    reason: str
+
+
 COMMAND_CODEC: Final = TaggedCodec(
     (
         AdmitHost,
@@ -136,5 +158,7 @@
         HoldWrites,
         RecordRefusal,
         ChangeSettings,
+        ReplaceConfiguration,
+        RecordPromotion,
     )
 )
--- /dev/null
+++ b/src/azurerelay/platform/_caller_codec.py
@@ -0,0 +1,181 @@
+"""The line protocol between callers and entry hosts."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from result import Err, Ok, Result
+
+from azurerelay.statements import (
+    Begin,
+    CallerError,
+    CallerReply,
+    Commit,
+    Deallocate,
+    Execute,
+    Position,
+    Prepare,
+    Read,
+    Rollback,
+    SessionState,
+    SetValue,
+    Statement,
+    Write,
+)
+
+_STATES: Final = {
+    SessionState.IDLE: "I",
+    SessionState.IN_TRANSACTION: "T",
+    SessionState.FAILED: "E",
+}
+# BUSY, ABORTED, LAGGING and READONLY promise that nothing of the attempt is kept.
+_ERRORS: Final = {
+    CallerError.BUSY: "BUSY",
+    CallerError.ABORTED: "ABORTED",
+    CallerError.NOT_CAUGHT_UP: "LAGGING",
+    CallerError.NOT_PRIMARY: "READONLY",
+    CallerError.FAILED: "FAILED",
+    CallerError.TIMED_OUT: "TIMEOUT",
+    CallerError.IN_DOUBT: "INDOUBT",
+    CallerError.UNKNOWN_DATABASE: "NODATABASE",
+    CallerError.UNKNOWN_NAME: "NOSUCHNAME",
+    CallerError.MALFORMED: "MALFORMED",
+}
+_NO_ANSWER_OF_ENDPOINT: Final = "-"
+LINE_TOO_LONG: Final = "ERROR TOOLONG the message is too long\r\n"
+
+
+@dataclass(frozen=True, slots=True)
+class OpenSession:
+    """A caller's first message."""
+
+    database: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndSession:
+    """A caller's last message."""
+
+
+@dataclass(frozen=True, slots=True)
+class MalformedStatement:
+    """A statement that cannot be read; the session goes on."""
+
+    request_id: str
+    reason: str
+
+
+CallerMessage = OpenSession | EndSession | Statement | MalformedStatement
+
+
+def decode_caller_line(line: str) -> Result[CallerMessage, str]:
+    """Return a caller's message; an error means that the connection must end."""
+    word, _, rest = line.partition(" ")
+    if word == "QUERY":
+        request_id, _, text = rest.partition(" ")
+        if not request_id or request_id == _NO_ANSWER_OF_ENDPOINT:
+            return Err("a statement needs an id")
+        parsed = _statement(request_id, text)
+        if isinstance(parsed, Err):
+            return Ok(MalformedStatement(request_id, parsed.err_value))
+        return Ok(parsed.ok_value)
+    if word == "START" and rest:
+        return Ok(OpenSession(rest.partition(" ")[0]))
+    if word == "TERMINATE" and not rest:
+        return Ok(EndSession())
+    return Err(f"unknown message {word[:20]!r}")
+
+
+def encode_ready(state: SessionState, position: Position | None) -> str:
+    """Return the line that ends an answer."""
+    return f"READY {_STATES[state]} {position or '-'}\r\n"
+
+
+def encode_error(error: CallerError, text: str) -> str:
+    """Return an error line."""
+    return f"ERROR {_ERRORS[error]} {text or error.value}\r\n"
+
+
+def encode_caller_reply(reply: CallerReply) -> str:
+    """Return the lines of a whole answer."""
+    ready = encode_ready(reply.state, reply.position)
+    if reply.error is not None:
+        return encode_error(reply.error, reply.error_text) + ready
+    rows = "".join(f"DATAROW {row}\r\n" for row in reply.rows)
+    signature = reply.signature or _NO_ANSWER_OF_ENDPOINT
+    return f"{rows}COMPLETE {signature}\r\n{ready}"
+
+
+def _statement(request_id: str, text: str) -> Result[Statement, str]:
+    word, _, rest = text.partition(" ")
+    parse = _PARSERS.get(word)
+    if parse is None:
+        return Err(f"unknown statement {word[:20]!r}")
+    return parse(request_id, text, rest)
+
+
+def _begin(request_id: str, text: str, rest: str) -> Result[Statement, str]:
+    if rest not in ("", "READ"):
+        return Err("BEGIN takes nothing but READ")
+    return Ok(Begin(request_id, text, rest == "READ"))
+
+
+def _commit(request_id: str, text: str, rest: str) -> Result[Statement, str]:
+    return Err("COMMIT takes nothing") if rest else Ok(Commit(request_id, text))
+
+
+def _rollback(request_id: str, text: str, rest: str) -> Result[Statement, str]:
+    return Err("ROLLBACK takes nothing") if rest else Ok(Rollback(request_id, text))
+
+
+def _read(request_id: str, text: str, rest: str) -> Result[Statement, str]:
+    return Ok(Read(request_id, text)) if rest else Err("READ needs an item")
+
+
+def _write(request_id: str, text: str, rest: str) -> Result[Statement, str]:
+    item, _, data = rest.partition(" ")
+    if not item or not data:
+        return Err("WRITE needs an item and data")
+    return Ok(Write(request_id, text))
+
+
+def _set(request_id: str, text: str, rest: str) -> Result[Statement, str]:
+    name, _, value = rest.partition(" ")
+    if not name or not value:
+        return Err("SET needs a name and a value")
+    return Ok(SetValue(request_id, text, name, value))
+
+
+def _prepare(request_id: str, text: str, rest: str) -> Result[Statement, str]:
+    name, _, more = rest.partition(" ")
+    kind, _, shape = more.partition(" ")
+    if not name or kind not in ("READ", "WRITE") or not shape or " " in shape:
+        return Err("PREPARE needs a name, READ or WRITE, and a shape")
+    return Ok(Prepare(request_id, text, name, shape, kind == "WRITE"))
+
+
+def _execute(request_id: str, text: str, rest: str) -> Result[Statement, str]:
+    name, _, arguments = rest.partition(" ")
+    if not name or not arguments:
+        return Err("EXECUTE needs a name and an item")
+    return Ok(Execute(request_id, text, name, arguments))
+
+
+def _deallocate(request_id: str, text: str, rest: str) -> Result[Statement, str]:
+    if not rest:
+        return Err("DEALLOCATE needs a name")
+    return Ok(Deallocate(request_id, text, rest))
+
+
+_Parser = Callable[[str, str, str], Result[Statement, str]]
+_PARSERS: Final[dict[str, _Parser]] = {
+    "BEGIN": _begin,
+    "COMMIT": _commit,
+    "ROLLBACK": _rollback,
+    "READ": _read,
+    "WRITE": _write,
+    "SET": _set,
+    "PREPARE": _prepare,
+    "EXECUTE": _execute,
+    "DEALLOCATE": _deallocate,
+}
--- /dev/null
+++ b/src/azurerelay/platform/_host_settings.py
@@ -0,0 +1,124 @@
+"""The settings file that the platform writes for each process."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+import msgspec
+from result import Err, Ok, Result
+
+from azurerelay.settings import Finding
+
+SETTINGS_VARIABLE: Final = "AZURERELAY_NODE_FILE"
+
+
+class _Listen(msgspec.Struct):
+    """Addresses that the role serves."""
+
+    frontend: str | None = None
+    readiness_address: str | None = None
+    control_plane: str | None = None
+
+
+class _Tolerance(msgspec.Struct):
+    """What may be lost at once; `machines` counts those with a disk."""
+
+    machines: int = 0
+
+
+class _Bounds(msgspec.Struct):
+    """The bounds that the processes keep to."""
+
+    drain_ms: float = 7_000
+    grace_period_s: float = 6
+
+
+class _CloudApi(msgspec.Struct):
+    """Where promotions are asked for."""
+
+    address: str
+
+
+class _Document(msgspec.Struct):
+    """The file as written; fields that are not named here are ignored."""
+
+    node_name: str
+    serves: list[str]
+    ip_address: str
+    zone: str  # a failure domain
+    zones: dict[str, str]  # the region of each failure domain
+    listen_addresses: _Listen
+    internal_port_range: tuple[int, int]
+    seeds: list[str]
+    bootstrap: bool
+    heartbeat_interval_ms: float
+    fault_tolerance: _Tolerance = msgspec.field(default_factory=_Tolerance)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    data_directory: str | None = None
+    cloud_api: _CloudApi | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """What a process must know of itself and of its surroundings.
+
+    Addresses are `IP:PORT`; `seed_links` are link addresses of control hosts, whose
+    port is the same on all hosts.
+    """
+
+    name: str
+    failure_domain: str
+    regions: dict[str, str]
+    link_address: str
+    callers_address: str | None
+    readiness_address: str | None
+    control_address: str | None
+    seed_links: tuple[str, ...]
+    is_first_start: bool
+    heartbeat_interval_ms: float
+    disk_losses: int
+    grace_ms: float
+    data_folder: str | None
+    promotion_address: str | None
+
+
+def parse_host_settings(
+    data: bytes, place: str
+) -> Result[HostSettings, tuple[Finding, ...]]:
+    """Return the settings in a file's bytes, or what is wrong and where."""
+    try:
+        document = msgspec.json.decode(data, type=_Document)
+    except msgspec.MsgspecError as error:
+        return Err((Finding(place, str(error)),))
+    port = document.internal_port_range[0]
+    return Ok(
+        HostSettings(
+            name=document.node_name,
+            failure_domain=document.zone,
+            regions=document.zones,
+            link_address=f"{document.ip_address}:{port}",
+            callers_address=document.listen_addresses.frontend,
+            readiness_address=document.listen_addresses.readiness_address,
+            control_address=document.listen_addresses.control_plane,
+            seed_links=tuple(
+                f"{seed.rpartition(':')[0]}:{port}" for seed in document.seeds
+            ),
+            is_first_start=document.bootstrap,
+            heartbeat_interval_ms=document.heartbeat_interval_ms,
+            disk_losses=document.fault_tolerance.machines,
+            grace_ms=document.bounds.grace_period_s * 1_000.0,
+            data_folder=document.data_directory,
+            promotion_address=(
+                document.cloud_api.address if document.cloud_api else None
+            ),
+        )
+    )
+
+
+def load_host_settings(file: Path) -> Result[HostSettings, tuple[Finding, ...]]:
+    """Read a settings file."""
+    try:
+        data = file.read_bytes()
+    except OSError as error:
+        return Err((Finding(str(file), error.strerror or "cannot be read"),))
+    return parse_host_settings(data, str(file))
--- /dev/null
+++ b/src/azurerelay/pooling/__init__.py
@@ -0,0 +1,24 @@
+"""Connections to endpoints: lending, matching, placing and positions."""
+
+from azurerelay.pooling._endpoint_pool import EndpointPool
+from azurerelay.pooling._placement import (
+    EndpointView,
+    choose_endpoint,
+    expected_ms,
+    is_likely_behind,
+)
+from azurerelay.pooling._pooled_session import PooledSession
+from azurerelay.pooling._position_samples import PositionSamples
+from azurerelay.pooling._session_profile import PreparedShape, SessionProfile
+
+__all__ = [
+    "EndpointPool",
+    "EndpointView",
+    "PooledSession",
+    "PositionSamples",
+    "PreparedShape",
+    "SessionProfile",
+    "choose_endpoint",
+    "expected_ms",
+    "is_likely_behind",
+]
--- /dev/null
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -0,0 +1,218 @@
+"""The connections of this host to one endpoint."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from result import Err, Ok, Result
+
+from azurerelay.discovery import Announcement
+from azurerelay.pooling._pooled_session import PooledSession
+from azurerelay.pooling._session_profile import SessionProfile
+from azurerelay.statements import ConnectFailed, EndpointConnector, EndpointError
+from azurerelay.timing import Promise, TimerService, spawn
+
+# A refused endpoint is tried again after this, doubled up to the maximum: a start
+# takes about a second, and a try costs one packet each way.
+RETRY_MS: Final = 100.0
+RETRY_MAX_MS: Final = 1_000.0
+SMOOTHING: Final = 0.2  # weight of the newest duration in the moving average
+INITIAL_SERVICE_MS: Final = 30.0  # typical statement, until one is measured
+
+
+@dataclass(slots=True)
+class _Waiter:
+    """A request for a connection; a lower priority number is served first."""
+
+    priority: int
+    profile: SessionProfile
+    granted: Promise[Result[PooledSession, ConnectFailed]]
+
+
+class EndpointPool:
+    """Open, lend and take back connections, at most `limit` of them.
+
+    Answers scarce connections: an endpoint takes a fixed number from all hosts
+    together, and each new one costs it as much as a statement.
+    """
+
+    def __init__(
+        self,
+        endpoint: Announcement,
+        connector: EndpointConnector,
+        timers: TimerService,
+        limit: int,
+    ) -> None:
+        self._endpoint = endpoint
+        self._connector = connector
+        self._timers = timers
+        self._limit = limit
+        self._idle: list[PooledSession] = []
+        self._lent: set[PooledSession] = set()
+        self._connecting = 0
+        self._waiters: deque[_Waiter] = deque()
+        self._failing_since_ms: float | None = None
+        self._retry_at_ms = 0.0
+        self._retry_ms = RETRY_MS
+        self._service_ms = INITIAL_SERVICE_MS
+        self._is_closed = False
+        self._on_failure: Callable[[], object] = lambda: None
+
+    @property
+    def endpoint(self) -> Announcement:
+        """The endpoint as announced."""
+        return self._endpoint
+
+    @property
+    def in_use(self) -> int:
+        """How many statements of this host wait or run there."""
+        return len(self._lent) + len(self._waiters)
+
+    @property
+    def size(self) -> int:
+        """How many connections are open or being opened."""
+        return len(self._idle) + len(self._lent) + self._connecting
+
+    @property
+    def service_ms(self) -> float:
+        """The moving average of how long a statement takes there."""
+        return self._service_ms
+
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether a connection could be had without waiting for another caller."""
+        return bool(self._idle) or self.size < self._limit
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether an attempt is worth while now."""
+        if self._is_closed:
+            return False
+        is_failing = self._failing_since_ms is not None
+        return not is_failing or self._timers.now_ms() >= self._retry_at_ms
+
+    @property
+    def failing_ms(self) -> float:
+        """For how long every attempt has failed; 0 when the last one did not."""
+        if self._failing_since_ms is None:
+            return 0.0
+        return self._timers.now_ms() - self._failing_since_ms
+
+    def set_failure_listener(self, listener: Callable[[], object]) -> None:
+        """Call back when attempts begin to fail."""
+        self._on_failure = listener
+
+    def update(self, endpoint: Announcement, limit: int) -> None:
+        """Take a newer announcement of the same incarnation, and a new limit."""
+        self._endpoint = endpoint
+        self._limit = limit
+
+    def acquire(
+        self, priority: int, profile: SessionProfile, wait_ms: float
+    ) -> Promise[Result[PooledSession, ConnectFailed]]:
+        """Return a connection, to be released, or why there is none in time."""
+        waiter = _Waiter(priority, profile, Promise())
+        if self._is_closed:
+            waiter.granted.resolve(Err(ConnectFailed("the endpoint is gone")))
+            return waiter.granted
+        self._enqueue(waiter)
+        self._serve()
+        if not waiter.granted.is_done:
+            late = Err(ConnectFailed("no connection was free in time"))
+            timer = self._timers.call_later(
+                wait_ms, lambda: waiter.granted.resolve(late)
+            )
+            waiter.granted.add_callback(timer.cancel)
+        return waiter.granted
+
+    def release(self, session: PooledSession) -> None:
+        """Take a connection back; one that is not clean is closed."""
+        self._lent.discard(session)
+        if session.is_reusable and not self._is_closed:
+            self._idle.append(session)
+        else:
+            session.close()
+        self._serve()
+
+    def note_success(self, duration_ms: float) -> None:
+        """Record an answer of the endpoint."""
+        self._failing_since_ms = None
+        self._retry_ms = RETRY_MS
+        self._service_ms += SMOOTHING * (duration_ms - self._service_ms)
+
+    def note_failure(self) -> None:
+        """Record that the endpoint did not answer."""
+        now_ms = self._timers.now_ms()
+        is_first = self._failing_since_ms is None
+        if self._failing_since_ms is None:
+            self._failing_since_ms = now_ms
+        self._retry_at_ms = now_ms + self._retry_ms
+        self._retry_ms = min(RETRY_MAX_MS, 2 * self._retry_ms)
+        if is_first:
+            self._on_failure()
+
+    def close(self) -> None:
+        """Close what is idle; lent connections are closed as they come back."""
+        self._is_closed = True
+        for session in self._idle:
+            session.close()
+        self._idle.clear()
+        self._refuse_waiters(ConnectFailed("the endpoint is gone"))
+
+    def _enqueue(self, waiter: _Waiter) -> None:
+        """Insert behind all waiters of the same or a higher priority."""
+        place = len(self._waiters)
+        while place > 0 and self._waiters[place - 1].priority > waiter.priority:
+            place -= 1
+        self._waiters.insert(place, waiter)
+
+    def _serve(self) -> None:
+        while self._waiters:
+            if self._waiters[0].granted.is_done:
+                self._waiters.popleft()
+                continue
+            session = self._take_idle(self._waiters[0].profile)
+            if session is None:
+                break
+            self._lent.add(session)
+            waiter = self._waiters.popleft()
+            waiter.granted.resolve(Ok(session))
+        waiting = sum(not waiter.granted.is_done for waiter in self._waiters)
+        if waiting > self._connecting and self.size < self._limit:
+            spawn(self._open())
+
+    def _take_idle(self, profile: SessionProfile) -> PooledSession | None:
+        """Return the idle connection that takes the fewest commands to match."""
+        self._idle = [session for session in self._idle if session.is_open]
+        if not self._idle:
+            return None
+        best = min(self._idle, key=lambda session: session.missing_settings(profile))
+        self._idle.remove(best)
+        return best
+
+    async def _open(self) -> None:
+        self._connecting += 1
+        outcome = await self._connector.connect(self._endpoint)
+        self._connecting -= 1
+        if isinstance(outcome, Ok):
+            session = PooledSession(self._endpoint.endpoint, outcome.ok_value)
+            if self._is_closed:
+                session.close()
+                return
+            self._idle.append(session)
+            self._failing_since_ms = None
+            self._retry_ms = RETRY_MS
+            self._serve()
+            return
+        if outcome.err_value.error is not EndpointError.BUSY:
+            self.note_failure()
+        self._refuse_waiters(outcome.err_value)
+
+    def _refuse_waiters(self, failure: ConnectFailed) -> None:
+        """Let those who wait look elsewhere, unless connections will come back."""
+        if self._lent and not self._is_closed:
+            return
+        waiters, self._waiters = self._waiters, deque()
+        for waiter in waiters:
+            waiter.granted.resolve(Err(failure))
--- /dev/null
+++ b/src/azurerelay/pooling/_position_samples.py
@@ -0,0 +1,55 @@
+"""Positions of a primary at known times."""
+
+from collections import deque
+from typing import Final
+
+from azurerelay.statements import Position
+
+MIN_SPACING_MS: Final = 50.0  # samples closer than this add no useful choice
+KEPT_MS: Final = 10_000.0  # longer than any staleness bound in use
+
+
+class PositionSamples:
+    """Tell which position covers all commits that are older than a bound.
+
+    A sample taken at time t says that each commit acknowledged before t is at or
+    below its position, since the endpoint proved after t that it leads.
+    """
+
+    def __init__(self) -> None:
+        self._samples: deque[tuple[float, Position]] = deque()
+
+    @property
+    def newest(self) -> tuple[float, Position] | None:
+        """The newest sample, as time and position."""
+        return self._samples[-1] if self._samples else None
+
+    @property
+    def term(self) -> int:
+        """The newest term seen; 0 before the first sample."""
+        return self._samples[-1][1].term if self._samples else 0
+
+    def add(self, asked_ms: float, position: Position) -> None:
+        """Record that a leading endpoint was at a position after `asked_ms`."""
+        if position.term < self.term:
+            return
+        if position.term > self.term:
+            # Positions of the term before may have been rolled back.
+            self._samples.clear()
+        if self._samples and asked_ms <= self._samples[-1][0]:
+            return
+        is_close = (
+            len(self._samples) > 1 and asked_ms - self._samples[-2][0] < MIN_SPACING_MS
+        )
+        if is_close:
+            self._samples.pop()
+        self._samples.append((asked_ms, position))
+        while asked_ms - self._samples[0][0] > KEPT_MS:
+            self._samples.popleft()
+
+    def covering(self, not_before_ms: float) -> Position | None:
+        """Return the lowest position that covers all commits before a time."""
+        for asked_ms, position in self._samples:
+            if asked_ms >= not_before_ms:
+                return position
+        return None
--- /dev/null
+++ b/src/azurerelay/relay/__init__.py
@@ -0,0 +1,15 @@
+"""An entry host: sessions of callers, connections to endpoints, routing."""
+
+from azurerelay.relay._caller_session import CallerSession
+from azurerelay.relay._group_relay import GroupRelay
+from azurerelay.relay._neighbourhood import Neighbourhood
+from azurerelay.relay._primary_tracker import PrimaryTracker
+from azurerelay.relay._relay_node import RelayNode
+
+__all__ = [
+    "CallerSession",
+    "GroupRelay",
+    "Neighbourhood",
+    "PrimaryTracker",
+    "RelayNode",
+]
--- /dev/null
+++ b/src/azurerelay/relay/_group_relay.py
@@ -0,0 +1,361 @@
+"""One group of endpoints as one entry host uses it."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from result import Err, Result
+
+from azurerelay.discovery import Announcement
+from azurerelay.events import EndpointLost, EndpointRegained, EventLog, PrimaryProven
+from azurerelay.pooling import (
+    EndpointPool,
+    EndpointView,
+    PooledSession,
+    PositionSamples,
+    SessionProfile,
+    choose_endpoint,
+)
+from azurerelay.relay._neighbourhood import Neighbourhood
+from azurerelay.relay._primary_tracker import PrimaryTracker
+from azurerelay.statements import (
+    ConnectFailed,
+    DropTransaction,
+    EndpointConnector,
+    EndpointError,
+    EndpointReply,
+    OpenTransaction,
+    Position,
+)
+from azurerelay.timing import Promise, TimerService, spawn, within
+
+PROOF_TIMEOUT_MS: Final = 600.0  # 25 round trips between regions
+# Positions are refreshed at this pace while reads ask for them; a third of the
+# tightest staleness bound in use.
+REFRESH_MS: Final = 500.0
+# A draining endpoint takes new work no longer than this after it was first seen to
+# drain; the platform allows seven seconds from its acknowledged report.
+DRAINING_USE_MS: Final = 5_000.0
+# An endpoint that control no longer lists is kept this long if it still answers.
+UNLISTED_KEPT_MS: Final = 20_000.0
+PROOF_PRIORITY: Final = -1  # before all callers
+
+
+@dataclass(slots=True)
+class _Member:
+    """An endpoint with this host's connections to it."""
+
+    pool: EndpointPool
+    draining_since_ms: float | None = None
+    unlisted_since_ms: float | None = None
+    position: Position | None = None
+    position_ms: float = 0.0
+
+
+class GroupRelay:
+    """Connections, positions and the leader of a group.
+
+    A leader is believed by proof only: it must have opened a transaction that may
+    write, which an endpoint refuses once it has lost the lead. The position stated
+    then covers every commit acknowledged before the question, so that any endpoint
+    whose log has that position may serve the read. No lease is needed, and a
+    promotion need not wait for one to end.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        connector: EndpointConnector,
+        neighbourhood: Neighbourhood,
+        timers: TimerService,
+        random_source: random.Random,
+        events: EventLog,
+    ) -> None:
+        self._name = name
+        self._connector = connector
+        self._neighbourhood = neighbourhood
+        self._timers = timers
+        self._random = random_source
+        self._events = events
+        self._members: dict[str, _Member] = {}
+        self._tracker = PrimaryTracker()
+        self._samples = PositionSamples()
+        self._proof: Promise[Position | None] | None = None
+        self._next_proof: Promise[Position | None] | None = None
+        self._proof_session: PooledSession | None = None
+        self._changed: Promise[None] = Promise()
+        self._failed_proofs_since_ms: float | None = None
+        self._suspect: str | None = None
+
+    @property
+    def name(self) -> str:
+        """The group's name."""
+        return self._name
+
+    @property
+    def samples(self) -> PositionSamples:
+        """Positions that a leader was at."""
+        return self._samples
+
+    def changed(self) -> Promise[None]:
+        """Return a promise that is resolved at the next change of endpoints."""
+        return self._changed
+
+    def suspicion(self) -> tuple[str, float] | None:
+        """Return the leader that does not answer, and for how long, in ms."""
+        if self._suspect is None or self._failed_proofs_since_ms is None:
+            return None
+        return self._suspect, self._timers.now_ms() - self._failed_proofs_since_ms
+
+    def update(self, endpoints: Iterable[Announcement], connection_limit: int) -> None:
+        """Take the group's newest announcements and the limit for each endpoint."""
+        now_ms = self._timers.now_ms()
+        listed = {endpoint.endpoint: endpoint for endpoint in endpoints}
+        for endpoint in listed.values():
+            self._update_member(endpoint, connection_limit, now_ms)
+        for name, member in list(self._members.items()):
+            if name in listed:
+                member.unlisted_since_ms = None
+            elif member.unlisted_since_ms is None:
+                member.unlisted_since_ms = now_ms
+            elif now_ms - member.unlisted_since_ms > UNLISTED_KEPT_MS:
+                self._remove(name)
+        self._tracker.update(member.pool.endpoint for member in self._members.values())
+        self._notify()
+
+    def depart(self, endpoint: str, incarnation: int) -> None:
+        """Stop to use an endpoint that is gone."""
+        member = self._members.get(endpoint)
+        if member is not None and member.pool.endpoint.incarnation <= incarnation:
+            self._remove(endpoint)
+            self._tracker.update(m.pool.endpoint for m in self._members.values())
+
+    def close(self) -> None:
+        """Close all connections."""
+        for name in list(self._members):
+            self._remove(name)
+
+    # Reads
+
+    def covering_position(self, max_staleness_ms: float) -> Position | None:
+        """Return a position no staler than the bound, and refresh it in time."""
+        now_ms = self._timers.now_ms()
+        newest = self._samples.newest
+        if newest is None or now_ms - newest[0] > min(REFRESH_MS, max_staleness_ms / 3):
+            if self._proof is None:
+                self.prove()
+        return self._samples.covering(now_ms - max_staleness_ms)
+
+    def choose(
+        self, required: Position | None, excluded: frozenset[str]
+    ) -> EndpointPool | None:
+        """Return the pool that should serve a read; None when there is none."""
+        primary = self.primary()
+        primary_name = primary.endpoint.endpoint if primary else None
+        now_ms = self._timers.now_ms()
+        views = [
+            EndpointView(
+                name,
+                self._neighbourhood.round_trip_ms(member.pool.endpoint.failure_domain),
+                member.pool.service_ms,
+                member.pool.in_use,
+                member.pool.has_free_slot,
+                member.position,
+                now_ms - member.position_ms,
+                name == primary_name,
+            )
+            for name, member in self._members.items()
+            if name not in excluded
+            and member.pool.is_usable
+            and (member.draining_since_ms is None or name == primary_name)
+            and self._is_takeable(member, now_ms)
+        ]
+        chosen = choose_endpoint(views, required, self._random)
+        return self._members[chosen.name].pool if chosen else None
+
+    # The leader
+
+    def primary(self) -> EndpointPool | None:
+        """Return the pool of the endpoint that leads, as far as is known."""
+        now_ms = self._timers.now_ms()
+        takeable = [
+            self._members[name].pool
+            for name in self._tracker.ranked(now_ms)
+            if name in self._members and self._is_takeable(self._members[name], now_ms)
+        ]
+        usable = [pool for pool in takeable if pool.is_usable]
+        return usable[0] if usable else None
+
+    def refute(self, endpoint: str) -> None:
+        """Record that an endpoint says that it does not lead."""
+        self._tracker.refute(endpoint, self._timers.now_ms())
+        if self._proof_session and self._proof_session.endpoint == endpoint:
+            self._drop_proof_session()
+
+    def note_commit(self, endpoint: str, asked_ms: float, position: Position) -> None:
+        """Record a commit, which proves as much as a transaction opened."""
+        self._accept_proof(endpoint, asked_ms, position)
+
+    def note_reply(
+        self, pool: EndpointPool, asked_ms: float, reply: EndpointReply
+    ) -> None:
+        """Record an answer: its duration and the endpoint's position."""
+        now_ms = self._timers.now_ms()
+        failing_ms = pool.failing_ms
+        round_trip_ms = self._neighbourhood.round_trip_ms(pool.endpoint.failure_domain)
+        if reply.is_success:
+            pool.note_success(max(0.0, now_ms - asked_ms - round_trip_ms))
+        if failing_ms > 0.0 and reply.is_success:
+            self._events.record(
+                EndpointRegained(pool.endpoint.endpoint, self._name, failing_ms)
+            )
+        member = self._members.get(pool.endpoint.endpoint)
+        if member is not None and reply.position is not None:
+            member.position = reply.position
+            member.position_ms = now_ms
+
+    def note_loss(self, pool: EndpointPool, reason: str) -> None:
+        """Record that an endpoint did not answer."""
+        if pool.failing_ms == 0.0:
+            self._events.record(
+                EndpointLost(pool.endpoint.endpoint, self._name, reason)
+            )
+        pool.note_failure()
+
+    def prove(self) -> Promise[Position | None]:
+        """Return a position that covers all commits acknowledged before now.
+
+        Questions that come while one is under way share the next one.
+        """
+        if self._proof is None:
+            self._proof = Promise()
+            spawn(self._run_proofs())
+            return self._proof
+        if self._next_proof is None:
+            self._next_proof = Promise()
+        return self._next_proof
+
+    async def _run_proofs(self) -> None:
+        while self._proof is not None:
+            position = await self._prove_once()
+            promise = self._proof
+            self._proof, self._next_proof = self._next_proof, None
+            promise.resolve(position)
+
+    async def _prove_once(self) -> Position | None:
+        session = await self._take_proof_session()
+        if session is None:
+            return None
+        asked_ms = self._timers.now_ms()
+        outcome = await within(
+            self._timers, session.send(OpenTransaction()), PROOF_TIMEOUT_MS
+        )
+        pool = self._pool(session.endpoint)
+        if isinstance(outcome, Err) or isinstance(outcome.ok_value, Err):
+            self._drop_proof_session()
+            self._note_failed_proof(session.endpoint)
+            if pool is not None:
+                self.note_loss(pool, "it did not answer a proof of leadership")
+            return None
+        reply = outcome.ok_value.ok_value
+        if reply.error is EndpointError.NOT_PRIMARY:
+            self.refute(session.endpoint)
+            return None
+        if not reply.is_success or reply.position is None:
+            self._drop_proof_session()
+            return None
+        session.send(DropTransaction())
+        self._accept_proof(session.endpoint, asked_ms, reply.position)
+        member = self._members.get(session.endpoint)
+        if member is not None:
+            member.position = reply.position
+            member.position_ms = self._timers.now_ms()
+        return reply.position
+
+    async def _take_proof_session(self) -> PooledSession | None:
+        """Return the connection that is kept for proofs, at the likely leader."""
+        pool = self.primary()
+        if pool is None:
+            return None
+        held = self._proof_session
+        if held is not None:
+            if held.is_open and held.endpoint == pool.endpoint.endpoint:
+                return held
+            self._drop_proof_session()
+        granted: Result[PooledSession, ConnectFailed] = await pool.acquire(
+            PROOF_PRIORITY, SessionProfile(), PROOF_TIMEOUT_MS
+        )
+        if isinstance(granted, Err):
+            if granted.err_value.error is None:
+                self._note_failed_proof(pool.endpoint.endpoint)
+            return None
+        self._proof_session = granted.ok_value
+        return granted.ok_value
+
+    def _drop_proof_session(self) -> None:
+        session, self._proof_session = self._proof_session, None
+        if session is None:
+            return
+        session.close()
+        pool = self._pool(session.endpoint)
+        if pool is not None:
+            pool.release(session)
+
+    def _accept_proof(self, endpoint: str, asked_ms: float, position: Position) -> None:
+        self._samples.add(asked_ms, position)
+        if self._tracker.prove(endpoint, position):
+            self._events.record(PrimaryProven(endpoint, self._name, str(position)))
+            self._notify()
+        self._failed_proofs_since_ms = None
+        self._suspect = None
+
+    def _note_failed_proof(self, endpoint: str) -> None:
+        if self._suspect != endpoint:
+            self._suspect = endpoint
+            self._failed_proofs_since_ms = self._timers.now_ms()
+
+    # Endpoints
+
+    def _update_member(
+        self, endpoint: Announcement, connection_limit: int, now_ms: float
+    ) -> None:
+        member = self._members.get(endpoint.endpoint)
+        if member is not None:
+            before = member.pool.endpoint
+            if endpoint.order < before.order:
+                return
+            is_same = endpoint.incarnation == before.incarnation
+            if not is_same or endpoint.address != before.address:
+                self._remove(endpoint.endpoint)
+                member = None
+        if member is None:
+            pool = EndpointPool(
+                endpoint, self._connector, self._timers, connection_limit
+            )
+            member = _Member(pool)
+            self._members[endpoint.endpoint] = member
+        member.pool.update(endpoint, connection_limit)
+        if not endpoint.is_draining:
+            member.draining_since_ms = None
+        elif member.draining_since_ms is None:
+            member.draining_since_ms = now_ms
+
+    def _is_takeable(self, member: _Member, now_ms: float) -> bool:
+        since_ms = member.draining_since_ms
+        return since_ms is None or now_ms - since_ms < DRAINING_USE_MS
+
+    def _remove(self, name: str) -> None:
+        if self._proof_session and self._proof_session.endpoint == name:
+            self._drop_proof_session()
+        member = self._members.pop(name, None)
+        if member is not None:
+            member.pool.close()
+
+    def _pool(self, endpoint: str) -> EndpointPool | None:
+        member = self._members.get(endpoint)
+        return member.pool if member else None
+
+    def _notify(self) -> None:
+        changed, self._changed = self._changed, Promise()
+        changed.resolve(None)
--- /dev/null
+++ b/src/azurerelay/relay/_neighbourhood.py
@@ -0,0 +1,28 @@
+"""How far failure domains are from each other."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+
+# Used until a connection has been timed; typical for one data centre, one region and
+# two regions.
+SAME_DOMAIN_MS: Final = 0.5
+SAME_REGION_MS: Final = 3.0
+OTHER_REGION_MS: Final = 24.0
+
+
+@dataclass(frozen=True, slots=True)
+class Neighbourhood:
+    """This host's failure domain, and the region of every domain."""
+
+    failure_domain: str
+    regions: Mapping[str, str]
+
+    def round_trip_ms(self, failure_domain: str) -> float:
+        """Return the expected round trip to a failure domain."""
+        if failure_domain == self.failure_domain:
+            return SAME_DOMAIN_MS
+        region = self.regions.get(failure_domain)
+        if region is not None and region == self.regions.get(self.failure_domain):
+            return SAME_REGION_MS
+        return OTHER_REGION_MS
--- /dev/null
+++ b/src/azurerelay/relay/_relay_node.py
@@ -0,0 +1,196 @@
+"""The decisions of an entry host."""
+
+import random
+from collections.abc import Iterable
+from typing import Any, Final
+
+from azurerelay.attachment import (
+    ControlFollower,
+    DirectoryUpdate,
+    PrimarySuspicion,
+    SyncReply,
+)
+from azurerelay.discovery import EndpointDirectory
+from azurerelay.events import DirectoryChanged, EventLog, SessionRefused
+from azurerelay.messages import Link
+from azurerelay.relay._caller_session import CallerSession
+from azurerelay.relay._group_relay import GroupRelay
+from azurerelay.relay._neighbourhood import Neighbourhood
+from azurerelay.routes import Configuration, Route
+from azurerelay.statements import CallerError, EndpointConnector
+from azurerelay.timing import TimerService
+
+# The leader of each group is asked for a proof at least this often, so that its loss
+# is noticed without traffic; as often as endpoints send heartbeats.
+PROOF_INTERVAL_MS: Final = 1_000.0
+SUSPICION_CHECK_MS: Final = 100.0
+SUSPECT_AFTER_MS: Final = 250.0  # one lost proof and a second try
+# The part of an endpoint's connections that all entry hosts may hold together; the
+# rest is for control and for hosts that control has not counted yet.
+CONNECTION_SHARE: Final = 0.9
+
+
+class RelayNode:
+    """Routes, groups and sessions of one entry host."""
+
+    def __init__(
+        self,
+        neighbourhood: Neighbourhood,
+        seeds: Iterable[str],
+        link: Link,
+        connector: EndpointConnector,
+        timers: TimerService,
+        random_source: random.Random,
+        events: EventLog,
+    ) -> None:
+        self._neighbourhood = neighbourhood
+        self._connector = connector
+        self._timers = timers
+        self._random = random_source
+        self._events = events
+        self._directory = EndpointDirectory()
+        self._groups: dict[str, GroupRelay] = {}
+        self._routes: dict[str, Route] = {}
+        self._entry_hosts = 1
+        self._follower = ControlFollower(
+            neighbourhood.failure_domain, seeds, link, timers, random_source, events
+        )
+
+    @property
+    def version(self) -> int:
+        """The version of the configuration in force; -1 before the first."""
+        return self._follower.version
+
+    @property
+    def follower(self) -> ControlFollower:
+        """The link to control."""
+        return self._follower
+
+    @property
+    def transaction_idle_ms(self) -> int:
+        """How long a transaction may rest."""
+        configuration = self._follower.configuration
+        return configuration.transaction_idle_ms if configuration else 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers can be served: routes and endpoints are known."""
+        return self.version >= 0 and bool(self._directory.announcements)
+
+    def start(self) -> None:
+        """Begin to follow control."""
+        self._follower.start(self._suspicions, self._on_change)
+        self._timers.subscribe(PROOF_INTERVAL_MS, self._prove_leaders)
+        self._timers.subscribe(SUSPICION_CHECK_MS, self._report_suspicions)
+
+    def stop(self) -> None:
+        """Close all connections to endpoints."""
+        for group in self._groups.values():
+            group.close()
+
+    def on_message(self, sender: str, message: Any) -> None:
+        """Handle a message of a control host."""
+        if isinstance(message, SyncReply):
+            self._follower.on_reply(sender, message)
+            if self._follower.entry_hosts != self._entry_hosts:
+                self._entry_hosts = self._follower.entry_hosts
+                self._update_groups()
+
+    def open_session(self, database: str) -> CallerSession | CallerError:
+        """Return a session, or why there is none."""
+        if self.version < 0:
+            self._events.record(SessionRefused(database, "no configuration", -1))
+            return CallerError.BUSY
+        if database not in self._routes:
+            self._events.record(
+                SessionRefused(database, "no route has this name", self.version)
+            )
+            return CallerError.UNKNOWN_DATABASE
+        return CallerSession(database, self, self._timers, self._events)
+
+    def find(self, database: str) -> tuple[Route, GroupRelay] | None:
+        """Return the route of a database name and its group."""
+        route = self._routes.get(database)
+        group = self._groups.get(route.group) if route else None
+        return (route, group) if route and group else None
+
+    def _on_change(self, update: DirectoryUpdate | None) -> None:
+        now_ms = self._timers.now_ms()
+        if update is not None:
+            before = self._directory.revision
+            for departure in update.departures:
+                for group in self._groups.values():
+                    group.depart(departure.endpoint, departure.incarnation)
+            self._directory.merge_all(update.announcements, update.departures, now_ms)
+            if self._directory.revision != before:
+                self._record_directory(update)
+        configuration = self._follower.configuration
+        if configuration is not None:
+            self._apply_configuration(configuration)
+        self._update_groups(update)
+
+    def _apply_configuration(self, configuration: Configuration) -> None:
+        self._routes = {route.database: route for route in configuration.routes}
+        names = {group.name for group in configuration.groups}
+        for name in list(self._groups):
+            if name not in names:
+                self._groups.pop(name).close()
+        for name in names - self._groups.keys():
+            self._groups[name] = GroupRelay(
+                name,
+                self._connector,
+                self._neighbourhood,
+                self._timers,
+                self._random,
+                self._events,
+            )
+
+    def _update_groups(self, update: DirectoryUpdate | None = None) -> None:
+        configuration = self._follower.configuration
+        if configuration is None:
+            return
+        listed = {a.endpoint for a in update.announcements} if update else None
+        for group in configuration.groups:
+            shared = int(group.connection_limit * CONNECTION_SHARE)
+            limit = max(1, shared // self._follower.entry_hosts)
+            self._groups[group.name].update(
+                (
+                    announcement
+                    for announcement in self._directory.group(group.name)
+                    if listed is None or announcement.endpoint in listed
+                ),
+                limit,
+            )
+
+    def _prove_leaders(self) -> None:
+        newest_ms = self._timers.now_ms() - PROOF_INTERVAL_MS
+        for group in self._groups.values():
+            sample = group.samples.newest
+            if sample is None or sample[0] < newest_ms or group.suspicion():
+                group.prove()
+
+    def _suspicions(self) -> tuple[PrimarySuspicion, ...]:
+        return tuple(
+            PrimarySuspicion(group.name, suspicion[0], suspicion[1])
+            for group in self._groups.values()
+            if (suspicion := group.suspicion()) is not None
+            and suspicion[1] >= SUSPECT_AFTER_MS
+        )
+
+    def _report_suspicions(self) -> None:
+        has_suspect = False
+        for group in self._groups.values():
+            if group.suspicion() is not None:
+                group.prove()
+                has_suspect = True
+        if has_suspect and self._suspicions():
+            self._follower.ask_now()
+
+    def _record_directory(self, update: DirectoryUpdate) -> None:
+        endpoints = ", ".join(
+            f"{a.endpoint}@{a.address} {a.group}"
+            f"{' primary' if a.is_primary else ''}"
+            f"{' draining' if a.is_draining else ''}"
+            for a in update.announcements
+        )
+        self._events.record(DirectoryChanged(update.mark.revision, endpoints))
--- /dev/null
+++ b/src/azurerelay/routes/__init__.py
@@ -0,0 +1,21 @@
+"""Routes and groups as operators configure them, replaced as one by version."""
+
+from azurerelay.routes._configuration import Configuration
+from azurerelay.routes._configuration_change import (
+    ConfigurationChange,
+    apply_change,
+    change_between,
+)
+from azurerelay.routes._consistency import Consistency
+from azurerelay.routes._database_group import DatabaseGroup
+from azurerelay.routes._route import Route
+
+__all__ = [
+    "Configuration",
+    "ConfigurationChange",
+    "Consistency",
+    "DatabaseGroup",
+    "Route",
+    "apply_change",
+    "change_between",
+]
--- a/src/azurerelay/daemons/_http_client_protocol.py
+++ b/src/azurerelay/runtime/_http_client_protocol.py
@@ -1,7 +1,7 @@
 """One HTTP/1.1 client connection with a parser from a library."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -50,7 +50,9 @@
         transport = self._transport
         return transport is not None and not transport.is_closing()
 
-    def post(self, path: str, body: bytes) -> Promise[HttpResponse | HttpLost]:
+    def post(
+        self, path: str, body: bytes, headers: Mapping[str, str] | None = None
+    ) -> Promise[HttpResponse | HttpLost]:
         """Send a request; the one before must have been answered."""
         promise: Promise[HttpResponse | HttpLost] = Promise()
         transport = self._transport
@@ -58,8 +60,9 @@
             promise.resolve(HttpLost("the connection is not free"))
             return promise
         self._promise = promise
+        more = "".join(f"{k}: {v}\r\n" for k, v in (headers or {}).items())
         head = (
-            f"POST {path} HTTP/1.1\r\nHost: {self._host}\r\n"
+            f"POST {path} HTTP/1.1\r\nHost: {self._host}\r\n{more}"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
         transport.write(head.encode("ascii") + body)
--- a/src/azurerelay/runtime/_zmq_link.py
+++ b/src/azurerelay/runtime/_zmq_link.py
@@ -28,7 +28,8 @@
     """Send and receive typed messages; a full queue or a bad frame drops one.
 
     Sending never waits: what the socket's bounded queue does not take is dropped
-    and counted, and the decisions above repeat what matters.
+    and counted, and the decisions above repeat what matters. Peers are found by
+    `learn`, or by their names, `ADDRESS` or `ADDRESS#ANYTHING`, if these hold them.
     """
 
     def __init__(
@@ -37,7 +38,9 @@
         address: str,
         codec: TaggedCodec,
         keys: KeySet | None = None,
+        names_hold_addresses: bool = False,
     ) -> None:
+        self._names_hold_addresses = names_hold_addresses
         self._name = name.encode()
         self._address = address
         self._codec = codec
@@ -174,6 +177,8 @@
 
     def _connect(self, peer: str) -> zmq.Socket[bytes] | None:
         address = self._peers.get(peer)
+        if address is None and self._names_hold_addresses:
+            address = peer.partition("#")[0]
         if address is None:
             return None
         socket = self._context.socket(zmq.PUSH)
--- /dev/null
+++ b/src/azurerelay/statements/_caller_reply.py
@@ -0,0 +1,34 @@
+"""What a caller is answered."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from azurerelay.statements._position import Position
+from azurerelay.statements._session_state import SessionState
+
+
+class CallerError(Enum):
+    """Why a statement was not done; some codes promise that nothing is kept."""
+
+    BUSY = "busy"
+    ABORTED = "aborted"
+    NOT_CAUGHT_UP = "not caught up"
+    NOT_PRIMARY = "not primary"
+    FAILED = "failed"
+    TIMED_OUT = "timed out"
+    IN_DOUBT = "in doubt"
+    UNKNOWN_DATABASE = "unknown database"
+    UNKNOWN_NAME = "unknown prepared statement"
+    MALFORMED = "malformed"
+
+
+@dataclass(frozen=True, slots=True)
+class CallerReply:
+    """A whole answer; without `signature` the relay answers for itself."""
+
+    state: SessionState
+    rows: tuple[str, ...] = ()
+    signature: str = ""
+    error: CallerError | None = None
+    error_text: str = ""
+    position: Position | None = None
--- /dev/null
+++ b/src/azurerelay/statements/_endpoint_reply.py
@@ -0,0 +1,58 @@
+"""What an endpoint answers."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from azurerelay.statements._position import Position
+from azurerelay.statements._session_state import SessionState
+
+
+class EndpointError(Enum):
+    """Why an endpoint did not do what it was asked."""
+
+    BUSY = "all slots and the queue are taken"
+    NOT_CAUGHT_UP = "the log lacks the required position"
+    NOT_PRIMARY = "the endpoint does not lead"
+    UNKNOWN_NAME = "no such prepared statement"
+    WRONG_ENDPOINT = "another endpoint or group has this address"
+    TOO_MANY_CONNECTIONS = "the endpoint takes no more connections"
+    FAILED = "the statement failed"
+    TIMED_OUT = "the statement ran out of time"
+    OTHER = "refused"
+
+
+NOT_RUN: Final = frozenset(
+    {
+        EndpointError.BUSY,
+        EndpointError.NOT_CAUGHT_UP,
+        EndpointError.NOT_PRIMARY,
+        EndpointError.UNKNOWN_NAME,
+        EndpointError.WRONG_ENDPOINT,
+        EndpointError.TOO_MANY_CONNECTIONS,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointReply:
+    """A whole answer: rows with the endpoint's signature, or an error."""
+
+    rows: tuple[str, ...]
+    signature: str
+    error: EndpointError | None
+    error_text: str
+    state: SessionState
+    position: Position | None
+    received: Position | None = None
+    """With a status: how far the endpoint's log reaches, applied or not."""
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the statement was done."""
+        return self.error is None
+
+    @property
+    def has_not_run(self) -> bool:
+        """Whether the endpoint says that the statement did not run."""
+        return self.error in NOT_RUN
--- /dev/null
+++ b/src/azurerelay/statements/_session_state.py
@@ -0,0 +1,11 @@
+"""Where a session stands between two statements."""
+
+from enum import Enum
+
+
+class SessionState(Enum):
+    """Whether a transaction is open, and whether it can still succeed."""
+
+    IDLE = "idle"
+    IN_TRANSACTION = "in transaction"
+    FAILED = "failed transaction"
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -10,7 +10,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 PACKAGE = ROOT / "src" / "azurerelay"
-EDGES = {"daemons", "cli"}
+EDGES = {"daemons", "cli", "runtime", "hosts"}
 FILES = {"storage/_folder_disk.py", "traces/_trace.py"}
 IO_MODULES = {
     "asyncio",
