--- a/src/azurerelay/hosts/_run.py
+++ b/src/azurerelay/hosts/_run.py
@@ -15,7 +15,8 @@
 from azurerelay.hosts._control_host import ControlHost, DamagedDiskError
 from azurerelay.hosts._entry_host import EntryHost
 from azurerelay.hosts._json_event_log import JsonEventLog, route_absl
-from azurerelay.platform import SETTINGS_VARIABLE, HostSettings, load_host_settings
+from azurerelay.hosts._settings_file import load_host_settings
+from azurerelay.platform import SETTINGS_VARIABLE, HostSettings
 from azurerelay.runtime import AsyncioTimerService
 
 EXIT_BAD_SETTINGS: Final = 2
--- a/src/azurerelay/platform/__init__.py
+++ b/src/azurerelay/platform/__init__.py
@@ -38,7 +38,6 @@
 from azurerelay.platform._host_settings import (
     SETTINGS_VARIABLE,
     HostSettings,
-    load_host_settings,
     parse_host_settings,
 )
 from azurerelay.platform._line_splitter import MAX_LINE_BYTES, LineSplitter
@@ -72,7 +71,6 @@
     "encode_promotion",
     "encode_ready",
     "encode_start",
-    "load_host_settings",
     "parse_host_settings",
     "parse_position",
 ]
--- a/src/azurerelay/platform/_host_settings.py
+++ b/src/azurerelay/platform/_host_settings.py
@@ -1,7 +1,6 @@
 """The settings file that the platform writes for each process."""
 
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Final
 
 import msgspec
@@ -113,12 +112,3 @@
             ),
         )
     )
-
-
-def load_host_settings(file: Path) -> Result[HostSettings, tuple[Finding, ...]]:
-    """Read a settings file."""
-    try:
-        data = file.read_bytes()
-    except OSError as error:
-        return Err((Finding(str(file), error.strerror or "cannot be read"),))
-    return parse_host_settings(data, str(file))
