A stand-in for the platform on fake time; push each change from what was sent last

Found by the new tests, each failed first: - entry hosts stayed at an old configuration until their next regular request: pushes were computed from the version of the last request. Now from what was sent; a host that misses a push asks at once. - followers learned of a commit with the next heartbeat only, 150 ms later: the leader tells those that have stored the entry at once (announces_commits). - hosts that still missed a replaced primary made the leader promote a second time: suspicions count against the newest claim only. - a write offered in the last moment of its time ended in doubt: it is not offered with less than 150 ms (a quarter of short time-outs) left, and refused as not run.

--- a/src/azurerelay/attachment/_control_follower.py
+++ b/src/azurerelay/attachment/_control_follower.py
@@ -131,7 +131,10 @@
         has_changed = False
         if change is not None and change.version > self.version:
             changed = apply_change(self._configuration, change)
-            if changed is not None:
+            if changed is None:
+                # A push was lost; the answer to this starts from what is here.
+                self._ask()
+            else:
                 self._configuration = changed
                 has_changed = True
                 self._events.record(
--- a/src/azurerelay/attachment/_entry_host_table.py
+++ b/src/azurerelay/attachment/_entry_host_table.py
@@ -1,7 +1,7 @@
 """The entry hosts that follow one control host."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from azurerelay.attachment._messages import (
@@ -131,21 +131,28 @@
 
     def _reply(self, name: str, request: SyncRequest, with_hosts: bool) -> None:
         directory = None
-        if request.directory != self._mark:
+        mark = self._mark
+        if request.directory != mark:
             directory = DirectoryUpdate(
-                self._mark, self._directory.announcements, self._directory.departures
+                mark, self._directory.announcements, self._directory.departures
             )
+        change = self._change_from(request.configuration_version)
         self._link.send(
             name,
             SyncReply(
                 request.sequence,
                 min(1e9, self._leader_silence_ms()),
                 self._entry_hosts(),
-                self._change_from(request.configuration_version),
+                change,
                 directory,
                 self._control_hosts() if with_hosts else (),
             ),
         )
+        # The next change is taken from what was just sent; a host that has not got
+        # it says so with its next request.
+        version = change.version if change else request.configuration_version
+        sent = replace(request, configuration_version=version, directory=mark)
+        self._hosts[name].request = sent
 
     def _change_from(self, version: int) -> ConfigurationChange | None:
         if self._current is None or version >= self._current.version:
--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -58,6 +58,7 @@
     chunk_bytes=64 * 1024,
     snapshot_entries=64,
     has_dynamic_voters=True,
+    announces_commits=True,
 )
 JOIN_INTERVAL_MS: Final = 300.0
 DIGEST_INTERVAL_MS: Final = 1_000.0
--- a/src/azurerelay/cluster/_promotion_duty.py
+++ b/src/azurerelay/cluster/_promotion_duty.py
@@ -96,25 +96,26 @@
                     spawn(self._replace_primary(group.name, reason))
 
     def _health(self, group: str) -> GroupHealth:
-        now_ms = self._timers.now_ms()
-        primaries = tuple(e for e in self._directory.group(group) if e.is_primary)
-        silences = [self._directory.silence_ms(p.endpoint, now_ms) for p in primaries]
-        names = {primary.endpoint for primary in primaries}
+        primaries = self._directory.primaries(group)
+        newest = primaries[0] if primaries else None
+        if newest is None:
+            return GroupHealth(None, 0.0, 0, 0.0, self._entry_hosts())
+        # Hosts that still miss an earlier primary do not speak of this one.
         suspicions = {
             host: suspicion
             for host, suspicion in self._suspicions()
-            if suspicion.group == group and suspicion.endpoint in names
+            if suspicion.group == group and suspicion.endpoint == newest.endpoint
         }
         return GroupHealth(
-            primaries,
-            min(silences, default=0.0),
+            newest,
+            self._directory.silence_ms(newest.endpoint, self._timers.now_ms()),
             len(suspicions),
             max((s.silent_ms for s in suspicions.values()), default=0.0),
             self._entry_hosts(),
         )
 
     async def _replace_primary(self, group: str, reason: str) -> None:
-        failed = tuple(p.endpoint for p in self._health(group).primaries)
+        failed = tuple(p.endpoint for p in self._directory.primaries(group))
         chosen = await self._choose(group, failed)
         if chosen is not None and await self._raft.confirm_leadership():
             endpoint, stated = chosen
--- a/src/azurerelay/cluster/_promotion_policy.py
+++ b/src/azurerelay/cluster/_promotion_policy.py
@@ -19,7 +19,7 @@
 class GroupHealth:
     """What the leader of control knows of a group's primary."""
 
-    primaries: tuple[Announcement, ...]
+    primary: Announcement | None
     primary_silence_ms: float
     suspecting_hosts: int
     longest_suspicion_ms: float
@@ -32,9 +32,9 @@
     Answers crashed, dark and departing primaries. A primary that only control, or
     only a few hosts, cannot reach stays: replacing it would drop its newest commits.
     """
-    if not health.primaries:
+    if health.primary is None:
         return "no endpoint says that it leads"
-    if all(primary.is_draining for primary in health.primaries):
+    if health.primary.is_draining:
         return "the primary is draining"
     needed = max(1.0, SUSPECT_SHARE * health.entry_hosts)
     is_suspect = (
--- a/src/azurerelay/consensus/_raft_config.py
+++ b/src/azurerelay/consensus/_raft_config.py
@@ -11,6 +11,9 @@
     comes back under another name, joins as a learner and is made a voter by an
     entry of the log. Otherwise the voters are fixed, and one that finds its disk
     empty learns under its old name.
+
+    With `announces_commits`, followers learn of a commit at once and not with the
+    next heartbeat, for a message to each.
     """
 
     heartbeat_ms: float = 50.0
@@ -21,3 +24,4 @@
     chunk_bytes: int = 256 * 1024
     snapshot_entries: int = 1000
     has_dynamic_voters: bool = False
+    announces_commits: bool = False
--- a/src/azurerelay/consensus/_raft_node.py
+++ b/src/azurerelay/consensus/_raft_node.py
@@ -555,6 +555,7 @@
             entries = self._log.slice(peer.next_index, count)
             peer.sent_ms = now_ms if entries else None
         previous_term = self._log.term_at(previous) or 0
+        peer.told_commit = min(self._commit_index, previous + len(entries))
         self._link.send(
             voter,
             AppendRequest(
@@ -592,8 +593,15 @@
             if peer.next_index <= self._durable_index:
                 self._send_append(sender, peer)
         self._advance_commit()
+        self._announce_commit(sender, peer)
         self._note_learner(sender, reply.is_learner)
 
+    def _announce_commit(self, voter: str, peer: Peer) -> None:
+        """Tell a follower that what it has just stored is committed."""
+        known = min(self._commit_index, peer.match_index)
+        if self._config.announces_commits and peer.told_commit < known:
+            self._send_append(voter, peer)
+
     def _accept_reply(self, sender: str, reply: AppendReply | SnapshotReply) -> bool:
         if reply.term > self._term:
             self._step_down(reply.term)
@@ -634,6 +642,8 @@
         if candidate > self._commit_index and is_own_term:
             self._commit_index = candidate
             self._apply()
+            for voter, peer in self._peers.items():
+                self._announce_commit(voter, peer)
 
     # Following
 
--- a/src/azurerelay/discovery/_endpoint_directory.py
+++ b/src/azurerelay/discovery/_endpoint_directory.py
@@ -20,6 +20,8 @@
         self._records: dict[str, Announcement] = {}
         self._heard_ms: dict[str, float] = {}
         self._departures: dict[str, tuple[Departure, float]] = {}
+        self._claims: dict[str, int] = {}
+        self._claim_count = 0
         self._revision = 0
 
     @property
@@ -45,6 +47,14 @@
         """Return the endpoints of a group."""
         return tuple(r for r in self._records.values() if r.group == name)
 
+    def primaries(self, group: str) -> tuple[Announcement, ...]:
+        """Return the endpoints that say that they lead, the newest claim first.
+
+        A primary that crashed keeps its claim until it returns or expires.
+        """
+        claimants = [r for r in self.group(group) if r.is_primary]
+        return tuple(sorted(claimants, key=lambda r: -self._claims[r.endpoint]))
+
     def silence_ms(self, endpoint: str, now_ms: float) -> float:
         """Return how long ago an endpoint was last heard of."""
         return now_ms - self._heard_ms.get(endpoint, float("-inf"))
@@ -61,6 +71,7 @@
             if other.incarnation > announcement.incarnation:
                 return False
             self._forget(other.endpoint)
+        self._note_claim(known, announcement)
         self._records[announcement.endpoint] = announcement
         self._heard_ms[announcement.endpoint] = now_ms
         if known is None or not announcement.says_same_as(known):
@@ -113,6 +124,17 @@
             and record.endpoint != announcement.endpoint
         )
 
+    def _note_claim(self, known: Announcement | None, new: Announcement) -> None:
+        is_claim_new = (
+            known is None
+            or not known.is_primary
+            or known.incarnation != new.incarnation
+        )
+        if new.is_primary and is_claim_new:
+            self._claim_count += 1
+            self._claims[new.endpoint] = self._claim_count
+
     def _forget(self, endpoint: str) -> None:
         self._records.pop(endpoint, None)
         self._heard_ms.pop(endpoint, None)
+        self._claims.pop(endpoint, None)
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -49,6 +49,10 @@
 READ_ATTEMPT_FACTOR: Final = 6.0
 READ_ATTEMPT_MIN_MS: Final = 300.0
 
+# A write is not offered to an endpoint with less time left than this: it would end in
+# doubt, where a refusal can still promise that it has not run.
+WRITE_WINDOW_MS: Final = 150.0
+
 _CALLER_ERRORS: Final = {
     EndpointError.BUSY: CallerError.BUSY,
     EndpointError.NOT_CAUGHT_UP: CallerError.NOT_CAUGHT_UP,
@@ -266,7 +270,9 @@
         self, attempt: _Attempt, group: GroupRelay, shape: PreparedShape | None
     ) -> CallerReply:
         """Run a write or open a transaction at the endpoint that leads."""
-        while self._may_retry(attempt):
+        window_ms = min(WRITE_WINDOW_MS, attempt.route.statement_timeout_ms / 4)
+        last_offer_ms = attempt.limit_ms - window_ms
+        while self._timers.now_ms() < last_offer_ms and not self._is_closed:
             pool = group.primary()
             if pool is None:
                 await self._pause(attempt, "no endpoint leads the group", group)
@@ -275,6 +281,9 @@
             if session is None:
                 continue
             asked_ms = self._timers.now_ms()
+            if asked_ms >= last_offer_ms:
+                pool.release(session)
+                break
             outcome = await within(
                 self._timers,
                 session.send(self._command(attempt.statement, shape, None)),
--- /dev/null
+++ b/tests/platform_rig.py
@@ -0,0 +1,790 @@
+"""The platform's side on fake time: servers, promotions, links and disks.
+
+Written from the platform's published protocol. Every read that runs is checked as it
+runs against the commits that were acknowledged before it was asked for.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from result import Err, Ok, Result
+
+from azurerelay.cluster import (
+    ClusterConfig,
+    ClusterNode,
+    PromotionAnswer,
+    PromotionOrder,
+)
+from azurerelay.consensus import Journal
+from azurerelay.discovery import Announcement
+from azurerelay.events import Event
+from azurerelay.relay import CallerSession, Neighbourhood, RelayNode
+from azurerelay.routes import Configuration, Consistency, DatabaseGroup, Route
+from azurerelay.statements import (
+    AskStatus,
+    Begin,
+    CallerReply,
+    Commit,
+    ConnectFailed,
+    ConnectionLost,
+    DropTransaction,
+    EndpointError,
+    EndpointReply,
+    OpenTransaction,
+    Position,
+    PrepareShape,
+    Read,
+    ResetSession,
+    Rollback,
+    RunPrepared,
+    RunText,
+    SessionState,
+    SetSessionValue,
+    Write,
+)
+from azurerelay.storage import MemoryDisk
+from azurerelay.timing import (
+    ManualTimerService,
+    Promise,
+    ScopedTimerService,
+    spawn,
+)
+
+DOMAINS = {"east-1": "east", "west-1": "west", "south-1": "south"}
+GROUP = "ledger"
+DRAIN_MS = 7_000.0
+HEARTBEAT_MS = 1_200.0
+
+
+@dataclass
+class Run:
+    """One statement that an endpoint ran."""
+
+    request_id: str
+    text: str
+    endpoint: str
+    at_ms: float
+    values: dict[str, str]
+    transaction: int | None
+
+
+@dataclass
+class FakeServer:
+    """One endpoint: a log, a lag, slots, and ways to fail."""
+
+    rig: "PlatformRig"
+    name: str
+    group: str
+    address: str
+    domain: str
+    is_primary: bool = False
+    log: list[Position] = field(default_factory=list)
+    applied: int = 0
+    lag_ms: float = 20.0
+    work_ms: float = 8.0
+    slots: int = 3
+    busy: int = 0
+    is_up: bool = True
+    is_silent: bool = False
+    is_draining: bool = False
+    lost_answers: int = 0
+    unreachable_from: set[str] = field(default_factory=set)
+    refuse_next: list[EndpointError] = field(default_factory=list)
+    incarnation: int = 1
+    sequence: int = 0
+    sessions: list["FakeSession"] = field(default_factory=list)
+
+    @property
+    def position(self) -> Position:
+        if self.is_primary:
+            return self.log[-1]
+        return self.log[self.applied - 1]
+
+    def announcement(self) -> Announcement:
+        self.sequence += 1
+        return Announcement(
+            self.name,
+            self.group,
+            self.address,
+            self.domain,
+            self.slots,
+            self.is_draining,
+            self.is_primary,
+            0,
+            self.incarnation,
+            self.sequence,
+        )
+
+    def commit(self) -> Position:
+        position = Position(self.rig.terms[self.group], self.log[-1].number + 1)
+        self.log.append(position)
+        self.applied = len(self.log)
+        for other in self.rig.members(self.group):
+            if other is not self:
+                self.rig.timers.call_later(
+                    2.0, lambda other=other: other.receive(list(self.log))
+                )
+        return position
+
+    def receive(self, log: list[Position]) -> None:
+        if not self.is_up or self.is_primary or len(log) <= len(self.log):
+            return
+        if log[: len(self.log)] != self.log:
+            return
+        self.log = log
+        count = len(log)
+        self.rig.timers.call_later(self.lag_ms, lambda: self._apply(count))
+
+    def _apply(self, count: int) -> None:
+        self.applied = max(self.applied, min(count, len(self.log)))
+
+    def crash(self, silent: bool = False) -> None:
+        self.is_up = False
+        self.is_silent = silent
+        for session in list(self.sessions):
+            session.lose(silent)
+
+    def restart(self) -> None:
+        self.is_up = True
+        self.is_silent = False
+        self.is_primary = self.rig.leaders[self.group] == self.name
+        self.incarnation += 1
+        self.sequence = 0
+        self.rig.catch_up(self)
+
+
+class FakeSession:
+    """A connection from one host to an endpoint."""
+
+    def __init__(self, server: FakeServer, client: str) -> None:
+        self.server = server
+        self.client = client
+        self.state = SessionState.IDLE
+        self.is_read_only = False
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, tuple[str, bool]] = {}
+        self.transaction: int | None = None
+        self.written: list[str] = []
+        self._position: Position | None = server.position
+        self._pending: list[Promise[Any]] = []
+        self._is_closed = False
+        self._ready_ms = 0.0
+        server.sessions.append(self)
+
+    @property
+    def is_open(self) -> bool:
+        return not self._is_closed
+
+    @property
+    def position(self) -> Position | None:
+        return self._position
+
+    def close(self) -> None:
+        self._is_closed = True
+        self.state = SessionState.IDLE
+        if self in self.server.sessions:
+            self.server.sessions.remove(self)
+        for promise in self._pending:
+            promise.resolve(Err(ConnectionLost("closed here")))
+
+    def lose(self, silent: bool) -> None:
+        if silent:
+            return
+        self._is_closed = True
+        if self in self.server.sessions:
+            self.server.sessions.remove(self)
+        for promise in list(self._pending):
+            promise.resolve(Err(ConnectionLost("the endpoint went away")))
+
+    def request(self, command: Any) -> Promise[Result[EndpointReply, ConnectionLost]]:
+        promise: Promise[Result[EndpointReply, ConnectionLost]] = Promise()
+        if self._is_closed:
+            promise.resolve(Err(ConnectionLost("the connection is closed")))
+            return promise
+        self._pending.append(promise)
+        promise.add_callback(lambda: self._pending.remove(promise))
+        rig = self.server.rig
+        distance_ms = rig.distance_ms(self.client, self.server)
+        start_ms = max(rig.timers.now_ms() + distance_ms, self._ready_ms)
+        is_work = isinstance(command, (RunText, RunPrepared, AskStatus))
+        work_ms = self.server.work_ms if is_work else 0.2
+        self._ready_ms = start_ms + work_ms
+        rig.timers.call_later(
+            start_ms - rig.timers.now_ms(),
+            lambda: self._arrive(command, promise, work_ms, distance_ms),
+        )
+        return promise
+
+    def _is_cut(self) -> bool:
+        server = self.server
+        is_cut = self.client in server.unreachable_from
+        return is_cut or self._is_closed or not server.is_up
+
+    def _arrive(
+        self, command: Any, promise: Promise[Any], work_ms: float, distance_ms: float
+    ) -> None:
+        rig = self.server.rig
+        if self._is_cut():
+            return
+        is_work = isinstance(command, (RunText, RunPrepared, AskStatus))
+        self.server.busy += is_work
+        delay_ms = work_ms
+
+        def finish() -> None:
+            self.server.busy -= is_work
+            if self._is_cut():
+                return
+            reply = self._run(command)
+            if is_work and self.server.lost_answers and reply.error is None:
+                self.server.lost_answers -= 1
+                return
+            rig.timers.call_later(distance_ms, lambda: self._answer(promise, reply))
+
+        rig.timers.call_later(delay_ms, finish)
+
+    def _answer(self, promise: Promise[Any], reply: EndpointReply) -> None:
+        if self.client in self.server.unreachable_from:
+            return
+        self._position = reply.position
+        promise.resolve(Ok(reply))
+
+    def _reply(
+        self,
+        error: EndpointError | None = None,
+        rows: tuple[str, ...] = (),
+        signature: str = "-",
+        received: Position | None = None,
+    ) -> EndpointReply:
+        text = error.value if error else ""
+        return EndpointReply(
+            rows, signature, error, text, self.state, self.server.position, received
+        )
+
+    def _run(self, command: Any) -> EndpointReply:
+        if isinstance(command, SetSessionValue):
+            self.values[command.name] = command.value
+            return self._reply()
+        if isinstance(command, PrepareShape):
+            self.prepared[command.name] = (command.shape, command.is_write)
+            return self._reply()
+        if isinstance(command, ResetSession):
+            self.values, self.prepared = {}, {}
+            return self._reply()
+        if isinstance(command, DropTransaction):
+            return self._roll_back()
+        if isinstance(command, AskStatus):
+            return self._reply(received=self.server.log[-1])
+        if isinstance(command, OpenTransaction):
+            return self._begin(False, "-")
+        if self.server.refuse_next:
+            return self._reply(self.server.refuse_next.pop(0))
+        if isinstance(command, RunPrepared):
+            if command.name not in self.prepared:
+                return self._reply(EndpointError.UNKNOWN_NAME)
+            shape, is_write = self.prepared[command.name]
+            kind = "WRITE" if is_write else "READ"
+            return self._run_text(
+                command.request_id, f"{kind} {shape} {command.arguments}", command.after
+            )
+        return self._run_text(command.request_id, command.text, command.after)
+
+    def _run_text(
+        self, request_id: str, text: str, after: Position | None
+    ) -> EndpointReply:
+        server = self.server
+        if after is not None and server.position < after:
+            return self._reply(EndpointError.NOT_CAUGHT_UP)
+        word = text.split(" ")[0]
+        if word == "BEGIN":
+            return self._begin(text.endswith("READ"), request_id)
+        if word == "ROLLBACK":
+            return self._roll_back()
+        if word == "COMMIT":
+            return self._commit(request_id)
+        in_plain = self.state is SessionState.IN_TRANSACTION and not self.is_read_only
+        if (word == "WRITE" or in_plain) and not server.is_primary:
+            if self.state is SessionState.IN_TRANSACTION:
+                self.state = SessionState.FAILED
+            return self._reply(EndpointError.NOT_PRIMARY)
+        rig = server.rig
+        rig.runs.append(
+            Run(
+                request_id,
+                text,
+                server.name,
+                rig.timers.now_ms(),
+                dict(self.values),
+                self.transaction,
+            )
+        )
+        if word == "WRITE":
+            if self.state is SessionState.IN_TRANSACTION:
+                self.written.append(request_id)
+            else:
+                rig.committed.append(request_id)
+                server.commit()
+        else:
+            rig.check_read(request_id, server)
+        return self._reply(None, (f"row of {request_id}",), f"signed {request_id}")
+
+    def _begin(self, is_read_only: bool, request_id: str) -> EndpointReply:
+        if not is_read_only and not self.server.is_primary:
+            return self._reply(EndpointError.NOT_PRIMARY)
+        self.server.rig.transactions += 1
+        self.transaction = self.server.rig.transactions
+        self.is_read_only = is_read_only
+        self.state = SessionState.IN_TRANSACTION
+        self.written = []
+        return self._reply()
+
+    def _commit(self, request_id: str) -> EndpointReply:
+        if self.state is SessionState.FAILED:
+            self._end()
+            return self._reply(EndpointError.FAILED)
+        if self.written and not self.server.is_primary:
+            self._end()
+            return self._reply(EndpointError.NOT_PRIMARY)
+        if self.written:
+            self.server.rig.committed.extend(self.written)
+            self.server.commit()
+        self._end()
+        return self._reply(None, (), f"signed {request_id}")
+
+    def _roll_back(self) -> EndpointReply:
+        self._end()
+        return self._reply()
+
+    def _end(self) -> None:
+        self.state = SessionState.IDLE
+        self.transaction = None
+        self.written = []
+
+
+class FakeConnector:
+    """Connections of one host to all endpoints."""
+
+    def __init__(self, rig: "PlatformRig", client: str) -> None:
+        self._rig = rig
+        self._client = client
+
+    def connect(self, endpoint: Announcement) -> Promise[Any]:
+        promise: Promise[Any] = Promise()
+        server = self._rig.servers.get(endpoint.endpoint)
+        rig = self._rig
+
+        def finish() -> None:
+            if server is None or not server.is_up:
+                if server is None or not server.is_silent:
+                    promise.resolve(Err(ConnectFailed("connection refused")))
+                return
+            if self._client in server.unreachable_from:
+                return
+            rig.connections += 1
+            promise.resolve(Ok(FakeSession(server, self._client)))
+
+        delay_ms = 2 * rig.distance_ms(self._client, server) + 12.0 if server else 1.0
+        rig.timers.call_later(delay_ms, finish)
+        rig.timers.call_later(
+            900.0, lambda: promise.resolve(Err(ConnectFailed("no session in time")))
+        )
+        return promise
+
+
+class FakePromotions:
+    """The platform's promotions: fenced, and sometimes unanswered and late."""
+
+    def __init__(self, rig: "PlatformRig") -> None:
+        self._rig = rig
+        self.orders: list[PromotionOrder] = []
+        self.unanswered = 0
+        self.late_ms = 4_000.0
+
+    def promote(self, order: PromotionOrder) -> Promise[PromotionAnswer]:
+        self.orders.append(order)
+        promise: Promise[PromotionAnswer] = Promise()
+        timers = self._rig.timers
+        if self.unanswered:
+            self.unanswered -= 1
+            timers.call_later(self.late_ms, lambda: self._execute(order))
+            timers.call_later(
+                800.0, lambda: promise.resolve(PromotionAnswer(False, False, False, 0))
+            )
+            return promise
+        timers.call_later(10.0, lambda: promise.resolve(self._execute(order)))
+        return promise
+
+    def _execute(self, order: PromotionOrder) -> PromotionAnswer:
+        rig = self._rig
+        seen = rig.fences.get(order.group, 0)
+        server = rig.servers.get(order.endpoint)
+        if order.fencing_token < seen or server is None or not server.is_up:
+            return PromotionAnswer(True, False, True, 409)
+        rig.fences[order.group] = order.fencing_token
+        if rig.leaders[order.group] != order.endpoint:
+            rig.timers.call_later(rig.promote_ms, lambda: rig.switch(server))
+        return PromotionAnswer(True, True, False, 200)
+
+
+class _RigLink:
+    """Links between hosts, which can be cut."""
+
+    def __init__(self, rig: "PlatformRig", name: str) -> None:
+        self._rig = rig
+        self._name = name
+
+    def send(self, peer: str, message: Any) -> None:
+        self._rig.deliver(self._name, peer, message)
+
+
+class EventRecorder:
+    """Keep all events."""
+
+    def __init__(self) -> None:
+        self.events: list[Event] = []
+
+    def record(self, event: Event) -> None:
+        self.events.append(event)
+
+    def of(self, kind: type[Event]) -> list[Any]:
+        return [event for event in self.events if isinstance(event, kind)]
+
+
+def route(
+    database: str, consistency: Consistency, bound_ms: int = 1_500, **fields: Any
+) -> Route:
+    values: dict[str, Any] = {
+        "name": f"r-{database}",
+        "database": database,
+        "group": GROUP,
+        "consistency": consistency,
+        "statement_timeout_ms": 1_000,
+        "target_latency_ms": 500,
+        "priority": 1,
+        "max_staleness_ms": bound_ms,
+        "max_attempts": 2,
+    }
+    return Route(**(values | fields))
+
+
+def configuration(version: int = 1, **fields: Any) -> Configuration:
+    routes = (
+        route("strict", Consistency.PRIMARY),
+        route("bounded", Consistency.BOUNDED),
+        route("own", Consistency.OWN_WRITES, 2_500),
+    )
+    values: dict[str, Any] = {
+        "version": version,
+        "routes": routes,
+        "groups": (DatabaseGroup(GROUP, 45, 0),),
+        "document": f"document {version}".encode(),
+    }
+    return Configuration(**(values | fields))
+
+
+class PlatformRig:
+    """Servers, entry hosts and control hosts, driven step by step."""
+
+    def __init__(
+        self, entry_hosts: int = 3, control_hosts: int = 5, seed: int = 1
+    ) -> None:
+        self.timers = ManualTimerService(start_ms=50_000.0)
+        self.random = random.Random(seed)
+        self.events = EventRecorder()
+        self.runs: list[Run] = []
+        self.committed: list[str] = []
+        self.stale: list[str] = []
+        self.expected: dict[str, Position] = {}
+        self.acknowledged: list[tuple[float, Position]] = []
+        self.own_commits: dict[CallerSession, list[Position]] = {}
+        self.transactions = 0
+        self.connections = 0
+        self.servers: dict[str, FakeServer] = {}
+        self.leaders: dict[str, str] = {}
+        self.terms: dict[str, int] = {}
+        self.fences: dict[str, int] = {}
+        self.promote_ms = 600.0
+        self.promotions = FakePromotions(self)
+        self.cut: set[frozenset[str]] = set()
+        self.cut_one_way: set[tuple[str, str]] = set()
+        self.entries: dict[str, RelayNode] = {}
+        self.controls: dict[str, ClusterNode] = {}
+        self.disks: dict[str, MemoryDisk] = {}
+        self.identities: dict[str, str] = {}
+        self.scopes: dict[str, ScopedTimerService] = {}
+        self.addresses = [f"10.0.0.{n}:7440" for n in range(1, control_hosts + 1)]
+        self.seeds = tuple(self.addresses[:3])
+        self.entry_count = entry_hosts
+        self._request = 0
+        self._next_disk = 0
+
+    # Set-up
+
+    def add_group(self, group: str = GROUP) -> None:
+        self.terms[group] = 3
+        for number, domain in enumerate(DOMAINS, start=1):
+            name = f"{group}-{number}"
+            self.servers[name] = FakeServer(
+                self,
+                name,
+                group,
+                f"10.9.{len(self.servers)}.1:9000",
+                domain,
+                is_primary=number == 1,
+                log=[Position(3, 1)],
+                applied=1,
+            )
+        self.leaders[group] = f"{group}-1"
+
+    def start_control(self, address: str, first: bool = False) -> ClusterNode:
+        founders = tuple(f"{seed}#first" for seed in self.seeds)
+        if address not in self.disks:
+            self.disks[address] = MemoryDisk()
+            self._next_disk += 1
+            is_founder = first and address in self.seeds
+            self.identities[address] = "first" if is_founder else f"{self._next_disk}"
+        identity = self.identities[address]
+        name = f"{address}#{identity}"
+        scope = ScopedTimerService(self.timers)
+        journal = Journal(self.disks[address])
+        domain = list(DOMAINS)[self.addresses.index(address) % 3]
+        node = ClusterNode(
+            ClusterConfig(
+                name,
+                domain,
+                f"control at {address}",
+                self.seeds,
+                founders if identity == "first" else (),
+                2,
+                HEARTBEAT_MS,
+            ),
+            _RigLink(self, name),
+            FakeConnector(self, address),
+            self.promotions,
+            scope,
+            random.Random(self.random.random()),
+            journal,
+            journal.load().ok_value,
+            self.events,
+        )
+        self.controls[address] = node
+        self.scopes[address] = scope
+        node.start()
+        return node
+
+    def stop_control(self, address: str, lose_disk: bool = False) -> None:
+        self.scopes[address].close()
+        del self.controls[address]
+        self.disks[address].crash(self.random)
+        if lose_disk:
+            del self.disks[address]
+
+    def start_entry(self, number: int) -> RelayNode:
+        address = f"10.1.0.{number}:7440"
+        domain = list(DOMAINS)[(number - 1) % 3]
+        scope = ScopedTimerService(self.timers)
+        node = RelayNode(
+            Neighbourhood(domain, DOMAINS),
+            self.seeds,
+            _RigLink(self, address),
+            FakeConnector(self, address),
+            scope,
+            random.Random(self.random.random()),
+            self.events,
+        )
+        self.entries[address] = node
+        self.scopes[address] = scope
+        node.start()
+        return node
+
+    def start(self, first_version: int = 1) -> None:
+        """Start everything, and wait until callers can be served."""
+        if not self.servers:
+            self.add_group()
+        for address in self.addresses:
+            self.start_control(address, first=True)
+        for number in range(1, self.entry_count + 1):
+            self.start_entry(number)
+        self.timers.subscribe(HEARTBEAT_MS, self.send_heartbeats)
+        self.wait_for(lambda: self.leader is not None and len(self.voters) == 5)
+        self.send_heartbeats()
+        assert self.replace(configuration(first_version))
+        self.wait_for(lambda: all(e.is_ready for e in self.entries.values()))
+        self.timers.advance(1_500.0)
+
+    @property
+    def leader(self) -> ClusterNode | None:
+        ready = [n for n in self.controls.values() if n.raft.is_ready_leader]
+        return max(ready, key=lambda node: node.raft.term, default=None)
+
+    @property
+    def voters(self) -> frozenset[str]:
+        leader = self.leader
+        return leader.raft.voters if leader else frozenset()
+
+    def wait_for(self, is_met: Callable[[], bool], limit_ms: float = 20_000.0) -> None:
+        if not self.timers.advance_until(is_met, limit_ms):
+            raise AssertionError("the condition was not met in time")
+
+    def wait(self, promise: Promise[Any], limit_ms: float = 20_000.0) -> Any:
+        self.wait_for(lambda: promise.is_done, limit_ms)
+        return promise.value
+
+    # Operators
+
+    def replace(self, wanted: Configuration, address: str | None = None) -> bool:
+        for _ in range(20):
+            at = address or self.random.choice(list(self.controls))
+            outcome = self.wait(self.controls[at].replace_configuration(wanted))
+            if outcome.value == "durable":
+                return True
+            if address is not None:
+                return False
+            self.timers.advance(200.0)
+        return False
+
+    # Servers
+
+    def members(self, group: str) -> list[FakeServer]:
+        return [s for s in self.servers.values() if s.group == group]
+
+    def primary(self, group: str = GROUP) -> FakeServer:
+        return self.servers[self.leaders[group]]
+
+    def replicas(self, group: str = GROUP) -> list[FakeServer]:
+        return [s for s in self.members(group) if s.name != self.leaders[group]]
+
+    def send_heartbeats(self) -> None:
+        for server in self.servers.values():
+            if server.is_up:
+                self.send_heartbeat(server)
+
+    def send_heartbeat(self, server: FakeServer) -> Promise[bool] | None:
+        reachable = [a for a in self.controls if a not in server.unreachable_from]
+        if not reachable:
+            return None
+        at = self.random.choice(reachable)
+        return self.controls[at].announce(server.announcement())
+
+    def switch(self, server: FakeServer) -> None:
+        """Let a server lead the next term with what it has received."""
+        old = self.servers[self.leaders[server.group]]
+        old.is_primary = False
+        self.terms[server.group] += 1
+        self.leaders[server.group] = server.name
+        server.is_primary = True
+        server.applied = len(server.log)
+        last = server.log[-1].number
+        server.log.append(Position(self.terms[server.group], last + 1))
+        server.applied = len(server.log)
+        kept = set(server.log)
+        self.acknowledged = [a for a in self.acknowledged if a[1] in kept]
+        for other in self.members(server.group):
+            if other is not server:
+                self.catch_up(other)
+        for changed in (old, server):
+            if changed.is_up:
+                self.send_heartbeat(changed)
+
+    def catch_up(self, server: FakeServer) -> None:
+        leader = self.primary(server.group)
+        if server is leader or not server.is_up:
+            return
+        common = [p for p in server.log if p in set(leader.log)]
+        server.log = common
+        server.applied = min(server.applied, len(common))
+        server.receive(list(leader.log))
+
+    # Callers
+
+    def open(self, database: str, entry: int = 1) -> CallerSession:
+        session = self.entries[f"10.1.0.{entry}:7440"].open_session(database)
+        assert isinstance(session, CallerSession)
+        return session
+
+    def send(
+        self, session: CallerSession, text: str, bound_ms: float = 0.0
+    ) -> Promise[CallerReply]:
+        """Send a statement, and note what a read of it must see."""
+        self._request += 1
+        request_id = f"q{self._request}"
+        now_ms = self.timers.now_ms()
+        due = [p for at_ms, p in self.acknowledged if at_ms <= now_ms - bound_ms]
+        due += self.own_commits.get(session, [])
+        if due:
+            self.expected[request_id] = max(due)
+        promise = spawn(session.handle(statement_of(request_id, text)))
+        is_write = text.startswith("WRITE") or text == "COMMIT"
+
+        def note() -> None:
+            reply = promise.value
+            if is_write and reply.error is None and reply.position:
+                self.acknowledged.append((self.timers.now_ms(), reply.position))
+                if session.database == "own":
+                    self.own_commits.setdefault(session, []).append(reply.position)
+
+        promise.add_callback(note)
+        return promise
+
+    def run(
+        self, session: CallerSession, text: str, bound_ms: float = 0.0
+    ) -> CallerReply:
+        reply: CallerReply = self.wait(self.send(session, text, bound_ms))
+        return reply
+
+    def check_read(self, request_id: str, server: FakeServer) -> None:
+        """Note a read that runs on a log without a commit that it must see."""
+        expected = self.expected.get(request_id)
+        alive = {p for _, p in self.acknowledged}
+        if expected is None or expected not in alive:
+            return
+        if expected not in server.log[: server.applied]:
+            self.stale.append(f"{request_id} at {server.name} lacks {expected}")
+
+    # Links
+
+    def distance_ms(self, client: str, server: FakeServer) -> float:
+        return 0.5 if client.startswith("10.1.0.1:") else 6.0
+
+    def deliver(self, sender: str, peer: str, message: Any) -> None:
+        ends = sender.partition("#")[0], peer.partition("#")[0]
+        if frozenset(ends) in self.cut or ends in self.cut_one_way:
+            return
+        delay_ms = self.random.uniform(1.0, 12.0)
+        self.timers.call_later(delay_ms, lambda: self._arrive(sender, peer, message))
+
+    def _arrive(self, sender: str, peer: str, message: Any) -> None:
+        address = peer.partition("#")[0]
+        node: Any = self.controls.get(address) or self.entries.get(address)
+        if node is None:
+            return
+        scope = self.scopes[address]
+        scope.run(lambda: node.on_message(sender, message))
+
+    def isolate(self, address: str, others: list[str]) -> None:
+        self.cut |= {frozenset((address, other)) for other in others}
+
+    def heal(self) -> None:
+        self.cut.clear()
+        self.cut_one_way.clear()
+
+
+def statement_of(request_id: str, text: str) -> Any:
+    """Return a statement as the adapter decodes it."""
+    from azurerelay.platform import decode_caller_line
+
+    return decode_caller_line(f"QUERY {request_id} {text}").ok_value
+
+
+__all__ = [
+    "GROUP",
+    "Begin",
+    "Commit",
+    "PlatformRig",
+    "Read",
+    "Rollback",
+    "Write",
+    "configuration",
+    "route",
+]
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,294 @@
+"""Statements of callers against the stand-in platform, on fake time."""
+
+import unittest
+
+from azurerelay.relay import PrimaryTracker
+from azurerelay.statements import CallerError, EndpointError, Position, SessionState
+from tests.platform_rig import GROUP, PlatformRig
+
+
+class RelayCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.rig = PlatformRig()
+        self.rig.start()
+
+    def tearDown(self) -> None:
+        self.assertEqual(self.rig.stale, [])
+        self.assertEqual(len(self.rig.committed), len(set(self.rig.committed)))
+
+
+class StatementsTest(RelayCase):
+    def test_reads_and_writes_of_all_kinds_are_answered_with_a_signature(self) -> None:
+        for database, bound_ms in (("strict", 0.0), ("bounded", 1.5e3), ("own", 2.5e3)):
+            session = self.rig.open(database)
+            for text in ("WRITE a x", "READ a"):
+                with self.subTest(database=database, text=text):
+                    reply = self.rig.run(session, text, bound_ms)
+                    self.assertIsNone(reply.error)
+                    self.assertTrue(reply.signature.startswith("signed "))
+
+    def test_a_session_reads_its_own_write_on_replicas_that_lag(self) -> None:
+        for replica in self.rig.replicas():
+            replica.lag_ms = 3_000.0
+        session = self.rig.open("own")
+        for _ in range(5):
+            self.assertIsNone(self.rig.run(session, "WRITE a x").error)
+            self.assertIsNone(self.rig.run(session, "READ a", 2_500.0).error)
+
+    def test_replicas_serve_bounded_reads(self) -> None:
+        session = self.rig.open("bounded")
+        for _ in range(60):
+            self.rig.run(session, "READ a", 1_500.0)
+            self.rig.timers.advance(40.0)
+        served = {run.endpoint for run in self.rig.runs}
+        self.assertTrue(served - {self.rig.primary().name})
+
+    def test_values_and_prepared_statements_do_not_mix_between_callers(self) -> None:
+        sessions = [self.rig.open("bounded") for _ in range(6)]
+        for number, session in enumerate(sessions):
+            self.rig.run(session, f"SET zone z{number}")
+            self.rig.run(session, f"PREPARE same READ shape{number}")
+        promises = []
+        for _ in range(4):
+            for session in sessions:
+                promises.append(self.rig.send(session, "EXECUTE same item"))
+            self.rig.timers.advance(2_000.0)
+        self.assertTrue(all(p.is_done and not p.value.error for p in promises))
+        for run in self.rig.runs:
+            number = run.text.split(" ")[1].removeprefix("shape")
+            self.assertEqual(run.values, {"zone": f"z{number}"})
+
+    def test_a_caller_without_values_does_not_see_those_of_another(self) -> None:
+        first, second = self.rig.open("strict"), self.rig.open("strict")
+        self.rig.run(first, "SET zone z1")
+        self.rig.run(first, "WRITE a x")
+        self.rig.run(second, "WRITE b x")
+        self.assertEqual([run.values for run in self.rig.runs], [{"zone": "z1"}, {}])
+
+    def test_unknown_names_are_refused_and_the_session_goes_on(self) -> None:
+        session = self.rig.open("strict")
+        for text in ("EXECUTE nothing item", "DEALLOCATE nothing"):
+            reply = self.rig.run(session, text)
+            self.assertIs(reply.error, CallerError.UNKNOWN_NAME)
+        self.assertIsNone(self.rig.run(session, "READ a").error)
+
+
+class TransactionsTest(RelayCase):
+    def test_a_transaction_stays_on_one_connection_and_commits_once(self) -> None:
+        session = self.rig.open("strict")
+        for text in ("BEGIN", "READ a", "WRITE a x", "READ a", "COMMIT"):
+            self.assertIsNone(self.rig.run(session, text).error, text)
+        self.assertEqual(len({run.transaction for run in self.rig.runs}), 1)
+        self.assertEqual(len(self.rig.committed), 1)
+        self.assertIs(session.state, SessionState.IDLE)
+
+    def test_reading_transactions_run_on_any_endpoint(self) -> None:
+        session = self.rig.open("bounded")
+        for text in ("BEGIN READ", "READ a", "READ b", "COMMIT"):
+            self.assertIsNone(self.rig.run(session, text, 1_500.0).error, text)
+
+    def test_a_rolled_back_transaction_leaves_nothing(self) -> None:
+        session = self.rig.open("strict")
+        for text in ("BEGIN", "WRITE a x", "ROLLBACK"):
+            self.assertIsNone(self.rig.run(session, text).error, text)
+        self.rig.timers.advance(500.0)
+        self.assertEqual(self.rig.committed, [])
+
+    def test_a_caller_that_leaves_rolls_back_and_frees_the_connection(self) -> None:
+        for _ in range(40):
+            session = self.rig.open("strict")
+            self.rig.run(session, "BEGIN")
+            self.rig.run(session, "WRITE a x")
+            session.close()
+        self.assertEqual(self.rig.committed, [])
+        self.assertIsNone(self.rig.run(self.rig.open("strict"), "WRITE a x").error)
+
+    def test_an_idle_transaction_is_rolled_back_and_the_caller_is_told(self) -> None:
+        session = self.rig.open("strict")
+        self.rig.run(session, "BEGIN")
+        self.rig.run(session, "WRITE a x")
+        self.rig.timers.advance(4_000.0)
+        self.assertIs(self.rig.run(session, "READ a").error, CallerError.ABORTED)
+        self.assertIs(self.rig.run(session, "COMMIT").error, CallerError.ABORTED)
+        self.assertIs(session.state, SessionState.IDLE)
+        self.assertEqual(self.rig.committed, [])
+
+    def test_a_lost_connection_aborts_and_a_lost_commit_is_in_doubt(self) -> None:
+        session = self.rig.open("strict")
+        self.rig.run(session, "BEGIN")
+        self.rig.primary().lost_answers = 1
+        self.assertIs(self.rig.run(session, "WRITE a x").error, CallerError.ABORTED)
+        self.rig.run(session, "ROLLBACK")
+        self.assertEqual(self.rig.committed, [])
+        self.rig.run(session, "BEGIN")
+        self.rig.run(session, "WRITE a x")
+        self.rig.primary().lost_answers = 1
+        self.assertIs(self.rig.run(session, "COMMIT").error, CallerError.IN_DOUBT)
+        self.assertEqual(len(self.rig.committed), 1)
+
+
+class OutcomesTest(RelayCase):
+    def test_a_write_whose_answer_is_lost_is_in_doubt_and_never_run_again(self) -> None:
+        self.rig.primary().lost_answers = 1
+        session = self.rig.open("strict")
+        reply = self.rig.run(session, "WRITE a x")
+        self.assertIs(reply.error, CallerError.IN_DOUBT)
+        self.rig.timers.advance(5_000.0)
+        self.assertEqual(len(self.rig.committed), 1)
+
+    def test_a_read_whose_answer_is_lost_is_asked_elsewhere(self) -> None:
+        session = self.rig.open("bounded")
+        self.rig.run(session, "READ a", 1_500.0)
+        for server in self.rig.members(GROUP):
+            server.lost_answers = 1
+        self.assertIsNone(self.rig.run(session, "READ a", 1_500.0).error)
+
+    def test_a_write_that_did_not_run_is_tried_again(self) -> None:
+        self.rig.primary().refuse_next = [EndpointError.BUSY] * 3
+        session = self.rig.open("strict")
+        self.assertIsNone(self.rig.run(session, "WRITE a x").error)
+        self.assertEqual(len(self.rig.committed), 1)
+
+    def test_a_promise_that_nothing_ran_is_true(self) -> None:
+        self.rig.primary().refuse_next = [EndpointError.BUSY] * 500
+        session = self.rig.open("strict")
+        self.assertIs(self.rig.run(session, "WRITE a x").error, CallerError.BUSY)
+        self.rig.timers.advance(3_000.0)
+        self.assertEqual(self.rig.committed, [])
+
+    def test_a_failed_write_is_passed_on_and_not_repeated(self) -> None:
+        self.rig.primary().refuse_next = [EndpointError.FAILED]
+        session = self.rig.open("strict")
+        self.assertIs(self.rig.run(session, "WRITE a x").error, CallerError.FAILED)
+        self.assertEqual(self.rig.committed, [])
+
+    def test_a_failed_read_is_asked_elsewhere(self) -> None:
+        for server in self.rig.members(GROUP):
+            server.refuse_next = [EndpointError.FAILED]
+        session = self.rig.open("bounded")
+        self.assertIsNone(self.rig.run(session, "READ a", 1_500.0).error)
+
+
+class FailoverTest(RelayCase):
+    def _lose(self, silent: bool) -> float:
+        self.rig.primary().crash(silent)
+        lost_ms = self.rig.timers.now_ms()
+        while self.rig.timers.now_ms() - lost_ms < 12_000.0:
+            if self.rig.run(self.rig.open("strict"), "WRITE a x").error is None:
+                return self.rig.timers.now_ms() - lost_ms
+        raise AssertionError("no write was accepted again")
+
+    def test_a_crashed_or_silent_primary_is_replaced(self) -> None:
+        for silent in (False, True):
+            with self.subTest(silent=silent):
+                self.rig = PlatformRig()
+                self.rig.start()
+                self.rig.run(self.rig.open("strict"), "WRITE a x")
+                self.rig.timers.advance(200.0)
+                before = self.rig.primary()
+                gap_ms = self._lose(silent)
+                self.assertIsNot(self.rig.primary(), before)
+                self.assertLess(gap_ms, 7_000.0)
+                self.assertIsNone(self.rig.run(self.rig.open("strict"), "READ a").error)
+
+    def test_the_most_advanced_replica_is_promoted(self) -> None:
+        behind, ahead = self.rig.replicas()
+        self.rig.run(self.rig.open("strict"), "WRITE a x")
+        self.rig.timers.advance(100.0)
+        behind.log = behind.log[:1]
+        behind.applied = 1
+        self._lose(False)
+        self.assertIs(self.rig.primary(), ahead)
+
+    def test_a_replaced_primary_that_hosts_still_reach_serves_no_stale_read(
+        self,
+    ) -> None:
+        old = self.rig.primary()
+        sessions = [self.rig.open("strict", entry) for entry in (1, 2, 3)]
+        for session in sessions:
+            self.rig.run(session, "READ a")
+        target = self.rig.replicas()[0]
+        old.unreachable_from = {"10.1.0.2:7440", "10.1.0.3:7440", *self.rig.addresses}
+        old.announcement()
+        self.rig.switch(target)
+        for _ in range(10):
+            self.rig.run(sessions[1], "WRITE a x")
+            self.rig.run(sessions[0], "READ a")
+            self.rig.run(sessions[0], "WRITE a x")
+        self.assertTrue(all(self.rig.primary() is target for _ in sessions))
+
+    def test_a_primary_that_few_hosts_cannot_reach_stays(self) -> None:
+        self.rig.primary().unreachable_from = {"10.1.0.3:7440"}
+        before = self.rig.primary()
+        self.rig.timers.advance(8_000.0)
+        self.assertIs(self.rig.primary(), before)
+        self.assertEqual(self.rig.promotions.orders, [])
+
+    def test_a_promotion_that_got_no_answer_is_void_once_a_later_one_has(self) -> None:
+        self.rig.promotions.unanswered = 1
+        self.rig.run(self.rig.open("strict"), "WRITE a x")
+        self.rig.timers.advance(200.0)
+        self._lose(False)
+        first = self.rig.primary()
+        self.rig.timers.advance(12_000.0)
+        self.assertIs(self.rig.primary(), first)
+        tokens = [order.fencing_token for order in self.rig.promotions.orders]
+        self.assertEqual(tokens, sorted(set(tokens)))
+
+    def test_a_draining_primary_is_replaced_and_writes_go_on(self) -> None:
+        old = self.rig.primary()
+        old.is_draining = True
+        self.rig.send_heartbeat(old)
+        errors = 0
+        for _ in range(60):
+            session = self.rig.open("strict")
+            errors += self.rig.run(session, "WRITE a x").error is not None
+            self.rig.timers.advance(50.0)
+        self.assertIsNot(self.rig.primary(), old)
+        self.assertLess(errors, 5)
+
+
+class DrainingTest(RelayCase):
+    def test_a_draining_replica_gets_no_new_work(self) -> None:
+        replica = self.rig.replicas()[0]
+        replica.is_draining = True
+        self.assertTrue(self.rig.wait(self.rig.send_heartbeat(replica)))
+        self.rig.timers.advance(200.0)
+        before = len(self.rig.runs)
+        for _ in range(40):
+            self.rig.run(self.rig.open("bounded"), "READ a", 1_500.0)
+        served = {run.endpoint for run in self.rig.runs[before:]}
+        self.assertNotIn(replica.name, served)
+
+    def test_a_draining_primary_gets_none_after_the_limit(self) -> None:
+        self.rig.promotions.unanswered = 10_000
+        primary = self.rig.primary()
+        primary.is_draining = True
+        self.rig.wait(self.rig.send_heartbeat(primary))
+        self.rig.timers.advance(7_000.0)
+        before = len(self.rig.runs)
+        for _ in range(5):
+            self.rig.run(self.rig.open("strict"), "WRITE a x")
+        served = {run.endpoint for run in self.rig.runs[before:]}
+        self.assertNotIn(primary.name, served)
+
+
+class TrackerTest(unittest.TestCase):
+    def test_a_refuted_claim_waits_and_a_newer_one_goes_first(self) -> None:
+        rig = PlatformRig()
+        rig.add_group()
+        first, second, _ = rig.members(GROUP)
+        tracker = PrimaryTracker()
+        tracker.update([first.announcement()])
+        tracker.prove(first.name, Position(3, 1))
+        self.assertEqual(tracker.ranked(0.0), (first.name,))
+        second.is_primary = True
+        tracker.update([first.announcement(), second.announcement()])
+        self.assertEqual(tracker.ranked(0.0)[0], second.name)
+        tracker.refute(second.name, 0.0)
+        self.assertEqual(tracker.ranked(50.0), (first.name,))
+        self.assertEqual(tracker.ranked(200.0)[0], second.name)
+
+
+if __name__ == "__main__":
+    unittest.main()
