--- /dev/null
+++ b/tests/test_platform_codecs.py
@@ -0,0 +1,347 @@
+"""The platform's formats: split, joined and damaged input."""
+
+import json
+import unittest
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err
+
+from azurerelay.cluster import PromotionOrder
+from azurerelay.discovery import Announcement
+from azurerelay.platform import (
+    LineSplitter,
+    MalformedStatement,
+    ReplyAssembler,
+    decode_announcement,
+    decode_caller_line,
+    decode_configuration,
+    decode_departure,
+    decode_promotion,
+    encode_caller_reply,
+    encode_command,
+    encode_promotion,
+    encode_start,
+    parse_host_settings,
+    parse_position,
+)
+from azurerelay.routes import Consistency, apply_change, change_between
+from azurerelay.statements import (
+    Begin,
+    CallerError,
+    CallerReply,
+    Commit,
+    EndpointError,
+    Execute,
+    Position,
+    Prepare,
+    PrepareShape,
+    Read,
+    RunPrepared,
+    RunText,
+    SessionState,
+    SetValue,
+    Write,
+)
+from tests.platform_rig import configuration
+
+PROFILE = settings(derandomize=True, database=None, deadline=None, max_examples=150)
+LINE = st.text(
+    st.characters(codec="utf-8", exclude_categories=("C", "Z")), min_size=1, max_size=30
+)
+
+
+def document(**changes: Any) -> dict[str, Any]:
+    base = {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r-1",
+                "host": "db1",
+                "path_prefix": "/",
+                "kind": "primary",
+                "timeout_ms": 800,
+                "target_latency_ms": 400,
+                "priority": 1,
+                "service": "s1",
+                "max_attempts": 2,
+            }
+        ],
+        "services": [{"name": "s1", "max_connections": 45, "sync_replicas": 0}],
+        "limits": {"transaction_idle_ms": 2_000},
+        "unknown": 1,
+    }
+    return base | changes
+
+
+class LinesTest(unittest.TestCase):
+    @PROFILE
+    @given(st.lists(LINE, max_size=6), st.lists(st.integers(0, 200), max_size=8))
+    def test_lines_are_the_same_however_the_bytes_are_split(
+        self, lines: list[str], cuts: list[int]
+    ) -> None:
+        data = "".join(f"{line}\r\n" for line in lines).encode()
+        bounds = sorted({min(cut, len(data)) for cut in cuts} | {0, len(data)})
+        splitter = LineSplitter()
+        found: list[str] = []
+        for start, end in zip(bounds, bounds[1:], strict=False):
+            found += splitter.feed(data[start:end]).ok_value
+        self.assertEqual(found, lines)
+
+    @PROFILE
+    @given(st.binary(max_size=300))
+    def test_any_bytes_are_lines_or_an_error(self, data: bytes) -> None:
+        fed = LineSplitter().feed(data)
+        if not isinstance(fed, Err):
+            for line in fed.ok_value:
+                self.assertNotIn("\n", line)
+                decode_caller_line(line)
+
+    def test_control_characters_and_long_lines_are_errors(self) -> None:
+        cases = [b"QUERY a READ x\nQUERY b WRITE y z\r\n", b"a\0\r\n", b"\xff\r\n"]
+        cases += [b"x" * (1024 * 1024 + 3), b"x" * (1024 * 1024 + 1) + b"\r\n"]
+        for data in cases:
+            with self.subTest(data[:20]):
+                self.assertIsInstance(LineSplitter().feed(data), Err)
+
+
+class CallerCodecTest(unittest.TestCase):
+    def test_statements(self) -> None:
+        cases = {
+            "BEGIN": Begin("q", "BEGIN", False),
+            "BEGIN READ": Begin("q", "BEGIN READ", True),
+            "COMMIT": Commit("q", "COMMIT"),
+            "READ 1a4": Read("q", "READ 1a4"),
+            "WRITE 1a4 x y": Write("q", "WRITE 1a4 x y"),
+            "SET zone a b": SetValue("q", "SET zone a b", "zone", "a b"),
+            "PREPARE s1 WRITE q2": Prepare(
+                "q", "PREPARE s1 WRITE q2", "s1", "q2", True
+            ),
+            "EXECUTE s1 1a4 z": Execute("q", "EXECUTE s1 1a4 z", "s1", "1a4 z"),
+        }
+        for text, expected in cases.items():
+            with self.subTest(text):
+                self.assertEqual(
+                    decode_caller_line(f"QUERY q {text}").ok_value, expected
+                )
+
+    def test_malformed_statements_keep_the_session(self) -> None:
+        for text in (
+            "",
+            "DROP x",
+            "AFTER 3.4 READ x",
+            "BEGIN WRITE",
+            "READ",
+            "WRITE x",
+            "SET x",
+            "PREPARE a OTHER b",
+            "EXECUTE a",
+            "STATUS",
+            "COMMIT now",
+        ):
+            with self.subTest(text):
+                found = decode_caller_line(f"QUERY q {text}").ok_value
+                self.assertIsInstance(found, MalformedStatement)
+
+    def test_malformed_messages_end_the_connection(self) -> None:
+        for line in ("", "QUERY", "QUERY - READ x", "START", "HELLO x", "TERMINATE x"):
+            with self.subTest(line):
+                self.assertIsInstance(decode_caller_line(line), Err)
+
+    def test_answers(self) -> None:
+        done = CallerReply(SessionState.IDLE, ("r",), "sig", position=Position(3, 4))
+        self.assertEqual(
+            encode_caller_reply(done), "DATAROW r\r\nCOMPLETE sig\r\nREADY I 3.4\r\n"
+        )
+        refused = CallerReply(SessionState.FAILED, error=CallerError.ABORTED)
+        self.assertEqual(
+            encode_caller_reply(refused), "ERROR ABORTED aborted\r\nREADY E -\r\n"
+        )
+
+
+class EndpointCodecTest(unittest.TestCase):
+    def test_commands(self) -> None:
+        after = Position(3, 7)
+        cases = {
+            "QUERY q AFTER 3.7 READ x\r\n": RunText("q", "READ x", after),
+            "QUERY q WRITE x y\r\n": RunText("q", "WRITE x y"),
+            "QUERY q AFTER 3.7 EXECUTE r_s x\r\n": RunPrepared("q", "r_s", "x", after),
+            "QUERY - PREPARE w_s WRITE s\r\n": PrepareShape("w_s", "s", True),
+        }
+        for line, command in cases.items():
+            self.assertEqual(encode_command(command), line)
+        announced = Announcement("i-1", "s1", "a:1", "z", 3, False, True, 0, 1, 1)
+        self.assertEqual(encode_start(announced), "START s1 azurerelay i-1\r\n")
+
+    def _assemble(self, *lines: str, is_status: bool = False) -> Any:
+        assembler = ReplyAssembler(is_status)
+        for line in lines[:-1]:
+            self.assertIsNone(assembler.feed(line).ok_value)
+        return assembler.feed(lines[-1])
+
+    def test_answers_are_whole_or_broken(self) -> None:
+        done = self._assemble("DATAROW a", "COMPLETE s", "READY T 3.4").ok_value
+        self.assertEqual((done.rows, done.signature), (("a",), "s"))
+        self.assertEqual(done.position, Position(3, 4))
+        self.assertIs(done.state, SessionState.IN_TRANSACTION)
+        busy = self._assemble("ERROR BUSY all busy", "READY I -").ok_value
+        self.assertIs(busy.error, EndpointError.BUSY)
+        self.assertTrue(busy.has_not_run)
+        for lines in (("COMPLETE s", "DATAROW a"), ("READY X -",), ("HELLO",)):
+            self.assertIsInstance(self._assemble(*lines), Err)
+
+    def test_a_status_tells_what_was_received(self) -> None:
+        row = "DATAROW replica 3 3.1209 0 12 2 17"
+        lines = (row, "COMPLETE -", "READY I 3.1204")
+        status = self._assemble(*lines, is_status=True).ok_value
+        self.assertEqual(status.received, Position(3, 1209))
+        self.assertEqual(status.position, Position(3, 1204))
+
+    def test_positions(self) -> None:
+        for text in ("-", "", "3", "3.x", "-1.2", ".4"):
+            self.assertIsNone(parse_position(text))
+
+
+class ConfigurationCodecTest(unittest.TestCase):
+    def test_a_document_is_read_and_kept_as_it_was(self) -> None:
+        body = json.dumps(document()).encode()
+        found = decode_configuration(body).ok_value
+        self.assertEqual((found.version, found.transaction_idle_ms), (7, 2_000))
+        self.assertEqual(found.document, body)
+        self.assertIs(found.routes[0].consistency, Consistency.PRIMARY)
+
+    def test_all_findings_are_reported_with_their_place(self) -> None:
+        good = document()["routes"][0]
+        cases: dict[str, tuple[dict[str, Any], list[str]]] = {
+            "unknown service": (
+                document(routes=[good | {"service": "s9"}]),
+                ["$.routes[0].service"],
+            ),
+            "no timeout": (
+                document(routes=[good | {"timeout_ms": 0}]),
+                ["$.routes[0].timeout_ms"],
+            ),
+            "same place": (
+                document(routes=[good, good | {"name": "r-2"}]),
+                ["$.routes[1]"],
+            ),
+            "several": (
+                document(version="7", routes=[good | {"kind": "x", "host": ""}]),
+                ["$.version", "$.routes[0].kind", "$.routes[0].host"],
+            ),
+            "no lists": ({"version": 1}, ["$.routes", "$.services"]),
+        }
+        for name, (wanted, places) in cases.items():
+            with self.subTest(name):
+                findings = decode_configuration(json.dumps(wanted).encode()).err_value
+                self.assertEqual(
+                    sorted(finding.place for finding in findings), sorted(places)
+                )
+
+    @PROFILE
+    @given(st.integers(0, 500))
+    def test_a_document_that_is_cut_short_is_refused(self, length: int) -> None:
+        body = json.dumps(document()).encode()
+        if length < len(body):
+            self.assertIsInstance(decode_configuration(body[:length]), Err)
+
+    @PROFILE
+    @given(
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.text(max_size=4),
+            lambda inner: st.lists(inner, max_size=3)
+            | st.dictionaries(
+                st.sampled_from(["version", "routes", "services", "limits", "host"]),
+                inner,
+                max_size=4,
+            ),
+            max_leaves=12,
+        )
+    )
+    def test_any_json_is_refused_or_read(self, value: Any) -> None:
+        decode_configuration(json.dumps(value).encode())
+
+    def test_changes_rebuild_the_configuration(self) -> None:
+        before, after = configuration(1), configuration(2, transaction_idle_ms=5)
+        after = configuration(2, routes=before.routes[1:], groups=before.groups)
+        change = change_between(before, after)
+        found = apply_change(before, change)
+        assert found is not None
+        self.assertEqual(found.routes, after.routes)
+        self.assertIsNone(apply_change(configuration(9), change))
+
+
+class CallsTest(unittest.TestCase):
+    def test_heartbeats_that_name_no_endpoint_to_use(self) -> None:
+        good = {
+            "service": "s1",
+            "address": "10.0.0.1:80",
+            "zone": "z",
+            "version": "v1",
+            "slots": 3,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "database_role": "primary",
+            "seq": 4,
+            "born": 99,
+        }
+        found = decode_announcement("i-1", json.dumps(good).encode()).ok_value
+        self.assertEqual((found.incarnation, found.sequence), (99, 4))
+        self.assertTrue(found.is_primary)
+        damages: list[dict[str, Any]] = [
+            {"service": 3},
+            {"slots": "3"},
+            {"slots": True},
+            {"seq": 1.5},
+            {"state": "gone"},
+            {"database_role": "x"},
+            {"address": "nowhere"},
+        ]
+        for damage in damages:
+            with self.subTest(damage):
+                body = json.dumps(good | damage).encode()
+                self.assertIsInstance(decode_announcement("i-1", body), Err)
+        for body in (b"", b"[]", b"{", b"\xff"):
+            self.assertIsInstance(decode_announcement("i-1", body), Err)
+
+    def test_departures(self) -> None:
+        self.assertEqual(decode_departure(b'{"born": 5}'), 5)
+        for body in (b"", b"{}", b"{", b'{"born": "x"}'):
+            self.assertIsNone(decode_departure(body))
+
+    def test_promotions(self) -> None:
+        call = encode_promotion(PromotionOrder("s1", "i-1", "core-1", 42))
+        self.assertEqual(json.loads(call.body), {"service": "s1", "id": "i-1"})
+        self.assertEqual(call.headers["X-Azurerelay-Fencing-Token"], "42")
+        self.assertTrue(decode_promotion(200).is_done)
+        self.assertTrue(decode_promotion(409).is_fenced)
+        self.assertFalse(decode_promotion(429).is_done)
+
+    def test_settings(self) -> None:
+        found = parse_host_settings(
+            json.dumps(
+                {
+                    "node_name": "core-1",
+                    "serves": ["control_plane"],
+                    "ip_address": "10.1.0.11",
+                    "zone": "a",
+                    "zones": {"a": "r"},
+                    "listen_addresses": {"control_plane": "10.1.0.11:8782"},
+                    "internal_port_range": [7440, 7455],
+                    "seeds": ["10.1.0.11:8782"],
+                    "bootstrap": True,
+                    "heartbeat_interval_ms": 1200,
+                    "fault_tolerance": {"machines": 2, "zones": 0},
+                    "new": 1,
+                }
+            ).encode(),
+            "file",
+        ).ok_value
+        self.assertEqual(found.seed_links, ("10.1.0.11:7440",))
+        self.assertEqual(found.disk_losses, 2)
+        self.assertIsInstance(parse_host_settings(b"{}", "file"), Err)
+
+
+if __name__ == "__main__":
+    unittest.main()
