--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -14,6 +14,7 @@
     SyncRequest,
 )
 from azurerelay.cluster._cluster_config import ClusterConfig
+from azurerelay.cluster._compression import compress, decompress
 from azurerelay.cluster._messages import (
     CLUSTER_MESSAGES,
     AnnouncementRelay,
@@ -48,11 +49,11 @@
 from azurerelay.statements import EndpointConnector
 from azurerelay.timing import Promise, TimerService, sleep, spawn, within
 
-# Heartbeats several round trips between regions apart; an election starts after five
+# Heartbeats several round trips between regions apart; an election starts after four
 # of them are missed, so that a busy host or a slow disk starts none.
 RAFT_CONFIG: Final = RaftConfig(
-    heartbeat_ms=150.0,
-    election_min_ms=750.0,
+    heartbeat_ms=200.0,
+    election_min_ms=800.0,
     election_max_ms=1_500.0,
     resend_ms=400.0,
     chunk_bytes=64 * 1024,
@@ -61,14 +62,14 @@
     announces_commits=True,
 )
 JOIN_INTERVAL_MS: Final = 300.0
-DIGEST_INTERVAL_MS: Final = 1_000.0
+DIGEST_INTERVAL_MS: Final = 2_000.0
 REPORT_INTERVAL_MS: Final = 400.0
 REPORT_LIMIT_MS: Final = 1_500.0
 # Within the second that operators and endpoints wait for an answer.
 REQUEST_TIMEOUT_MS: Final = 850.0
 BARRIER_POLL_MS: Final = 5.0
 # A leader that has not heard a majority for this long takes note of nothing.
-LEADER_FRESH_MS: Final = 750.0
+LEADER_FRESH_MS: Final = 800.0
 EXPIRE_HEARTBEATS: Final = 10.0
 LINK_ID_SPACE: Final = 2**32
 
@@ -85,7 +86,7 @@
 
 
 class _ReportedState:
-    """The replicated state, with a call after each change of the configuration."""
+    """The replicated state, compressed, with a call after each change."""
 
     def __init__(self, state: ClusterState) -> None:
         self._state = state
@@ -93,17 +94,17 @@
 
     def apply(self, index: int, payload: bytes) -> Any:
         """Apply and report."""
-        outcome = self._state.apply(index, payload)
+        outcome = self._state.apply(index, decompress(payload))
         self.on_applied()
         return outcome
 
     def snapshot(self) -> bytes:
         """Return the whole state."""
-        return self._state.snapshot()
+        return compress(self._state.snapshot())
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state and report."""
-        self._state.restore(data)
+        self._state.restore(decompress(data))
         self.on_applied()
 
 
@@ -241,7 +242,7 @@
         command = ReplaceConfiguration(
             self._timers.wall_ms(), "operator", configuration
         )
-        return spawn(self._replace(COMMAND_CODEC.encode(command)))
+        return spawn(self._replace(compress(COMMAND_CODEC.encode(command))))
 
     def read_configuration(self) -> Promise[Configuration | None]:
         """Return the newest configuration; None when that cannot be known now."""
@@ -325,7 +326,7 @@
         known = self._directory.get(announcement.endpoint)
         is_news = known is None or not announcement.says_same_as(known)
         self._merge(announcement)
-        self._relay(AnnouncementRelay(announcement))
+        self._relay(AnnouncementRelay(announcement), is_news)
         if announcement.is_draining and is_news:
             return spawn(self._confirm_leaving(announcement, None))
         if announcement.is_draining and self._raft.leader_silence_ms > LEADER_FRESH_MS:
@@ -339,7 +340,7 @@
             incarnation = known.incarnation if known else self._timers.wall_ms()
         departure = Departure(endpoint, incarnation)
         self._depart(departure)
-        self._relay(DepartureRelay(departure))
+        self._relay(DepartureRelay(departure), True)
         return spawn(self._confirm_leaving(None, departure))
 
     async def _confirm_leaving(
@@ -381,9 +382,14 @@
         if self._directory.revision != before:
             self._entry_hosts.push()
 
-    def _relay(self, message: Any) -> None:
-        for peer in self._peers():
-            self._link.send(peer, message)
+    def _relay(self, message: Any, is_news: bool) -> None:
+        """Pass on to all control hosts; what is no news only to the leader."""
+        leader = self._raft.leader
+        if is_news or leader is None:
+            for peer in self._peers():
+                self._link.send(peer, message)
+        elif leader != self._config.name:
+            self._link.send(leader, message)
 
     def _send_digest(self) -> None:
         """Send all that is known to the other control hosts, as leader."""
--- /dev/null
+++ b/src/azurerelay/cluster/_compression.py
@@ -0,0 +1,20 @@
+"""Compressed commands and snapshots.
+
+A configuration of hundreds of routes is sent to every control host at each change, and
+to most of them between regions; its text shrinks to an eighth.
+"""
+
+import zlib
+from typing import Final
+
+LEVEL: Final = 6  # zlib's usual balance of time and size
+
+
+def compress(data: bytes) -> bytes:
+    """Return the data in fewer bytes; empty stays empty."""
+    return zlib.compress(data, LEVEL) if data else b""
+
+
+def decompress(data: bytes) -> bytes:
+    """Return what was compressed; raise `zlib.error` for anything else."""
+    return zlib.decompress(data) if data else b""
--- a/src/azurerelay/cluster/_promotion_duty.py
+++ b/src/azurerelay/cluster/_promotion_duty.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from azurerelay.attachment import PrimarySuspicion
+from azurerelay.cluster._compression import compress
 from azurerelay.cluster._promotion_policy import (
     GroupHealth,
     candidates,
@@ -176,18 +177,7 @@
                 PromotionDecided(group, endpoint, token, reason, stated)
             )
             if attempt == 0:
-                self._raft.propose(
-                    COMMAND_CODEC.encode(
-                        RecordPromotion(
-                            self._timers.wall_ms(),
-                            self._holder,
-                            group,
-                            endpoint,
-                            token,
-                            reason,
-                        )
-                    )
-                )
+                self._record(group, endpoint, token, reason)
             asked_ms = self._timers.now_ms()
             answer = await self._port.promote(
                 PromotionOrder(group, endpoint, self._holder, token)
@@ -210,6 +200,13 @@
                 return
             await sleep(self._timers, RETRY_MS)
 
+    def _record(self, group: str, endpoint: str, token: int, reason: str) -> None:
+        """Note the order in the audit trail; the order does not wait for it."""
+        command = RecordPromotion(
+            self._timers.wall_ms(), self._holder, group, endpoint, token, reason
+        )
+        self._raft.propose(compress(COMMAND_CODEC.encode(command)))
+
     async def _wait_for_switch(self, group: str, endpoint: str) -> None:
         until_ms = self._timers.now_ms() + SWITCH_LIMIT_MS
         while self._timers.now_ms() < until_ms:
--- a/src/azurerelay/pooling/_placement.py
+++ b/src/azurerelay/pooling/_placement.py
@@ -20,6 +20,7 @@
 
     name: str
     round_trip_ms: float
+    detour_ms: float
     service_ms: float
     in_use: int
     has_free_slot: bool
@@ -36,9 +37,9 @@
 
 
 def expected_ms(view: EndpointView) -> float:
-    """Return how long a read is expected to take there."""
+    """Return how long a read is expected to take there, with what the way costs."""
     waiting = view.in_use if view.has_free_slot else 2 * view.in_use
-    return view.round_trip_ms + view.service_ms * (1 + waiting)
+    return view.round_trip_ms + view.detour_ms + view.service_ms * (1 + waiting)
 
 
 def choose_endpoint(
--- a/src/azurerelay/relay/_group_relay.py
+++ b/src/azurerelay/relay/_group_relay.py
@@ -31,9 +31,9 @@
 from azurerelay.timing import Promise, TimerService, spawn, within
 
 PROOF_TIMEOUT_MS: Final = 600.0  # 25 round trips between regions
-# Positions are refreshed at this pace while reads ask for them; a third of the
-# tightest staleness bound in use.
-REFRESH_MS: Final = 500.0
+# Positions are refreshed at this age, or at half of the bound if that is less, while
+# reads ask for them.
+REFRESH_MS: Final = 800.0
 # A draining endpoint takes new work no longer than this after it was first seen to
 # drain; the platform allows seven seconds from its acknowledged report.
 DRAINING_USE_MS: Final = 5_000.0
@@ -142,7 +142,7 @@
         """Return a position no staler than the bound, and refresh it in time."""
         now_ms = self._timers.now_ms()
         newest = self._samples.newest
-        if newest is None or now_ms - newest[0] > min(REFRESH_MS, max_staleness_ms / 3):
+        if newest is None or now_ms - newest[0] > min(REFRESH_MS, max_staleness_ms / 2):
             if self._proof is None:
                 self.prove()
         return self._samples.covering(now_ms - max_staleness_ms)
@@ -158,6 +158,7 @@
             EndpointView(
                 name,
                 self._neighbourhood.round_trip_ms(member.pool.endpoint.failure_domain),
+                self._neighbourhood.detour_ms(member.pool.endpoint.failure_domain),
                 member.pool.service_ms,
                 member.pool.in_use,
                 member.pool.has_free_slot,
