Proofs on any free connection; shares that use what division leaves over

Servers count the connections of hosts that lost power for 3 s more, so each host gets one, and the proofs kept it for themselves; with 45 connections and 15 hosts each held 2 of 2.9. A refusal for too many connections also counted as a lost endpoint. Change: a proof takes any free connection, first in line, and gives it back; shares are drawn so that most of the limit is used; TOOMANY is tried again after 100 ms; only a host that has just started waits for heartbeats; a proof is lost after 400 ms.

--- a/src/azurerelay/cluster/_promotion_duty.py
+++ b/src/azurerelay/cluster/_promotion_duty.py
@@ -28,8 +28,10 @@
 # The platform switches some hundred milliseconds after it has answered; the new
 # primary says so at once.
 SWITCH_LIMIT_MS: Final = 4_000.0
-# A new leader hears the heartbeats of all endpoints before it judges.
+# A host that has just started hears the heartbeats of all endpoints before it judges.
 SETTLE_HEARTBEATS: Final = 2.5
+# A new leader hears the reports of the other control hosts first.
+NEW_LEADER_MS: Final = 500.0
 TOKENS_PER_TERM: Final = 1_000_000
 MAX_TRIES: Final = 10
 
@@ -67,6 +69,7 @@
         self._heartbeat_ms = heartbeat_ms
         self._orders = 0
         self._busy: set[str] = set()
+        self._settled_ms = timers.now_ms() + SETTLE_HEARTBEATS * heartbeat_ms
         self._ready_ms = float("inf")
         self._suspicions: Suspicions = tuple
         self._entry_hosts: Callable[[], int] = lambda: 1
--- a/src/azurerelay/hosts/_entry_host.py
+++ b/src/azurerelay/hosts/_entry_host.py
@@ -45,6 +45,7 @@
         )
         self._connector = TcpEndpointConnector(loop)
         self._node = RelayNode(
+            settings.name,
             Neighbourhood(settings.failure_domain, settings.regions),
             settings.seed_links,
             self._link,
--- a/src/azurerelay/pooling/__init__.py
+++ b/src/azurerelay/pooling/__init__.py
@@ -1,5 +1,6 @@
 """Connections to endpoints: lending, matching, placing and positions."""
 
+from azurerelay.pooling._connection_share import connection_share
 from azurerelay.pooling._endpoint_pool import EndpointPool
 from azurerelay.pooling._placement import (
     EndpointView,
@@ -19,6 +20,7 @@
     "PreparedShape",
     "SessionProfile",
     "choose_endpoint",
+    "connection_share",
     "expected_ms",
     "is_likely_behind",
 ]
--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -17,6 +17,8 @@
 # takes about a second, and a try costs one packet each way.
 RETRY_MS: Final = 100.0
 RETRY_MAX_MS: Final = 1_000.0
+# A refused connection is tried again after this: a few statements have ended by then.
+REOPEN_MS: Final = 100.0
 SMOOTHING: Final = 0.2  # weight of the newest duration in the moving average
 INITIAL_SERVICE_MS: Final = 30.0  # typical statement, until one is measured
 
@@ -57,6 +59,7 @@
         self._retry_ms = RETRY_MS
         self._service_ms = INITIAL_SERVICE_MS
         self._is_closed = False
+        self._open_again_ms = 0.0
         self._on_failure: Callable[[], object] = lambda: None
 
     @property
@@ -179,7 +182,8 @@
             waiter = self._waiters.popleft()
             waiter.granted.resolve(Ok(session))
         waiting = sum(not waiter.granted.is_done for waiter in self._waiters)
-        if waiting > self._connecting and self.size < self._limit:
+        may_open = self._timers.now_ms() >= self._open_again_ms
+        if may_open and waiting > self._connecting and self.size < self._limit:
             spawn(self._open())
 
     def _take_idle(self, profile: SessionProfile) -> PooledSession | None:
@@ -205,13 +209,21 @@
             self._retry_ms = RETRY_MS
             self._serve()
             return
-        if outcome.err_value.error is not EndpointError.BUSY:
+        if outcome.err_value.error in (
+            EndpointError.BUSY,
+            EndpointError.TOO_MANY_CONNECTIONS,
+        ):
+            # The endpoint is well; connections of hosts that lost power count there
+            # for some seconds.
+            self._open_again_ms = self._timers.now_ms() + REOPEN_MS
+            self._timers.call_later(REOPEN_MS, self._serve)
+        else:
             self.note_failure()
         self._refuse_waiters(outcome.err_value)
 
     def _refuse_waiters(self, failure: ConnectFailed) -> None:
         """Let those who wait look elsewhere, unless connections will come back."""
-        if self._lent and not self._is_closed:
+        if (self._lent or self._connecting) and not self._is_closed:
             return
         waiters, self._waiters = self._waiters, deque()
         for waiter in waiters:
--- a/src/azurerelay/relay/_group_relay.py
+++ b/src/azurerelay/relay/_group_relay.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from result import Err, Result
+from result import Err
 
 from azurerelay.discovery import Announcement
 from azurerelay.events import EndpointLost, EndpointRegained, EventLog, PrimaryProven
@@ -16,11 +16,11 @@
     PositionSamples,
     SessionProfile,
     choose_endpoint,
+    connection_share,
 )
 from azurerelay.relay._neighbourhood import Neighbourhood
 from azurerelay.relay._primary_tracker import PrimaryTracker
 from azurerelay.statements import (
-    ConnectFailed,
     DropTransaction,
     EndpointConnector,
     EndpointError,
@@ -30,7 +30,7 @@
 )
 from azurerelay.timing import Promise, TimerService, spawn, within
 
-PROOF_TIMEOUT_MS: Final = 600.0  # 25 round trips between regions
+PROOF_TIMEOUT_MS: Final = 400.0  # 16 round trips between regions
 # Positions are refreshed at this age, or at half of the bound if that is less, while
 # reads ask for them.
 REFRESH_MS: Final = 800.0
@@ -66,6 +66,7 @@
     def __init__(
         self,
         name: str,
+        own_name: str,
         connector: EndpointConnector,
         neighbourhood: Neighbourhood,
         timers: TimerService,
@@ -73,6 +74,7 @@
         events: EventLog,
     ) -> None:
         self._name = name
+        self._own_name = own_name
         self._connector = connector
         self._neighbourhood = neighbourhood
         self._timers = timers
@@ -83,7 +85,6 @@
         self._samples = PositionSamples()
         self._is_proving = False
         self._next_proof: Promise[Position | None] | None = None
-        self._proof_session: PooledSession | None = None
         self._changed: Promise[None] = Promise()
         self._failed_proofs_since_ms: float | None = None
         self._suspect: str | None = None
@@ -108,12 +109,17 @@
             return None
         return self._suspect, self._timers.now_ms() - self._failed_proofs_since_ms
 
-    def update(self, endpoints: Iterable[Announcement], connection_limit: int) -> None:
-        """Take the group's newest announcements and the limit for each endpoint."""
+    def update(
+        self, endpoints: Iterable[Announcement], connection_limit: int, hosts: int
+    ) -> None:
+        """Take the newest announcements, and how many hosts share each endpoint."""
         now_ms = self._timers.now_ms()
         listed = {endpoint.endpoint: endpoint for endpoint in endpoints}
         for endpoint in listed.values():
-            self._update_member(endpoint, connection_limit, now_ms)
+            share = connection_share(
+                connection_limit, hosts, self._own_name, endpoint.endpoint
+            )
+            self._update_member(endpoint, share, now_ms)
         for name, member in list(self._members.items()):
             if name in listed:
                 member.unlisted_since_ms = None
@@ -191,8 +197,6 @@
     def refute(self, endpoint: str) -> None:
         """Record that an endpoint says that it does not lead."""
         self._tracker.refute(endpoint, self._timers.now_ms())
-        if self._proof_session and self._proof_session.endpoint == endpoint:
-            self._drop_proof_session()
 
     def note_commit(self, endpoint: str, asked_ms: float, position: Position) -> None:
         """Record a commit, which proves as much as a transaction opened."""
@@ -244,63 +248,50 @@
         self._is_proving = False
 
     async def _prove_once(self) -> Position | None:
-        session = await self._take_proof_session()
-        if session is None:
+        pool = self.primary()
+        if pool is None:
             return None
+        endpoint = pool.endpoint.endpoint
+        granted = await pool.acquire(PROOF_PRIORITY, SessionProfile(), PROOF_TIMEOUT_MS)
+        if isinstance(granted, Err):
+            if granted.err_value.error is None and not pool.size:
+                self._note_failed_proof(endpoint)
+            return None
+        session = granted.ok_value
         asked_ms = self._timers.now_ms()
         outcome = await within(
             self._timers, session.send(OpenTransaction()), PROOF_TIMEOUT_MS
         )
-        pool = self._pool(session.endpoint)
         if isinstance(outcome, Err) or isinstance(outcome.ok_value, Err):
-            self._drop_proof_session()
-            self._note_failed_proof(session.endpoint)
-            if pool is not None:
-                self.note_loss(pool, "it did not answer a proof of leadership")
+            session.close()
+            pool.release(session)
+            self._note_failed_proof(endpoint)
+            self.note_loss(pool, "it did not answer a proof of leadership")
             return None
         reply = outcome.ok_value.ok_value
+        if reply.is_success:
+            spawn(self._end_proof(pool, session))
+        else:
+            pool.release(session)
         if reply.error is EndpointError.NOT_PRIMARY:
-            self.refute(session.endpoint)
-            return None
+            self.refute(endpoint)
         if not reply.is_success or reply.position is None:
-            self._drop_proof_session()
             return None
-        session.send(DropTransaction())
-        self._accept_proof(session.endpoint, asked_ms, reply.position)
-        member = self._members.get(session.endpoint)
+        self._accept_proof(endpoint, asked_ms, reply.position)
+        member = self._members.get(endpoint)
         if member is not None:
             member.position = reply.position
             member.position_ms = self._timers.now_ms()
         return reply.position
 
-    async def _take_proof_session(self) -> PooledSession | None:
-        """Return the connection that is kept for proofs, at the likely leader."""
-        pool = self.primary()
-        if pool is None:
-            return None
-        held = self._proof_session
-        if held is not None:
-            if held.is_open and held.endpoint == pool.endpoint.endpoint:
-                return held
-            self._drop_proof_session()
-        granted: Result[PooledSession, ConnectFailed] = await pool.acquire(
-            PROOF_PRIORITY, SessionProfile(), PROOF_TIMEOUT_MS
+    async def _end_proof(self, pool: EndpointPool, session: PooledSession) -> None:
+        """Give the connection back once its transaction is rolled back."""
+        outcome = await within(
+            self._timers, session.send(DropTransaction()), PROOF_TIMEOUT_MS
         )
-        if isinstance(granted, Err):
-            if granted.err_value.error is None:
-                self._note_failed_proof(pool.endpoint.endpoint)
-            return None
-        self._proof_session = granted.ok_value
-        return granted.ok_value
-
-    def _drop_proof_session(self) -> None:
-        session, self._proof_session = self._proof_session, None
-        if session is None:
-            return
-        session.close()
-        pool = self._pool(session.endpoint)
-        if pool is not None:
-            pool.release(session)
+        if isinstance(outcome, Err):
+            session.close()
+        pool.release(session)
 
     def _accept_proof(self, endpoint: str, asked_ms: float, position: Position) -> None:
         self._samples.add(asked_ms, position)
@@ -346,8 +337,6 @@
         return since_ms is None or now_ms - since_ms < DRAINING_USE_MS
 
     def _remove(self, name: str) -> None:
-        if self._proof_session and self._proof_session.endpoint == name:
-            self._drop_proof_session()
         member = self._members.pop(name, None)
         if member is not None:
             member.pool.close()
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -28,9 +28,6 @@
 # A caller that connects to a host that has just started waits no longer than this for
 # its first configuration; callers give up after two seconds.
 FIRST_CONFIGURATION_MS: Final = 1_500.0
-# The part of an endpoint's connections that all entry hosts may hold together; the
-# rest is for control and for hosts that control has not counted yet.
-CONNECTION_SHARE: Final = 0.9
 
 
 class RelayNode:
@@ -38,6 +35,7 @@
 
     def __init__(
         self,
+        name: str,
         neighbourhood: Neighbourhood,
         seeds: Iterable[str],
         link: Link,
@@ -46,6 +44,7 @@
         random_source: random.Random,
         events: EventLog,
     ) -> None:
+        self._name = name
         self._neighbourhood = neighbourhood
         self._connector = connector
         self._timers = timers
@@ -149,6 +148,7 @@
         for name in names - self._groups.keys():
             self._groups[name] = GroupRelay(
                 name,
+                self._name,
                 self._connector,
                 self._neighbourhood,
                 self._timers,
@@ -162,15 +162,14 @@
             return
         listed = {a.endpoint for a in update.announcements} if update else None
         for group in configuration.groups:
-            shared = int(group.connection_limit * CONNECTION_SHARE)
-            limit = max(1, shared // self._follower.entry_hosts)
             self._groups[group.name].update(
                 (
                     announcement
                     for announcement in self._directory.group(group.name)
                     if listed is None or announcement.endpoint in listed
                 ),
-                limit,
+                group.connection_limit,
+                self._follower.entry_hosts,
             )
 
     def _prove_leaders(self) -> None:
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -585,6 +585,7 @@
         domain = list(DOMAINS)[(number - 1) % 3]
         scope = ScopedTimerService(self.timers)
         node = RelayNode(
+            f"entry {number}",
             Neighbourhood(domain, DOMAINS),
             self.seeds,
             _RigLink(self, address),
--- /dev/null
+++ b/tests/test_pooling.py
@@ -0,0 +1,166 @@
+"""Pools of connections, shares, positions and placement."""
+
+import random
+import unittest
+from typing import Any
+
+from result import Err, Ok
+
+from azurerelay.pooling import (
+    EndpointPool,
+    EndpointView,
+    PositionSamples,
+    SessionProfile,
+    choose_endpoint,
+    connection_share,
+)
+from azurerelay.statements import ConnectFailed, EndpointError, Position
+from azurerelay.timing import ManualTimerService, Promise
+from tests.platform_rig import FakeSession, PlatformRig
+
+
+class _Connector:
+    """Refuse with a list of outcomes, then connect."""
+
+    def __init__(self, rig: PlatformRig, refusals: list[EndpointError | None]) -> None:
+        self.rig = rig
+        self.refusals = refusals
+        self.tries = 0
+
+    def connect(self, endpoint: Any) -> Promise[Any]:
+        self.tries += 1
+        if self.refusals:
+            error = self.refusals.pop(0)
+            return Promise.of(Err(ConnectFailed("refused", error)))
+        return Promise.of(Ok(FakeSession(self.rig.primary(), "host")))
+
+
+def view(name: str, **fields: Any) -> EndpointView:
+    values: dict[str, Any] = {
+        "name": name,
+        "round_trip_ms": 1.0,
+        "detour_ms": 0.0,
+        "service_ms": 30.0,
+        "in_use": 0,
+        "has_free_slot": True,
+        "position": Position(3, 10),
+        "position_age_ms": 10.0,
+        "is_primary": False,
+    }
+    return EndpointView(**(values | fields))
+
+
+class PoolTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.rig = PlatformRig()
+        self.rig.add_group()
+        self.timers: ManualTimerService = self.rig.timers
+
+    def _pool(self, limit: int, refusals: list[EndpointError | None]) -> EndpointPool:
+        self.connector = _Connector(self.rig, refusals)
+        endpoint = self.rig.primary().announcement()
+        return EndpointPool(endpoint, self.connector, self.timers, limit)
+
+    def test_no_more_connections_than_the_limit_and_waiters_by_priority(self) -> None:
+        pool = self._pool(2, [])
+        granted = [pool.acquire(2, SessionProfile(), 500.0) for _ in range(3)]
+        urgent = pool.acquire(0, SessionProfile(), 500.0)
+        self.assertEqual([p.is_done for p in granted], [True, True, False])
+        self.assertEqual(self.connector.tries, 2)
+        pool.release(granted[0].value.ok_value)
+        self.assertTrue(urgent.is_done and urgent.value.is_ok())
+        self.assertFalse(granted[2].is_done)
+        self.timers.advance(600.0)
+        self.assertTrue(granted[2].value.is_err())
+
+    def test_an_endpoint_that_takes_no_more_connections_is_not_taken_for_lost(
+        self,
+    ) -> None:
+        pool = self._pool(2, [EndpointError.TOO_MANY_CONNECTIONS])
+        first = pool.acquire(1, SessionProfile(), 500.0)
+        self.assertTrue(first.value.is_err())
+        self.assertTrue(pool.is_usable)
+        waiting = pool.acquire(1, SessionProfile(), 500.0)
+        self.timers.advance(200.0)
+        self.assertTrue(waiting.is_done and waiting.value.is_ok())
+
+    def test_a_refused_connection_backs_off(self) -> None:
+        pool = self._pool(2, [None] * 3)
+        self.assertTrue(pool.acquire(1, SessionProfile(), 500.0).value.is_err())
+        self.assertFalse(pool.is_usable)
+        self.timers.advance(150.0)
+        self.assertTrue(pool.is_usable)
+
+    def test_a_connection_that_is_not_clean_is_closed(self) -> None:
+        pool = self._pool(1, [])
+        session = pool.acquire(1, SessionProfile(), 500.0).value.ok_value
+        session.send(_begin())
+        self.timers.advance(50.0)
+        pool.release(session)
+        self.assertFalse(session.is_open)
+
+
+def _begin() -> Any:
+    from azurerelay.statements import OpenTransaction
+
+    return OpenTransaction()
+
+
+class ShareTest(unittest.TestCase):
+    def test_shares_of_all_hosts_stay_within_the_limit_and_use_most_of_it(self) -> None:
+        for limit, hosts in ((45, 15), (102, 20), (106, 40), (289, 106)):
+            with self.subTest(limit=limit, hosts=hosts):
+                for endpoint in ("e1", "e2", "e3"):
+                    total = sum(
+                        connection_share(limit, hosts, f"host-{n}", endpoint)
+                        for n in range(hosts)
+                    )
+                    self.assertLessEqual(total, limit + hosts * 0.15)
+                    self.assertGreaterEqual(total, limit * 0.75)
+
+    def test_every_host_has_one_at_least(self) -> None:
+        self.assertEqual(connection_share(10, 145, "host", "e"), 1)
+
+
+class SamplesTest(unittest.TestCase):
+    def test_the_lowest_position_within_the_bound(self) -> None:
+        samples = PositionSamples()
+        for at_ms in range(0, 2_000, 100):
+            samples.add(float(at_ms), Position(3, at_ms))
+        self.assertEqual(samples.covering(1_450.0), Position(3, 1_500))
+        self.assertIsNone(samples.covering(1_950.0))
+
+    def test_a_new_term_ends_the_positions_of_the_old_one(self) -> None:
+        samples = PositionSamples()
+        samples.add(0.0, Position(3, 10))
+        samples.add(100.0, Position(4, 8))
+        self.assertEqual(samples.covering(0.0), Position(4, 8))
+        samples.add(200.0, Position(3, 99))
+        self.assertEqual(samples.newest, (100.0, Position(4, 8)))
+
+
+class PlacementTest(unittest.TestCase):
+    def test_choices(self) -> None:
+        far = {"round_trip_ms": 24.0, "detour_ms": 80.0}
+        behind = {"position": Position(3, 5)}
+        cases = [
+            ("the near one", [view("a"), view("b", **far)], "a"),
+            ("another region when the near one is slow",
+             [view("a", service_ms=200.0), view("b", **far)], "b"),
+            ("the less used", [view("a", in_use=2), view("b")], "b"),
+            ("not one that was just behind", [view("a", **behind), view("b", **far)], "b"),
+            ("one that was behind long ago",
+             [view("a", position_age_ms=90.0, **behind), view("b", **far)], "a"),
+            ("the primary is never behind",
+             [view("a", is_primary=True, **behind), view("b", **far)], "a"),
+        ]  # fmt: skip
+        for name, views, expected in cases:
+            with self.subTest(name):
+                chosen = choose_endpoint(views, Position(3, 9), random.Random(1))
+                assert chosen is not None
+                self.assertEqual(chosen.name, expected)
+        self.assertIsNone(choose_endpoint([], None, random.Random(1)))
+
+
+if __name__ == "__main__":
+    unittest.main()
