Logs, metrics, explain request, checked deploy file

Typed events as JSON lines, bounded for each kind, never waiting for the reader; counters and histograms in plain memory, served by prometheus_client that is loaded with the first question; 'azurerelay explain request ID LOGS'; 'azurerelay check' takes the platform's settings and deploy/system.toml. Found by a test: an answer that was ready was dropped when the next request on the connection could not be read; it is delivered first now.

--- a/src/azurerelay/cli/_daemon_commands.py
+++ b/src/azurerelay/cli/_daemon_commands.py
@@ -6,7 +6,7 @@
 from typing import Annotated, Any
 
 import typer
-from result import Err
+from result import Err, Result
 
 from azurerelay.control import StartRefusedError
 from azurerelay.daemons import (
@@ -23,6 +23,12 @@
     run_until_signal,
     standin_application,
 )
+from azurerelay.hosts import (
+    check_deployment,
+    is_platform_settings,
+    load_host_settings,
+)
+from azurerelay.settings import Finding
 
 SettingsFile = Annotated[Path, typer.Argument(help="The JSON settings file.")]
 
@@ -54,11 +60,30 @@
 
 
 def check(file: SettingsFile) -> None:
-    """Check a settings file and print every finding with its JSON path."""
+    """Check a settings file and print every finding with its JSON path.
+
+    Files of the users' platform and `deploy/system.toml` are checked, too.
+    """
+    if file.suffix == ".toml":
+        _report(file, check_deployment(file), "a valid deployment")
+        return
+    if is_platform_settings(file):
+        _report(file, load_host_settings(file), "valid settings of the platform")
+        return
     settings = _load(file)
     typer.echo(f"{file}: a valid settings file of {settings.role} {settings.name}")
 
 
+def _report(
+    file: Path, outcome: Result[object, tuple[Finding, ...]], praise: str
+) -> None:
+    if isinstance(outcome, Err):
+        for finding in outcome.err_value:
+            typer.echo(str(finding), err=True)
+        raise typer.Exit(EXIT_BAD_SETTINGS)
+    typer.echo(f"{file}: {praise}")
+
+
 def _load(file: Path) -> ProcessSettings:
     loaded = load_settings(file)
     if isinstance(loaded, Err):
--- a/src/azurerelay/cli/_local_commands.py
+++ b/src/azurerelay/cli/_local_commands.py
@@ -6,6 +6,7 @@
 import typer
 from result import Err
 
+from azurerelay.cluster import decompress, is_compressed
 from azurerelay.consensus import Journal
 from azurerelay.daemons import new_link_keys
 from azurerelay.membership import ClusterState
@@ -51,7 +52,12 @@
 
 def _describe_snapshot(data: bytes) -> None:
     state = ClusterState()
-    state.restore(data)
+    state.restore(decompress(data) if is_compressed(data) else data)
+    if state.configuration is not None:
+        typer.echo(
+            f"  configuration version {state.configuration.version}, "
+            f"{len(state.configuration.routes)} routes"
+        )
     typer.echo(
         f"  settings number {state.number}, {len(state.hosts)} hosts, "
         f"{len(state.groups)} groups, {len(state.audit)} audit records"
--- a/src/azurerelay/cli/_operator_commands.py
+++ b/src/azurerelay/cli/_operator_commands.py
@@ -3,7 +3,9 @@
 import json
 import secrets
 import time
+from collections.abc import Iterator
 from datetime import UTC, datetime
+from pathlib import Path
 from typing import Annotated, Any
 from urllib.parse import urlencode
 
@@ -11,6 +13,7 @@
 
 from azurerelay.cli._control_client import ControlClient, ControlReply
 from azurerelay.cli._table import print_table
+from azurerelay.events import explain_request
 
 EXIT_REFUSED = 1
 EXIT_CONFLICT = 5
@@ -225,6 +228,42 @@
     _print_records(sorted(records + inherited, key=lambda r: r["index"]), as_json)
 
 
+@explain_app.command("request")
+def explain_one_request(
+    request_id: Annotated[str, typer.Argument(help="The id of the statement.")],
+    logs: Annotated[
+        list[Path],
+        typer.Argument(help="Log files of any processes.", exists=True, dir_okay=False),
+    ],
+) -> None:
+    """Tell from log files what became of a request, and what led to it.
+
+    Lines of the request are marked with *; the others tell what its host, the
+    endpoints it was offered to and control did around that time.
+    """
+    lines = (line for file in logs for line in _read_lines(file))
+    explained = explain_request(request_id, lines)
+    if not explained:
+        typer.echo(f"no line of {len(logs)} files names request {request_id}", err=True)
+        raise typer.Exit(1)
+    rows = [
+        (
+            "*" if line.is_of_request else "",
+            f"{line.after_ms:+d} ms",
+            line.host,
+            line.event,
+            line.details,
+        )
+        for line in explained
+    ]
+    print_table(("", "TIME", "HOST", "EVENT", "DETAILS"), rows)
+
+
+def _read_lines(file: Path) -> Iterator[str]:
+    with file.open(encoding="utf-8", errors="replace") as stream:
+        yield from stream
+
+
 def _applies_to(path: str, group: str) -> bool:
     names = [part for part in path.split("/") if part]
     return len(names) < 3 or names[-1] == group
--- a/src/azurerelay/cluster/__init__.py
+++ b/src/azurerelay/cluster/__init__.py
@@ -7,6 +7,7 @@
     ClusterNode,
     OrderOutcome,
 )
+from azurerelay.cluster._compression import compress, decompress, is_compressed
 from azurerelay.cluster._messages import CLUSTER_MESSAGES
 from azurerelay.cluster._promotion_duty import PromotionDuty
 from azurerelay.cluster._promotion_policy import (
@@ -38,7 +39,10 @@
     "PromotionPort",
     "VoterDuty",
     "candidates",
+    "compress",
+    "decompress",
     "host_address",
+    "is_compressed",
     "most_advanced",
     "next_voters",
     "promotion_reason",
--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -197,6 +197,22 @@
         """The entry hosts that follow this host."""
         return self._entry_hosts
 
+    def gauges(self) -> dict[str, float]:
+        """Return what is measured as it stands now, for the metrics page."""
+        configuration = self._state.configuration
+        return {
+            "configuration_version": float(
+                configuration.version if configuration else -1
+            ),
+            "log_term": float(self._raft.term),
+            "log_committed_index": float(self._raft.commit_index),
+            "log_leader": float(self._raft.is_leader),
+            "log_voters": float(len(self._raft.voters)),
+            "leader_silence_seconds": min(1e9, self._raft.leader_silence_ms) / 1_000.0,
+            "followed_by_entry_hosts": float(self._entry_hosts.count),
+            "endpoints": float(len(self._directory.announcements)),
+        }
+
     def start(self) -> None:
         """Begin to vote, to learn or to ask to join."""
         self._raft.start()
--- a/src/azurerelay/cluster/_compression.py
+++ b/src/azurerelay/cluster/_compression.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 LEVEL: Final = 6  # zlib's usual balance of time and size
+_ZLIB_FIRST_BYTE: Final = 0x78  # no MessagePack map or array begins with it
 
 
 def compress(data: bytes) -> bytes:
@@ -18,3 +19,8 @@
 def decompress(data: bytes) -> bytes:
     """Return what was compressed; raise `zlib.error` for anything else."""
     return zlib.decompress(data) if data else b""
+
+
+def is_compressed(data: bytes) -> bool:
+    """Return whether data was compressed; plain snapshots are MessagePack maps."""
+    return data[:1] == bytes((_ZLIB_FIRST_BYTE,))
--- a/src/azurerelay/events/__init__.py
+++ b/src/azurerelay/events/__init__.py
@@ -18,10 +18,19 @@
     SessionRefused,
     StatementRefused,
     StatementRetried,
+    StatementServed,
     VotersChanged,
 )
+from azurerelay.events._explanation import (
+    ExplainedLine,
+    explain_request,
+    parse_log_line,
+)
 
 __all__ = [
+    "ExplainedLine",
+    "explain_request",
+    "parse_log_line",
     "AnnouncementRefused",
     "ConfigurationInForce",
     "ConfigurationOrdered",
@@ -40,5 +49,6 @@
     "SessionRefused",
     "StatementRefused",
     "StatementRetried",
+    "StatementServed",
     "VotersChanged",
 ]
--- a/src/azurerelay/events/_events.py
+++ b/src/azurerelay/events/_events.py
@@ -8,6 +8,21 @@
     """One decision or change of belief."""
 
 
+@dataclass(frozen=True, slots=True)
+class StatementServed(Event):
+    """A statement was answered with success."""
+
+    request_id: str
+    database: str
+    statement: str
+    endpoint: str
+    required_position: str
+    position: str
+    duration_ms: float
+    attempts: int
+    configuration_version: int
+
+
 @dataclass(frozen=True, slots=True)
 class StatementRefused(Event):
     """A statement was given up; `has_run` is "no" only when that is certain."""
--- a/src/azurerelay/hosts/_control_host.py
+++ b/src/azurerelay/hosts/_control_host.py
@@ -20,6 +20,7 @@
 from azurerelay.hosts._disk_identity import FIRST_IDENTITY, disk_identity
 from azurerelay.hosts._endpoint_client import TcpEndpointConnector
 from azurerelay.hosts._http_service import HttpAnswer, HttpRequest, HttpService
+from azurerelay.hosts._metrics_service import MetricsService
 from azurerelay.hosts._promotion_client import HttpPromotions
 from azurerelay.platform import (
     DEREGISTER_PREFIX,
@@ -34,6 +35,7 @@
 )
 from azurerelay.runtime import AsyncioTimerService, ZmqLink, as_future
 from azurerelay.storage import FolderDisk
+from azurerelay.telemetry import Meters
 from azurerelay.timing import ScopedTimerService
 
 # Answers that operators and endpoints take elsewhere.
@@ -51,6 +53,7 @@
         self,
         settings: HostSettings,
         events: EventLog,
+        meters: Meters,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         assert settings.control_address and settings.data_folder
@@ -92,6 +95,8 @@
             events,
         )
         self._cache = DirectoryCache(self._disk, self._node.directory)
+        self._metrics = MetricsService(settings.ip_address, meters, self._gauges)
+        self._meters = meters
         self._service = HttpService("control", settings.control_address, self._answer)
 
     @property
@@ -107,6 +112,7 @@
         self._node.start()
         self._cache.start()
         await self._service.start()
+        await self._metrics.start()
 
     def reload(self, settings: HostSettings) -> None:
         """Take note of other settings; the cluster knows its hosts by itself."""
@@ -118,11 +124,17 @@
     async def stop(self) -> None:
         """Release everything."""
         await self._service.stop()
+        await self._metrics.stop()
         self._cache.stop()
         self._timers.close()
         self._disk.close()
         await self._link.stop()
 
+    def _gauges(self) -> dict[str, float]:
+        return self._node.gauges() | {
+            "link_dropped_messages": float(self._link.dropped),
+        }
+
     def _on_message(self, sender: str, message: Any) -> None:
         self._node.on_message(sender, message)
 
@@ -164,6 +176,9 @@
         self, version: int, outcome: str, findings: str, started_ms: float
     ) -> None:
         duration_ms = self._timers.now_ms() - started_ms
+        self._meters.observe(
+            "configuration_order_duration_seconds", duration_ms, outcome=outcome
+        )
         self._events.record(
             ConfigurationOrdered(version, outcome, findings, duration_ms)
         )
--- a/src/azurerelay/hosts/_entry_host.py
+++ b/src/azurerelay/hosts/_entry_host.py
@@ -9,10 +9,12 @@
 from azurerelay.hosts._caller_server import CallerServer
 from azurerelay.hosts._endpoint_client import TcpEndpointConnector
 from azurerelay.hosts._http_service import HttpAnswer, HttpRequest, HttpService
+from azurerelay.hosts._metrics_service import MetricsService
 from azurerelay.messages import TaggedCodec
 from azurerelay.platform import READINESS_PATH, HostSettings
 from azurerelay.relay import Neighbourhood, RelayNode
 from azurerelay.runtime import AsyncioTimerService, ZmqLink
+from azurerelay.telemetry import Meters
 from azurerelay.timing import ScopedTimerService
 
 ENTRY_LINK_CODEC: Final = TaggedCodec(ATTACHMENT_MESSAGES)
@@ -31,6 +33,7 @@
         self,
         settings: HostSettings,
         events: EventLog,
+        meters: Meters,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         assert settings.callers_address and settings.readiness_address
@@ -53,11 +56,13 @@
             self._timers,
             random.Random(),
             events,
+            meters,
         )
         self._callers = CallerServer(settings.callers_address, self._node)
         self._readiness = HttpService(
             "readiness", settings.readiness_address, self._answer_readiness
         )
+        self._metrics = MetricsService(settings.ip_address, meters, self._gauges)
         self._is_draining = False
 
     @property
@@ -72,6 +77,7 @@
         self._node.start()
         await self._callers.start()
         await self._readiness.start()
+        await self._metrics.start()
 
     def reload(self, settings: HostSettings) -> None:
         """Take what may change while the process runs: the seeds."""
@@ -93,10 +99,18 @@
         """Release everything."""
         await self._callers.stop()
         await self._readiness.stop()
+        await self._metrics.stop()
         self._node.stop()
         self._timers.close()
         await self._link.stop()
 
+    def _gauges(self) -> dict[str, float]:
+        return self._node.gauges() | {
+            "caller_sessions": float(self._callers.open_sessions),
+            "endpoint_connections_opened": float(self._connector.opened),
+            "link_dropped_messages": float(self._link.dropped),
+        }
+
     def _on_message(self, sender: str, message: Any) -> None:
         self._node.on_message(sender, message)
 
--- a/src/azurerelay/hosts/_http_service.py
+++ b/src/azurerelay/hosts/_http_service.py
@@ -58,6 +58,7 @@
         self._parts: list[bytes] = []
         self._length = 0
         self._turn: asyncio.Task[None] | None = None
+        self._is_broken = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take over the transport."""
@@ -67,10 +68,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; what is no request ends the connection."""
+        if self._is_broken:
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
-            self._write(HttpAnswer(400), keep_alive=False)
+            self._refuse(HttpAnswer(400))
 
     def on_url(self, url: bytes) -> None:
         """Take a part of the target from the parser."""
@@ -80,12 +83,14 @@
         """Take a part of the body from the parser."""
         self._length += len(data)
         if self._length > MAX_BODY_BYTES:
-            self._write(HttpAnswer(413), keep_alive=False)
-            return
-        self._parts.append(data)
+            self._refuse(HttpAnswer(413))
+        elif not self._is_broken:
+            self._parts.append(data)
 
     def on_message_complete(self) -> None:
         """Answer the request after those before it."""
+        if self._is_broken:
+            return
         request = HttpRequest(
             self._parser.get_method().decode(),
             self._path.decode(errors="replace").partition("?")[0],
@@ -93,19 +98,34 @@
         )
         keep_alive = self._parser.should_keep_alive()
         self._path, self._parts, self._length = b"", [], 0
+        self._take_turn(self._handler(request), keep_alive)
+
+    def _refuse(self, answer: HttpAnswer) -> None:
+        """Answer what is no request after the requests before it, and close."""
+        if self._is_broken:
+            return
+        self._is_broken = True
+        self._parts = []
+
+        async def refuse() -> HttpAnswer:
+            return answer
+
+        self._take_turn(refuse(), False)
+
+    def _take_turn(self, answer: Awaitable[HttpAnswer], keep_alive: bool) -> None:
         loop = asyncio.get_running_loop()
-        task = loop.create_task(self._answer(request, keep_alive, self._turn))
+        task = loop.create_task(self._answer(answer, keep_alive, self._turn))
         self._turn = task
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _answer(
         self,
-        request: HttpRequest,
+        answering: Awaitable[HttpAnswer],
         keep_alive: bool,
         before: "asyncio.Task[None] | None",
     ) -> None:
-        answer = await self._handler(request)
+        answer = await answering
         if before is not None:
             await asyncio.wait((before,))
         self._write(answer, keep_alive)
--- a/src/azurerelay/hosts/_json_event_log.py
+++ b/src/azurerelay/hosts/_json_event_log.py
@@ -14,6 +14,7 @@
     Event,
     StatementRefused,
 )
+from azurerelay.telemetry import Meters
 from azurerelay.timing import TimerService
 
 # Lines of each kind of event a second; what goes beyond is counted, not written.
@@ -31,7 +32,10 @@
     it full is counted and reported with the next line that is written.
     """
 
-    def __init__(self, host: str, timers: TimerService, descriptor: int = 1) -> None:
+    def __init__(
+        self, host: str, timers: TimerService, meters: Meters, descriptor: int = 1
+    ) -> None:
+        self._meters = meters
         self._host = host
         self._timers = timers
         self._descriptor = descriptor
@@ -52,9 +56,11 @@
         if now_ms - self._window_ms >= WINDOW_MS:
             self._begin_window(now_ms)
         kind = type(event).__name__
+        self._meters.count("events_total", event=kind)
         budget = REFUSALS_PER_S if isinstance(event, StatementRefused) else LINES_PER_S
         if self._written.get(kind, 0) >= budget:
             self._left_out[kind] = self._left_out.get(kind, 0) + 1
+            self._meters.count("events_left_out_total", event=kind)
             return
         self._written[kind] = self._written.get(kind, 0) + 1
         line: dict[str, Any] = {
--- a/src/azurerelay/hosts/_run.py
+++ b/src/azurerelay/hosts/_run.py
@@ -18,6 +18,7 @@
 from azurerelay.hosts._settings_file import load_host_settings
 from azurerelay.platform import SETTINGS_VARIABLE, HostSettings
 from azurerelay.runtime import AsyncioTimerService
+from azurerelay.telemetry import Meters
 
 EXIT_BAD_SETTINGS: Final = 2
 EXIT_DAMAGED_DISK: Final = 3
@@ -59,14 +60,15 @@
 
 async def _run(role: str, file: Path, settings: HostSettings) -> int:
     loop = asyncio.get_running_loop()
-    events = JsonEventLog(settings.name, AsyncioTimerService(loop))
+    meters = Meters()
+    events = JsonEventLog(settings.name, AsyncioTimerService(loop), meters)
     route_absl(events)
     loop.set_exception_handler(_log_exception)
     host: Host
     if role == "control":
-        host = ControlHost(settings, events, loop)
+        host = ControlHost(settings, events, meters, loop)
     else:
-        host = EntryHost(settings, events, loop)
+        host = EntryHost(settings, events, meters, loop)
     stopping, reloading = asyncio.Event(), asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     loop.add_signal_handler(signal.SIGINT, stopping.set)
--- a/src/azurerelay/platform/_host_settings.py
+++ b/src/azurerelay/platform/_host_settings.py
@@ -66,6 +66,7 @@
     """
 
     name: str
+    ip_address: str
     failure_domain: str
     regions: dict[str, str]
     link_address: str
@@ -93,6 +94,7 @@
     return Ok(
         HostSettings(
             name=document.node_name,
+            ip_address=document.ip_address,
             failure_domain=document.zone,
             regions=document.zones,
             link_address=f"{document.ip_address}:{port}",
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -7,7 +7,12 @@
 
 from result import Err, Ok
 
-from azurerelay.events import EventLog, StatementRefused, StatementRetried
+from azurerelay.events import (
+    EventLog,
+    StatementRefused,
+    StatementRetried,
+    StatementServed,
+)
 from azurerelay.pooling import (
     EndpointPool,
     PooledSession,
@@ -39,6 +44,7 @@
     Statement,
     Write,
 )
+from azurerelay.telemetry import Meters
 from azurerelay.timing import Timer, TimerService, sleep, spawn, within
 
 RETRY_PAUSE_MS: Final = 15.0  # half a typical statement
@@ -88,6 +94,7 @@
     limit_ms: float
     count: int = 0
     endpoint: str = ""
+    required: str = ""
     reason: str = "no endpoint could be used"
 
 
@@ -104,7 +111,10 @@
         table: RouteTable,
         timers: TimerService,
         events: EventLog,
+        meters: Meters,
     ) -> None:
+        self._meters = meters
+        self._attempt: _Attempt | None = None
         self._database = database
         self._table = table
         self._timers = timers
@@ -137,11 +147,14 @@
         """Serve one statement; the one before must have been answered."""
         self._stop_idle_timer()
         self._is_busy = True
+        self._attempt = None
+        started_ms = self._timers.now_ms()
         if self._is_failed and not isinstance(statement, (Rollback, Commit)):
             reply = self._reply_in_failed_transaction()
         else:
             reply = await self._run(statement)
         self._is_busy = False
+        self._note_outcome(statement, reply, self._timers.now_ms() - started_ms)
         if self._is_closed:
             self._release_transaction()
         elif self._transaction is not None:
@@ -237,6 +250,7 @@
             error = CallerError.ABORTED if was_failed else CallerError.MALFORMED
             return CallerReply(self.state, error=error, error_text=text)
         attempt = self._begin_attempt(statement, transaction.route)
+        attempt.endpoint = transaction.session.endpoint
         while True:
             asked_ms = self._timers.now_ms()
             outcome = await within(
@@ -321,6 +335,7 @@
             if required is None:
                 await self._pause(attempt, "no endpoint proves that it leads", group)
                 continue
+            attempt.required = str(required)
             pool = group.choose(required, excluded)
             if pool is None:
                 excluded, required = frozenset(), None
@@ -343,7 +358,7 @@
                 attempt.reason = "the endpoint did not answer"
                 if isinstance(outcome, Ok):
                     group.note_loss(pool, "the connection was lost")
-                self._note_retry(attempt, str(required))
+                self._note_retry(attempt)
                 continue
             reply = outcome.ok_value.ok_value
             group.note_reply(pool, asked_ms, reply)
@@ -355,7 +370,7 @@
             if not reply.has_not_run:
                 has_read_failed = reply
             self._note_not_run(group, session, reply)
-            self._note_retry(attempt, str(required))
+            self._note_retry(attempt)
         if has_read_failed is not None:
             return self._pass_on_error(attempt, has_read_failed)
         return self._give_up(attempt, CallerError.BUSY, "no")
@@ -583,7 +598,37 @@
 
     def _begin_attempt(self, statement: Statement, route: Route) -> _Attempt:
         now_ms = self._timers.now_ms()
-        return _Attempt(statement, route, now_ms, now_ms + route.statement_timeout_ms)
+        limit_ms = now_ms + route.statement_timeout_ms
+        self._attempt = _Attempt(statement, route, now_ms, limit_ms)
+        return self._attempt
+
+    def _note_outcome(
+        self, statement: Statement, reply: CallerReply, duration_ms: float
+    ) -> None:
+        attempt = self._attempt
+        outcome = "done" if reply.error is None else reply.error.name.lower()
+        kind = type(statement).__name__.lower()
+        self._meters.count("statements_total", statement=kind, outcome=outcome)
+        if attempt is None:
+            return
+        consistency = attempt.route.consistency.value
+        self._meters.observe(
+            "statement_duration_seconds", duration_ms, consistency=consistency
+        )
+        if reply.error is None:
+            self._events.record(
+                StatementServed(
+                    statement.request_id,
+                    self._database,
+                    kind,
+                    attempt.endpoint,
+                    attempt.required,
+                    str(reply.position),
+                    duration_ms,
+                    attempt.count,
+                    self._table.version,
+                )
+            )
 
     def _may_retry(self, attempt: _Attempt) -> bool:
         return self._timers.now_ms() < attempt.limit_ms and not self._is_closed
@@ -633,14 +678,15 @@
         elif reply.error is EndpointError.UNKNOWN_NAME:
             session.forget_prepared()
 
-    def _note_retry(self, attempt: _Attempt, required: str) -> None:
+    def _note_retry(self, attempt: _Attempt) -> None:
+        self._meters.count("statement_retries_total")
         self._events.record(
             StatementRetried(
                 attempt.statement.request_id,
                 attempt.endpoint,
                 attempt.reason,
                 attempt.count,
-                required,
+                attempt.required,
             )
         )
 
--- a/src/azurerelay/relay/_group_relay.py
+++ b/src/azurerelay/relay/_group_relay.py
@@ -99,6 +99,11 @@
         """Positions that a leader was at."""
         return self._samples
 
+    @property
+    def connections(self) -> int:
+        """How many connections to its endpoints this host holds."""
+        return sum(member.pool.size for member in self._members.values())
+
     def changed(self) -> Promise[None]:
         """Return a promise that is resolved at the next change of endpoints."""
         return self._changed
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -18,6 +18,7 @@
 from azurerelay.relay._neighbourhood import Neighbourhood
 from azurerelay.routes import Configuration, Route
 from azurerelay.statements import CallerError, EndpointConnector
+from azurerelay.telemetry import Meters
 from azurerelay.timing import Promise, TimerService, within
 
 # The leader of each group is asked for a proof at least this often, so that its loss
@@ -43,7 +44,9 @@
         timers: TimerService,
         random_source: random.Random,
         events: EventLog,
+        meters: Meters,
     ) -> None:
+        self._meters = meters
         self._name = name
         self._neighbourhood = neighbourhood
         self._connector = connector
@@ -114,7 +117,7 @@
                 SessionRefused(database, "no route has this name", self.version)
             )
             return CallerError.UNKNOWN_DATABASE
-        return CallerSession(database, self, self._timers, self._events)
+        return CallerSession(database, self, self._timers, self._events, self._meters)
 
     def find(self, database: str) -> tuple[Route, GroupRelay] | None:
         """Return the route of a database name and its group."""
@@ -122,6 +125,18 @@
         group = self._groups.get(route.group) if route else None
         return (route, group) if route and group else None
 
+    def gauges(self) -> dict[str, float]:
+        """Return what is measured as it stands now, for the metrics page."""
+        return {
+            "configuration_version": float(self.version),
+            "control_age_seconds": min(1e9, self._follower.age_ms) / 1_000.0,
+            "entry_hosts": float(self._follower.entry_hosts),
+            "endpoints": float(len(self._directory.announcements)),
+            "endpoint_connections": float(
+                sum(group.connections for group in self._groups.values())
+            ),
+        }
+
     def _on_change(self, update: DirectoryUpdate | None) -> None:
         now_ms = self._timers.now_ms()
         if update is not None:
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -45,6 +45,7 @@
     Write,
 )
 from azurerelay.storage import MemoryDisk
+from azurerelay.telemetry import Meters
 from azurerelay.timing import (
     ManualTimerService,
     Promise,
@@ -492,6 +493,7 @@
         self.timers = ManualTimerService(start_ms=50_000.0)
         self.random = random.Random(seed)
         self.events = EventRecorder()
+        self.meters = Meters()
         self.runs: list[Run] = []
         self.committed: list[str] = []
         self.stale: list[str] = []
@@ -593,6 +595,7 @@
             scope,
             random.Random(self.random.random()),
             self.events,
+            self.meters,
         )
         self.entries[address] = node
         self.scopes[address] = scope
--- /dev/null
+++ b/tests/test_hosts.py
@@ -0,0 +1,300 @@
+"""Logs, metrics, files and sockets of the hosts on the platform."""
+
+import asyncio
+import json
+import os
+import random
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from typer.testing import CliRunner
+
+from azurerelay.cli._app import app
+from azurerelay.discovery import EndpointDirectory
+from azurerelay.events import (
+    SessionRefused,
+    StatementRefused,
+    explain_request,
+    parse_log_line,
+)
+from azurerelay.hosts._caller_server import CallerServer
+from azurerelay.hosts._directory_cache import DirectoryCache
+from azurerelay.hosts._disk_identity import disk_identity
+from azurerelay.hosts._endpoint_client import TcpEndpointConnector
+from azurerelay.hosts._http_service import HttpAnswer, HttpRequest, HttpService
+from azurerelay.hosts._json_event_log import BACKLOG_LINES, JsonEventLog
+from azurerelay.hosts._metrics_service import MetricsService
+from azurerelay.runtime import as_future
+from azurerelay.statements import RunText
+from azurerelay.storage import MemoryDisk
+from azurerelay.telemetry import Meters
+from azurerelay.timing import ManualTimerService
+from tests.platform_rig import PlatformRig
+from tests.test_cluster import announcement
+
+ROOT = Path(__file__).resolve().parent.parent
+LOCAL = "127.0.0.1"
+
+
+def refusal(number: int) -> StatementRefused:
+    return StatementRefused(f"q{number}", "db", "busy", "no", 3.0, 1, "e1", 7)
+
+
+class EventLogTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reader, self.writer = os.pipe()
+        self.timers = ManualTimerService()
+        self.meters = Meters()
+        self.log = JsonEventLog("host", self.timers, self.meters, self.writer)
+
+    def tearDown(self) -> None:
+        os.close(self.reader)
+        os.close(self.writer)
+
+    def test_a_flood_is_written_up_to_its_budget_and_counted_beyond(self) -> None:
+        for number in range(2_000):
+            self.log.record(refusal(number))
+            self.log.record(SessionRefused("db", "no route", 7))
+        self.timers.advance(1_001.0)
+        self.log.record(refusal(0))
+        lines = os.read(self.reader, 1_000_000).decode().splitlines()
+        self.assertLessEqual(len(lines), 60 + 20 + 2)
+        left_out = json.loads(lines[-2])
+        self.assertEqual(left_out["event"], "EventsLeftOut")
+        self.assertEqual(left_out["counts"]["StatementRefused"], 2_000 - 60)
+        counted = self.meters.counters
+        self.assertEqual(
+            counted["events_total", (("event", "StatementRefused"),)], 2_001
+        )
+
+    def test_a_full_pipe_delays_nothing_and_is_counted(self) -> None:
+        for _ in range(400):
+            self.timers.advance(1_001.0)
+            for number in range(60):
+                self.log.record(refusal(number))
+        self.assertIn("queue_full", self.log.left_out)
+        self.assertLessEqual(len(self.log._queue), BACKLOG_LINES)
+
+    def test_lines_can_be_read_back(self) -> None:
+        self.log.record(refusal(1))
+        line = parse_log_line("12.5 host-1 " + os.read(self.reader, 10_000).decode())
+        assert line is not None
+        self.assertEqual((line["request_id"], line["waited_ms"]), ("q1", 3.0))
+
+
+class ExplanationTest(unittest.TestCase):
+    def test_a_request_is_followed_across_processes(self) -> None:
+        lines = [
+            '{"time_ms":900,"host":"c1","event":"PromotionDecided","group":"g",'
+            '"endpoint":"e2","reason":"lost"}',
+            '{"time_ms":100,"host":"f1","event":"ConfigurationInForce","version":7}',
+            'x {"time_ms":1000,"host":"f1","event":"StatementRefused",'
+            '"request_id":"q1","endpoint":"e1","configuration_version":7}',
+            '{"time_ms":950,"host":"f2","event":"EndpointLost","endpoint":"e1"}',
+            '{"time_ms":950,"host":"f2","event":"EndpointLost","endpoint":"e9"}',
+            '{"time_ms":99000,"host":"f1","event":"ProcessChanged"}',
+            "no json",
+            '{"broken',
+        ]
+        found = explain_request("q1", lines)
+        self.assertEqual(
+            [line.event for line in found],
+            [
+                "ConfigurationInForce",
+                "PromotionDecided",
+                "EndpointLost",
+                "StatementRefused",
+            ],
+        )
+        self.assertEqual([line.is_of_request for line in found][-1], True)
+        self.assertEqual(explain_request("q9", lines), [])
+
+    def test_the_command_prints_the_chain(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / "f1.log"
+            file.write_text(
+                '{"time_ms":1000,"host":"f1","event":"StatementRefused",'
+                '"request_id":"q1","reason":"busy"}\n'
+            )
+            runner = CliRunner()
+            found = runner.invoke(app, ["explain", "request", "q1", str(file)])
+            self.assertEqual(found.exit_code, 0, found.output)
+            self.assertIn("reason=busy", found.output)
+            missing = runner.invoke(app, ["explain", "request", "q2", str(file)])
+            self.assertEqual(missing.exit_code, 1)
+
+    def test_a_refused_statement_of_the_whole_path_has_its_line(self) -> None:
+        rig = PlatformRig()
+        rig.start()
+        rig.primary().crash()
+        session = rig.open("strict")
+        reply = rig.run(session, "WRITE a x")
+        self.assertIsNotNone(reply.error)
+        refused = rig.events.of(StatementRefused)
+        self.assertEqual(refused[-1].has_run, "no")
+        self.assertGreater(refused[-1].waited_ms, 0.0)
+
+
+class CheckCommandTest(unittest.TestCase):
+    def _check(self, name: str, content: str) -> Any:
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / name
+            file.write_text(content)
+            return CliRunner().invoke(app, ["check", str(file)])
+
+    def test_the_deploy_file_is_valid(self) -> None:
+        found = CliRunner().invoke(app, ["check", str(ROOT / "deploy/system.toml")])
+        self.assertEqual(found.exit_code, 0, found.output)
+
+    def test_all_findings_of_a_deploy_file(self) -> None:
+        found = self._check("d.toml", '[roles.entry]\nrun = "x"\nshare = 2\n')
+        self.assertEqual(found.exit_code, 2)
+        self.assertEqual(found.output.count("d.toml:"), 5)
+
+    def test_settings_of_the_platform(self) -> None:
+        found = self._check("s.json", '{"node_name": 3}')
+        self.assertEqual(found.exit_code, 2)
+        self.assertIn("$.node_name", found.output)
+
+
+class DiskTest(unittest.TestCase):
+    def test_an_empty_disk_is_another_one(self) -> None:
+        disk = MemoryDisk()
+        first = disk_identity(disk, True, random.Random(1))
+        self.assertEqual(first, "first")
+        self.assertEqual(disk_identity(disk, False, random.Random(2)), "first")
+        self.assertNotEqual(disk_identity(MemoryDisk(), False, random.Random(3)), first)
+
+    def test_the_directory_outlives_a_restart_and_damage_is_ignored(self) -> None:
+        disk, directory = MemoryDisk(), EndpointDirectory()
+        directory.merge(announcement(), 0.0)
+
+        async def save() -> None:
+            cache = DirectoryCache(disk, directory)
+            cache.start()
+            for _ in range(300):
+                if disk.names():
+                    break
+                await asyncio.sleep(0.01)
+            cache.stop()
+
+        asyncio.run(save())
+        cache = DirectoryCache(disk, EndpointDirectory())
+        self.assertEqual(cache.load(), (announcement(),))
+        disk.replace("directory.cache", b"\xc1broken")
+        self.assertEqual(cache.load(), ())
+
+
+class SocketsTest(unittest.TestCase):
+    """The real servers on loopback, with a relay on fake time behind them."""
+
+    def test_a_caller_is_served_over_tcp_and_bad_input_ends_its_session(self) -> None:
+        asyncio.run(self._serve_callers())
+
+    async def _serve_callers(self) -> None:
+        rig = PlatformRig()
+        rig.start()
+        node = rig.entries["10.1.0.1:7440"]
+        server = CallerServer(f"{LOCAL}:0", node)
+        await server.start()
+        assert server._server is not None
+        port = server._server.sockets[0].getsockname()[1]
+        loop = asyncio.get_running_loop()
+
+        def advance() -> None:
+            rig.timers.advance(20.0)
+            loop.call_later(0.001, advance)
+
+        advance()
+        reader, writer = await asyncio.open_connection(LOCAL, port)
+        writer.write(b"START strict u1\r\nQUERY q1 WRITE a x\r\nQUERY q2 REA")
+        self.assertEqual(await reader.readline(), b"READY I -\r\n")
+        self.assertEqual(await reader.readline(), b"DATAROW row of q1\r\n")
+        self.assertEqual(await reader.readline(), b"COMPLETE signed q1\r\n")
+        self.assertTrue((await reader.readline()).startswith(b"READY I 3."))
+        writer.write(b"D a\r\nQUERY q3 NONSENSE\r\n")
+        lines = [await reader.readline() for _ in range(5)]
+        self.assertEqual(lines[0], b"DATAROW row of q2\r\n")
+        self.assertTrue(lines[3].startswith(b"ERROR MALFORMED"))
+        writer.write(b"QUERY q4 READ a\nQUERY q5 WRITE a y\r\n")
+        self.assertTrue((await reader.readline()).startswith(b"ERROR TOOLONG"))
+        self.assertEqual(await reader.read(), b"")
+        writer.close()
+        reader, writer = await asyncio.open_connection(LOCAL, port)
+        writer.write(b"START nowhere u1\r\n")
+        self.assertTrue((await reader.readline()).startswith(b"ERROR NODATABASE"))
+        self.assertEqual(await reader.read(), b"")
+        writer.close()
+        await server.stop()
+
+    def test_an_endpoint_connection_breaks_on_what_is_no_answer(self) -> None:
+        asyncio.run(self._break_connection())
+
+    async def _break_connection(self) -> None:
+        async def endpoint(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readline()
+            writer.write(b"READY I 3.1\r\n")
+            await reader.readline()
+            writer.write(b"DATAROW half\r\nNONSENSE\r\n")
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(endpoint, LOCAL, 0)
+        port = server.sockets[0].getsockname()[1]
+        connector = TcpEndpointConnector(asyncio.get_running_loop())
+        at = announcement(address=f"{LOCAL}:{port}")
+        session = (await as_future(connector.connect(at))).ok_value
+        outcome = await as_future(session.request(RunText("q", "READ a")))
+        self.assertTrue(outcome.is_err())
+        self.assertFalse(session.is_open)
+        session.close()
+        server.close()
+        await asyncio.sleep(0)
+
+    def test_http_requests_that_are_split_joined_or_broken(self) -> None:
+        asyncio.run(self._serve_http())
+
+    async def _serve_http(self) -> None:
+        async def handler(request: HttpRequest) -> HttpAnswer:
+            return HttpAnswer(200, request.path.encode() + request.body)
+
+        service = HttpService("test", f"{LOCAL}:0", handler)
+        await service.start()
+        assert service._server is not None
+        port = service._server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection(LOCAL, port)
+        joined = b"POST /a?x=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+        writer.write(joined + joined[:30])
+        await asyncio.sleep(0.01)
+        writer.write(joined[30:] + b"NONSENSE\r\n\r\n")
+        data = await reader.read()
+        self.assertEqual(data.count(b"/ahi"), 2)
+        self.assertIn(b"400 Bad Request", data)
+        writer.close()
+        await service.stop()
+
+    def test_the_metrics_page(self) -> None:
+        asyncio.run(self._read_metrics())
+
+    async def _read_metrics(self) -> None:
+        meters = Meters()
+        meters.count("statements_total", statement="read", outcome="done")
+        meters.observe("statement_duration_seconds", 30.0, consistency="bounded")
+        service = MetricsService(LOCAL, meters, lambda: {"entry_hosts": 3.0})
+        answer = await service._answer(HttpRequest("GET", "/metrics", b""))
+        text = answer.body.decode()
+        for expected in (
+            'azurerelay_statements_total{outcome="done",statement="read"} 1.0',
+            'azurerelay_statement_duration_seconds_bucket{consistency="bounded",'
+            'le="0.05"} 1.0',
+            "azurerelay_entry_hosts 3.0",
+        ):
+            self.assertIn(expected, text)
+
+
+if __name__ == "__main__":
+    unittest.main()
