Offer reads only to replicas that should have their position; late callers of a draining host

Change: each replica's lag is learned from the positions it states and compared with the age of the required position. A caller that connects to a draining host after its idle sessions were closed gets one operation. Tests: new cases for lag and placement.

--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -39,7 +39,10 @@
     """One caller; statements are served in order, one at a time."""
 
     def __init__(
-        self, node: RelayNode, on_closed: Callable[["CallerProtocol"], object]
+        self,
+        node: RelayNode,
+        on_closed: Callable[["CallerProtocol"], object],
+        is_ending: bool,
     ) -> None:
         self._node = node
         self._on_closed = on_closed
@@ -48,7 +51,7 @@
         self._session: CallerSession | None = None
         self._waiting: deque[CallerMessage] = deque()
         self._is_serving = False
-        self._is_ending = False
+        self._is_ending = is_ending
 
     @property
     def is_idle(self) -> bool:
@@ -218,6 +221,6 @@
             caller.end()
 
     def _accept(self) -> CallerProtocol:
-        caller = CallerProtocol(self._node, self._callers.discard)
+        caller = CallerProtocol(self._node, self._callers.discard, self._is_ending)
         self._callers.add(caller)
         return caller
--- a/src/azurerelay/pooling/__init__.py
+++ b/src/azurerelay/pooling/__init__.py
@@ -2,8 +2,10 @@
 
 from azurerelay.pooling._connection_share import connection_share
 from azurerelay.pooling._endpoint_pool import EndpointPool
+from azurerelay.pooling._lag_estimate import LagEstimate
 from azurerelay.pooling._placement import (
     EndpointView,
+    RequiredPosition,
     choose_endpoint,
     expected_ms,
     is_likely_behind,
@@ -15,9 +17,11 @@
 __all__ = [
     "EndpointPool",
     "EndpointView",
+    "LagEstimate",
     "PooledSession",
     "PositionSamples",
     "PreparedShape",
+    "RequiredPosition",
     "SessionProfile",
     "choose_endpoint",
     "connection_share",
--- a/src/azurerelay/pooling/_placement.py
+++ b/src/azurerelay/pooling/_placement.py
@@ -7,8 +7,6 @@
 
 from azurerelay.statements import Position
 
-# An endpoint that was behind this short a time ago is taken to be behind still.
-BEHIND_MEMORY_MS: Final = 40.0
 # Endpoints whose costs differ by less share the load at random, so that hosts which
 # all see the same costs do not move to the same endpoint together.
 TIE_MS: Final = 4.0
@@ -25,15 +23,25 @@
     in_use: int
     has_free_slot: bool
     position: Position | None
-    position_age_ms: float
+    lag_ms: float
     is_primary: bool
 
 
-def is_likely_behind(view: EndpointView, required: Position | None) -> bool:
-    """Return whether an endpoint was lately seen below a position."""
-    if required is None or view.is_primary or view.position is None:
+@dataclass(frozen=True, slots=True)
+class RequiredPosition:
+    """A position that a read must find, and for how long it has been reached."""
+
+    position: Position
+    age_ms: float
+
+
+def is_likely_behind(view: EndpointView, required: RequiredPosition) -> bool:
+    """Return whether a read would probably not find its position there."""
+    if view.is_primary:
+        return False
+    if view.position is not None and view.position >= required.position:
         return False
-    return view.position < required and view.position_age_ms < BEHIND_MEMORY_MS
+    return required.age_ms < view.lag_ms
 
 
 def expected_ms(view: EndpointView) -> float:
@@ -44,7 +52,7 @@
 
 def choose_endpoint(
     views: Iterable[EndpointView],
-    required: Position | None,
+    required: RequiredPosition,
     random_source: random.Random,
 ) -> EndpointView | None:
     """Return the endpoint with the least expected time that is not behind.
--- a/src/azurerelay/pooling/_position_samples.py
+++ b/src/azurerelay/pooling/_position_samples.py
@@ -18,6 +18,7 @@
 
     def __init__(self) -> None:
         self._samples: deque[tuple[float, Position]] = deque()
+        self._first_seen: deque[tuple[float, Position]] = deque()
 
     @property
     def newest(self) -> tuple[float, Position] | None:
@@ -29,13 +30,21 @@
         """The newest term seen; 0 before the first sample."""
         return self._samples[-1][1].term if self._samples else 0
 
-    def add(self, asked_ms: float, position: Position) -> None:
-        """Record that a leading endpoint was at a position after `asked_ms`."""
+    def add(self, asked_ms: float, position: Position, seen_ms: float) -> None:
+        """Record that a leading endpoint was at a position after `asked_ms`.
+
+        `seen_ms` is when its answer came.
+        """
         if position.term < self.term:
             return
         if position.term > self.term:
             # Positions of the term before may have been rolled back.
             self._samples.clear()
+            self._first_seen.clear()
+        if not self._first_seen or position > self._first_seen[-1][1]:
+            self._first_seen.append((seen_ms, position))
+            while seen_ms - self._first_seen[0][0] > KEPT_MS:
+                self._first_seen.popleft()
         if self._samples and asked_ms <= self._samples[-1][0]:
             return
         is_close = (
@@ -53,3 +62,17 @@
             if asked_ms >= not_before_ms:
                 return position
         return None
+
+    def age_ms(self, position: Position, now_ms: float) -> float:
+        """Return for how long a position has been known to be reached."""
+        for seen_ms, reached in self._first_seen:
+            if reached >= position:
+                return now_ms - seen_ms
+        return 0.0
+
+    def missing_age_ms(self, position: Position, now_ms: float) -> float | None:
+        """Return the age of the oldest known commit after a position, if any."""
+        for seen_ms, reached in self._first_seen:
+            if reached > position:
+                return now_ms - seen_ms
+        return None
--- a/src/azurerelay/relay/_group_relay.py
+++ b/src/azurerelay/relay/_group_relay.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from result import Err
@@ -12,8 +12,10 @@
 from azurerelay.pooling import (
     EndpointPool,
     EndpointView,
+    LagEstimate,
     PooledSession,
     PositionSamples,
+    RequiredPosition,
     SessionProfile,
     choose_endpoint,
     connection_share,
@@ -50,7 +52,7 @@
     draining_since_ms: float | None = None
     unlisted_since_ms: float | None = None
     position: Position | None = None
-    position_ms: float = 0.0
+    lag: LagEstimate = field(default_factory=LagEstimate)
 
 
 class GroupRelay:
@@ -159,7 +161,7 @@
         return self._samples.covering(now_ms - max_staleness_ms)
 
     def choose(
-        self, required: Position | None, excluded: frozenset[str]
+        self, required: Position, excluded: frozenset[str]
     ) -> EndpointPool | None:
         """Return the pool that should serve a read; None when there is none."""
         primary = self.primary()
@@ -174,7 +176,7 @@
                 member.pool.in_use,
                 member.pool.has_free_slot,
                 member.position,
-                now_ms - member.position_ms,
+                member.lag.lag_ms,
                 name == primary_name,
             )
             for name, member in self._members.items()
@@ -183,7 +185,10 @@
             and (member.draining_since_ms is None or name == primary_name)
             and self._is_takeable(member, now_ms)
         ]
-        chosen = choose_endpoint(views, required, self._random)
+        age_ms = self._samples.age_ms(required, now_ms)
+        chosen = choose_endpoint(
+            views, RequiredPosition(required, age_ms), self._random
+        )
         return self._members[chosen.name].pool if chosen else None
 
     # The leader
@@ -222,8 +227,18 @@
             )
         member = self._members.get(pool.endpoint.endpoint)
         if member is not None and reply.position is not None:
-            member.position = reply.position
-            member.position_ms = now_ms
+            self._note_position(member, reply.position, now_ms)
+
+    def _note_position(
+        self, member: _Member, position: Position, now_ms: float
+    ) -> None:
+        """Take where an endpoint's log stands, and how late that is."""
+        member.position = position
+        missing_ms = self._samples.missing_age_ms(position, now_ms)
+        if missing_ms is not None:
+            member.lag.note_missing(missing_ms)
+        else:
+            member.lag.note_present(self._samples.age_ms(position, now_ms))
 
     def note_loss(self, pool: EndpointPool, reason: str) -> None:
         """Record that an endpoint did not answer."""
@@ -286,7 +301,6 @@
         member = self._members.get(endpoint)
         if member is not None:
             member.position = reply.position
-            member.position_ms = self._timers.now_ms()
         return reply.position
 
     async def _end_proof(self, pool: EndpointPool, session: PooledSession) -> None:
@@ -299,7 +313,7 @@
         pool.release(session)
 
     def _accept_proof(self, endpoint: str, asked_ms: float, position: Position) -> None:
-        self._samples.add(asked_ms, position)
+        self._samples.add(asked_ms, position, self._timers.now_ms())
         if self._tracker.prove(endpoint, position):
             self._events.record(PrimaryProven(endpoint, self._name, str(position)))
             self._notify()
--- a/tests/test_pooling.py
+++ b/tests/test_pooling.py
@@ -9,7 +9,9 @@
 from azurerelay.pooling import (
     EndpointPool,
     EndpointView,
+    LagEstimate,
     PositionSamples,
+    RequiredPosition,
     SessionProfile,
     choose_endpoint,
     connection_share,
@@ -44,7 +46,7 @@
         "in_use": 0,
         "has_free_slot": True,
         "position": Position(3, 10),
-        "position_age_ms": 10.0,
+        "lag_ms": 30.0,
         "is_primary": False,
     }
     return EndpointView(**(values | fields))
@@ -126,40 +128,69 @@
     def test_the_lowest_position_within_the_bound(self) -> None:
         samples = PositionSamples()
         for at_ms in range(0, 2_000, 100):
-            samples.add(float(at_ms), Position(3, at_ms))
+            samples.add(float(at_ms), Position(3, at_ms), at_ms + 5.0)
         self.assertEqual(samples.covering(1_450.0), Position(3, 1_500))
         self.assertIsNone(samples.covering(1_950.0))
 
     def test_a_new_term_ends_the_positions_of_the_old_one(self) -> None:
         samples = PositionSamples()
-        samples.add(0.0, Position(3, 10))
-        samples.add(100.0, Position(4, 8))
+        samples.add(0.0, Position(3, 10), 1.0)
+        samples.add(100.0, Position(4, 8), 101.0)
         self.assertEqual(samples.covering(0.0), Position(4, 8))
-        samples.add(200.0, Position(3, 99))
+        samples.add(200.0, Position(3, 99), 201.0)
         self.assertEqual(samples.newest, (100.0, Position(4, 8)))
 
 
+class LagTest(unittest.TestCase):
+    def test_ages_of_positions(self) -> None:
+        samples = PositionSamples()
+        samples.add(0.0, Position(3, 10), 5.0)
+        samples.add(100.0, Position(3, 12), 105.0)
+        self.assertEqual(samples.age_ms(Position(3, 11), 200.0), 95.0)
+        self.assertEqual(samples.missing_age_ms(Position(3, 10), 200.0), 95.0)
+        self.assertIsNone(samples.missing_age_ms(Position(3, 12), 200.0))
+
+    def test_a_lag_rises_at_once_and_falls_slowly(self) -> None:
+        lag = LagEstimate()
+        lag.note_missing(800.0)
+        self.assertEqual(lag.lag_ms, 1_000.0)
+        lag.note_present(20.0)
+        self.assertGreater(lag.lag_ms, 600.0)
+        for _ in range(20):
+            lag.note_present(20.0)
+        self.assertLess(lag.lag_ms, 25.0)
+
+
 class PlacementTest(unittest.TestCase):
     def test_choices(self) -> None:
         far = {"round_trip_ms": 24.0, "detour_ms": 80.0}
         behind = {"position": Position(3, 5)}
+        slow = view("a", service_ms=200.0)
+        lagging = view("a", lag_ms=900.0, **behind)
         cases = [
-            ("the near one", [view("a"), view("b", **far)], "a"),
+            ("the near one", [view("a"), view("b", **far)], 0.0, "a"),
             ("another region when the near one is slow",
-             [view("a", service_ms=200.0), view("b", **far)], "b"),
-            ("the less used", [view("a", in_use=2), view("b")], "b"),
-            ("not one that was just behind", [view("a", **behind), view("b", **far)], "b"),
-            ("one that was behind long ago",
-             [view("a", position_age_ms=90.0, **behind), view("b", **far)], "a"),
+             [slow, view("b", **far)], 0.0, "b"),
+            ("the less used", [view("a", in_use=2), view("b")], 0.0, "b"),
+            ("not one that lags, for a young position",
+             [lagging, view("b", **far)], 500.0, "b"),
+            ("one that lags, for an old position",
+             [lagging, view("b", **far)], 950.0, "a"),
+            ("one that is known to have the position",
+             [view("a", lag_ms=900.0), view("b", **far)], 0.0, "a"),
             ("the primary is never behind",
-             [view("a", is_primary=True, **behind), view("b", **far)], "a"),
+             [view("a", is_primary=True, **behind), view("b", **far)], 0.0, "a"),
         ]  # fmt: skip
-        for name, views, expected in cases:
+        for name, views, age_ms, expected in cases:
             with self.subTest(name):
-                chosen = choose_endpoint(views, Position(3, 9), random.Random(1))
+                required = RequiredPosition(Position(3, 9), age_ms)
+                chosen = choose_endpoint(views, required, random.Random(1))
                 assert chosen is not None
                 self.assertEqual(chosen.name, expected)
-        self.assertIsNone(choose_endpoint([], None, random.Random(1)))
+        none = choose_endpoint(
+            [], RequiredPosition(Position(3, 9), 0.0), random.Random(1)
+        )
+        self.assertIsNone(none)
 
 
 if __name__ == "__main__":
