Ask replicas over kept connections; single missing answers are no loss

Change: the leader keeps a connection to each endpoint and waits 350 ms for a status; who waits for a connection of a lost endpoint looks elsewhere at once; single missing answers count against an endpoint's speed only, three in a row or a lost proof make it lost; an unused endpoint's average returns to the typical one in some seconds. Ruled out: the settling time of a new leader (500 ms then), reports of hosts (14 of 15 were there).

--- a/src/azurerelay/cluster/_promotion_duty.py
+++ b/src/azurerelay/cluster/_promotion_duty.py
@@ -3,10 +3,9 @@
 from collections.abc import Callable
 from typing import Final
 
-from result import Err, Ok
-
 from azurerelay.attachment import PrimarySuspicion
 from azurerelay.cluster._compression import compress
+from azurerelay.cluster._position_survey import KEEP_INTERVAL_MS, PositionSurvey
 from azurerelay.cluster._promotion_policy import (
     GroupHealth,
     candidates,
@@ -15,15 +14,13 @@
 )
 from azurerelay.cluster._promotion_port import PromotionOrder, PromotionPort
 from azurerelay.consensus import RaftNode
-from azurerelay.discovery import Announcement, EndpointDirectory
+from azurerelay.discovery import EndpointDirectory
 from azurerelay.events import EventLog, PromotionAnswered, PromotionDecided
 from azurerelay.membership import COMMAND_CODEC, ClusterState, RecordPromotion
-from azurerelay.statements import AskStatus, EndpointConnector, Position
-from azurerelay.timing import TimerService, gather, sleep, spawn, within
+from azurerelay.statements import EndpointConnector
+from azurerelay.timing import TimerService, gather, sleep, spawn
 
 CHECK_MS: Final = 100.0
-STATUS_TIMEOUT_MS: Final = 500.0  # a round trip between regions and a full queue
-ANSWER_TIMEOUT_MS: Final = 1_000.0  # then the platform may still do it later
 RETRY_MS: Final = 200.0
 # The platform switches some hundred milliseconds after it has answered; the new
 # primary says so at once.
@@ -62,7 +59,7 @@
         self._raft = raft
         self._state = state
         self._directory = directory
-        self._connector = connector
+        self._survey = PositionSurvey(directory, connector, timers)
         self._port = port
         self._timers = timers
         self._events = events
@@ -75,6 +72,9 @@
         self._entry_hosts: Callable[[], int] = lambda: 1
         raft.add_role_listener(self._on_role)
         timers.subscribe(CHECK_MS, self._check)
+        timers.subscribe(
+            KEEP_INTERVAL_MS, lambda: self._survey.keep(raft.is_ready_leader)
+        )
 
     def set_sources(
         self, suspicions: Suspicions, entry_hosts: Callable[[], int]
@@ -140,7 +140,7 @@
             self._timers.now_ms(),
         )
         answers = await gather(
-            [spawn(self._ask_received(endpoint)) for endpoint in possible]
+            [spawn(self._survey.received(endpoint)) for endpoint in possible]
         )
         received = {
             endpoint.endpoint: position
@@ -153,23 +153,6 @@
         stated = ", ".join(f"{name} {position}" for name, position in received.items())
         return endpoint, stated
 
-    async def _ask_received(self, endpoint: Announcement) -> Position | None:
-        connected = await within(
-            self._timers, self._connector.connect(endpoint), STATUS_TIMEOUT_MS
-        )
-        if isinstance(connected, Err) or isinstance(connected.ok_value, Err):
-            return None
-        session = connected.ok_value.ok_value
-        answer = await within(
-            self._timers, session.request(AskStatus()), STATUS_TIMEOUT_MS
-        )
-        session.close()
-        if isinstance(answer, Ok) and isinstance(answer.ok_value, Ok):
-            reply = answer.ok_value.ok_value
-            if reply.is_success and reply.received is not None:
-                return reply.received
-        return session.position
-
     async def _order(self, group: str, endpoint: str, reason: str, stated: str) -> None:
         """Ask until the platform answers; then wait for the switch."""
         for attempt in range(MAX_TRIES):
--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -1,7 +1,7 @@
 """The connections of this host to one endpoint."""
 
+import math
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -21,6 +21,12 @@
 REOPEN_MS: Final = 100.0
 SMOOTHING: Final = 0.2  # weight of the newest duration in the moving average
 INITIAL_SERVICE_MS: Final = 30.0  # typical statement, until one is measured
+# Without new answers the average returns to the typical value at this pace, so that an
+# endpoint that was slow is tried again.
+FORGET_HALF_LIFE_MS: Final = 2_000.0
+# Answers missed in a row before the endpoint itself counts as lost: single ones go
+# missing while it is well.
+MISSED_ANSWERS: Final = 3
 
 
 @dataclass(slots=True)
@@ -58,9 +64,10 @@
         self._retry_at_ms = 0.0
         self._retry_ms = RETRY_MS
         self._service_ms = INITIAL_SERVICE_MS
+        self._answered_ms = timers.now_ms()
+        self._missed = 0
         self._is_closed = False
         self._open_again_ms = 0.0
-        self._on_failure: Callable[[], object] = lambda: None
 
     @property
     def endpoint(self) -> Announcement:
@@ -80,7 +87,9 @@
     @property
     def service_ms(self) -> float:
         """The moving average of how long a statement takes there."""
-        return self._service_ms
+        idle_ms = self._timers.now_ms() - self._answered_ms
+        kept = math.exp2(-idle_ms / FORGET_HALF_LIFE_MS)
+        return INITIAL_SERVICE_MS + kept * (self._service_ms - INITIAL_SERVICE_MS)
 
     @property
     def has_free_slot(self) -> bool:
@@ -102,10 +111,6 @@
             return 0.0
         return self._timers.now_ms() - self._failing_since_ms
 
-    def set_failure_listener(self, listener: Callable[[], object]) -> None:
-        """Call back when attempts begin to fail."""
-        self._on_failure = listener
-
     def update(self, endpoint: Announcement, limit: int) -> None:
         """Take a newer announcement of the same incarnation, and a new limit."""
         self._endpoint = endpoint
@@ -142,18 +147,26 @@
         """Record an answer of the endpoint."""
         self._failing_since_ms = None
         self._retry_ms = RETRY_MS
-        self._service_ms += SMOOTHING * (duration_ms - self._service_ms)
+        self._missed = 0
+        self._note_duration(duration_ms)
+
+    def note_missed_answer(self, waited_ms: float) -> None:
+        """Record that a statement got no answer in time."""
+        self._missed += 1
+        self._note_duration(waited_ms)
+        if self._missed >= MISSED_ANSWERS:
+            self.note_failure()
 
     def note_failure(self) -> None:
-        """Record that the endpoint did not answer."""
+        """Record that the endpoint is lost; those who wait look elsewhere."""
         now_ms = self._timers.now_ms()
-        is_first = self._failing_since_ms is None
         if self._failing_since_ms is None:
             self._failing_since_ms = now_ms
         self._retry_at_ms = now_ms + self._retry_ms
         self._retry_ms = min(RETRY_MAX_MS, 2 * self._retry_ms)
-        if is_first:
-            self._on_failure()
+        waiters, self._waiters = self._waiters, deque()
+        for waiter in waiters:
+            waiter.granted.resolve(Err(ConnectFailed("the endpoint does not answer")))
 
     def close(self) -> None:
         """Close what is idle; lent connections are closed as they come back."""
@@ -163,6 +176,11 @@
         self._idle.clear()
         self._refuse_waiters(ConnectFailed("the endpoint is gone"))
 
+    def _note_duration(self, duration_ms: float) -> None:
+        self._service_ms = self.service_ms
+        self._service_ms += SMOOTHING * (duration_ms - self._service_ms)
+        self._answered_ms = self._timers.now_ms()
+
     def _enqueue(self, waiter: _Waiter) -> None:
         """Insert behind all waiters of the same or a higher priority."""
         place = len(self._waiters)
--- a/src/azurerelay/pooling/_lag_estimate.py
+++ b/src/azurerelay/pooling/_lag_estimate.py
@@ -5,7 +5,7 @@
 INITIAL_LAG_MS: Final = 30.0  # a healthy replica, until it is measured
 MIN_LAG_MS: Final = 5.0
 MAX_LAG_MS: Final = 10_000.0
-RISE: Final = 1.25  # a replica that falls behind is usually further behind than seen
+RISE: Final = 1.0  # what was missing at an age may be there a moment later
 FALL: Final = 0.3  # weight of a smaller lag, so that one good answer proves little
 
 
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -259,6 +259,7 @@
                 max(0.0, attempt.limit_ms - asked_ms),
             )
             if isinstance(outcome, Err) or isinstance(outcome.ok_value, Err):
+                transaction.group.note_missed_answer(transaction.pool, asked_ms)
                 return self._lose_commit(attempt, transaction)
             reply = outcome.ok_value.ok_value
             transaction.group.note_reply(transaction.pool, asked_ms, reply)
@@ -306,7 +307,7 @@
             if isinstance(outcome, Err) or isinstance(outcome.ok_value, Err):
                 session.close()
                 pool.release(session)
-                group.note_loss(pool, "it did not answer a statement")
+                group.note_missed_answer(pool, asked_ms)
                 if isinstance(attempt.statement, Begin):
                     await self._pause(attempt, "the endpoint did not answer")
                     continue
@@ -356,8 +357,7 @@
                 pool.release(session)
                 excluded |= {pool.endpoint.endpoint}
                 attempt.reason = "the endpoint did not answer"
-                if isinstance(outcome, Ok):
-                    group.note_loss(pool, "the connection was lost")
+                group.note_missed_answer(pool, asked_ms)
                 self._note_retry(attempt)
                 continue
             reply = outcome.ok_value.ok_value
@@ -411,6 +411,7 @@
                 await self._pause(attempt, attempt.reason)
             return None
         session = granted.ok_value
+        asked_ms = self._timers.now_ms()
         matched = await within(
             self._timers,
             spawn(session.match(self._profile, shape)),
@@ -421,7 +422,7 @@
             return session
         session.close()
         pool.release(session)
-        group.note_loss(pool, "the connection could not be set up")
+        group.note_missed_answer(pool, asked_ms)
         attempt.reason = "the connection could not be set up"
         return None
 
@@ -477,7 +478,7 @@
                 max(0.0, attempt.limit_ms - asked_ms),
             )
             if isinstance(outcome, Err) or isinstance(outcome.ok_value, Err):
-                transaction.group.note_loss(transaction.pool, "no answer")
+                transaction.group.note_missed_answer(transaction.pool, asked_ms)
                 return self._abort(attempt, "the endpoint did not answer")
             reply = outcome.ok_value.ok_value
             transaction.group.note_reply(transaction.pool, asked_ms, reply)
@@ -508,7 +509,6 @@
         return self._give_up(attempt, CallerError.ABORTED, "rolled back")
 
     def _lose_commit(self, attempt: _Attempt, transaction: _Transaction) -> CallerReply:
-        transaction.group.note_loss(transaction.pool, "no answer to a commit")
         attempt.endpoint = transaction.session.endpoint
         attempt.reason = "the endpoint did not answer the commit"
         self._drop_transaction()
--- a/src/azurerelay/relay/_group_relay.py
+++ b/src/azurerelay/relay/_group_relay.py
@@ -240,8 +240,17 @@
         else:
             member.lag.note_present(self._samples.age_ms(position, now_ms))
 
-    def note_loss(self, pool: EndpointPool, reason: str) -> None:
-        """Record that an endpoint did not answer."""
+    def note_missed_answer(self, pool: EndpointPool, asked_ms: float) -> None:
+        """Record that a statement got no answer, in time or at all.
+
+        A single answer goes missing while the endpoint is well. Whether a leader
+        still answers is asked at once, since that decides over its replacement.
+        """
+        pool.note_missed_answer(self._timers.now_ms() - asked_ms)
+        if pool is self.primary() and not self._is_proving:
+            self.prove()
+
+    def _note_loss(self, pool: EndpointPool, reason: str) -> None:
         if pool.failing_ms == 0.0:
             self._events.record(
                 EndpointLost(pool.endpoint.endpoint, self._name, reason)
@@ -286,7 +295,7 @@
             session.close()
             pool.release(session)
             self._note_failed_proof(endpoint)
-            self.note_loss(pool, "it did not answer a proof of leadership")
+            self._note_loss(pool, "it did not answer a proof of leadership")
             return None
         reply = outcome.ok_value.ok_value
         if reply.is_success:
