A new leader of control judges after half a second; idle connections are closed

A test on fake time with a frozen leader failed first. After full power losses servers reset 273 to 315 connections over their limit: they count connections of dead hosts for 3 s, and pools had grown to their share. Closed without a word before the session opens is 'too many', not 'lost'. Change: ready 0.5 s after an election; all but one connection to an endpoint are closed after 4 s unused.

--- a/src/azurerelay/cluster/_promotion_duty.py
+++ b/src/azurerelay/cluster/_promotion_duty.py
@@ -85,7 +85,8 @@
 
     def _on_role(self) -> None:
         self._orders = 0
-        self._ready_ms = self._timers.now_ms() + SETTLE_HEARTBEATS * self._heartbeat_ms
+        now_ms = self._timers.now_ms()
+        self._ready_ms = max(self._settled_ms, now_ms + NEW_LEADER_MS)
 
     def _check(self) -> None:
         configuration = self._state.configuration
--- a/src/azurerelay/hosts/_endpoint_client.py
+++ b/src/azurerelay/hosts/_endpoint_client.py
@@ -21,6 +21,7 @@
     ConnectFailed,
     ConnectionLost,
     EndpointCommand,
+    EndpointError,
     EndpointReply,
     EndpointSession,
     Position,
@@ -163,7 +164,10 @@
             resolve(Err(ConnectFailed(error.strerror or str(error))))
             return
         if isinstance(started, Err):
-            resolve(Err(ConnectFailed(started.err_value.reason)))
+            # An endpoint over its limit may close the connection without a word; one
+            # that is down does not take it in the first place.
+            reason = started.err_value.reason
+            resolve(Err(ConnectFailed(reason, EndpointError.TOO_MANY_CONNECTIONS)))
         elif started.ok_value.error is not None:
             protocol.close()
             reply = started.ok_value
--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -24,6 +24,10 @@
 # Without new answers the average returns to the typical value at this pace, so that an
 # endpoint that was slow is tried again.
 FORGET_HALF_LIFE_MS: Final = 2_000.0
+# A connection beyond the first is closed after this time unused. Endpoints count the
+# connections of hosts that lost power for seconds; what all hosts leave free is what
+# these need to come back.
+IDLE_CLOSE_MS: Final = 4_000.0
 # Answers missed in a row before the endpoint itself counts as lost: single ones go
 # missing while it is well.
 MISSED_ANSWERS: Final = 3
@@ -38,6 +42,14 @@
     granted: Promise[Result[PooledSession, ConnectFailed]]
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class _IdleSession:
+    """A connection that nobody uses, and since when."""
+
+    session: PooledSession
+    since_ms: float
+
+
 class EndpointPool:
     """Open, lend and take back connections, at most `limit` of them.
 
@@ -56,7 +68,7 @@
         self._connector = connector
         self._timers = timers
         self._limit = limit
-        self._idle: list[PooledSession] = []
+        self._idle: list[_IdleSession] = []
         self._lent: set[PooledSession] = set()
         self._connecting = 0
         self._waiters: deque[_Waiter] = deque()
@@ -138,11 +150,19 @@
         """Take a connection back; one that is not clean is closed."""
         self._lent.discard(session)
         if session.is_reusable and not self._is_closed:
-            self._idle.append(session)
+            self._add_idle(session)
         else:
             session.close()
         self._serve()
 
+    def trim(self) -> None:
+        """Close connections that are not needed any more; called regularly."""
+        horizon_ms = self._timers.now_ms() - IDLE_CLOSE_MS
+        for idle in list(self._idle):
+            if self.size > 1 and idle.since_ms < horizon_ms:
+                self._idle.remove(idle)
+                idle.session.close()
+
     def note_success(self, duration_ms: float) -> None:
         """Record an answer of the endpoint."""
         self._failing_since_ms = None
@@ -171,8 +191,8 @@
     def close(self) -> None:
         """Close what is idle; lent connections are closed as they come back."""
         self._is_closed = True
-        for session in self._idle:
-            session.close()
+        for idle in self._idle:
+            idle.session.close()
         self._idle.clear()
         self._refuse_waiters(ConnectFailed("the endpoint is gone"))
 
@@ -206,12 +226,18 @@
 
     def _take_idle(self, profile: SessionProfile) -> PooledSession | None:
         """Return the idle connection that takes the fewest commands to match."""
-        self._idle = [session for session in self._idle if session.is_open]
+        self._idle = [idle for idle in self._idle if idle.session.is_open]
         if not self._idle:
             return None
-        best = min(self._idle, key=lambda session: session.missing_settings(profile))
+        best = min(
+            reversed(self._idle),  # among equals the last used, so that others idle
+            key=lambda idle: idle.session.missing_settings(profile),
+        )
         self._idle.remove(best)
-        return best
+        return best.session
+
+    def _add_idle(self, session: PooledSession) -> None:
+        self._idle.append(_IdleSession(session, self._timers.now_ms()))
 
     async def _open(self) -> None:
         self._connecting += 1
@@ -222,7 +248,7 @@
             if self._is_closed:
                 session.close()
                 return
-            self._idle.append(session)
+            self._add_idle(session)
             self._failing_since_ms = None
             self._retry_ms = RETRY_MS
             self._serve()
--- a/src/azurerelay/relay/_group_relay.py
+++ b/src/azurerelay/relay/_group_relay.py
@@ -144,6 +144,11 @@
             self._remove(endpoint)
             self._tracker.update(m.pool.endpoint for m in self._members.values())
 
+    def trim(self) -> None:
+        """Close connections that are not needed any more; called regularly."""
+        for member in self._members.values():
+            member.pool.trim()
+
     def close(self) -> None:
         """Close all connections."""
         for name in list(self._members):
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -190,6 +190,7 @@
     def _prove_leaders(self) -> None:
         newest_ms = self._timers.now_ms() - PROOF_INTERVAL_MS
         for group in self._groups.values():
+            group.trim()
             sample = group.samples.newest
             if sample is None or sample[0] < newest_ms or group.suspicion():
                 group.prove()
--- a/tests/test_pooling.py
+++ b/tests/test_pooling.py
@@ -93,6 +93,21 @@
         self.timers.advance(150.0)
         self.assertTrue(pool.is_usable)
 
+    def test_all_but_one_connection_are_closed_when_they_are_not_used(self) -> None:
+        pool = self._pool(3, [])
+        sessions = [
+            pool.acquire(1, SessionProfile(), 500.0).value.ok_value for _ in range(3)
+        ]
+        for session in sessions:
+            pool.release(session)
+        for _ in range(8):
+            used = pool.acquire(1, SessionProfile(), 500.0).value.ok_value
+            pool.release(used)
+            pool.trim()
+            self.timers.advance(1_000.0)
+        self.assertEqual(pool.size, 1)
+        self.assertTrue(used.is_open)
+
     def test_a_connection_that_is_not_clean_is_closed(self) -> None:
         pool = self._pool(1, [])
         session = pool.acquire(1, SessionProfile(), 500.0).value.ok_value
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -192,6 +192,23 @@
                 self.assertLess(gap_ms, 7_000.0)
                 self.assertIsNone(self.rig.run(self.rig.open("strict"), "READ a").error)
 
+    def test_a_new_leader_of_control_replaces_a_primary_without_delay(self) -> None:
+        leader = self.rig.leader
+        frozen = next(a for a, n in self.rig.controls.items() if n is leader)
+        self.rig.scopes[frozen].pause()
+        others = [n for a, n in self.rig.controls.items() if a != frozen]
+        self.rig.wait_for(lambda: any(n.raft.is_ready_leader for n in others))
+        self.rig.timers.advance(400.0)
+        self.rig.primary().crash(silent=True)
+        lost_ms = self.rig.timers.now_ms()
+        for _ in range(20):
+            for entry in (1, 2, 3):
+                self.rig.send(self.rig.open("strict", entry), "READ a")
+            self.rig.timers.advance(100.0)
+            if self.rig.promotions.orders:
+                break
+        self.assertLess(self.rig.timers.now_ms() - lost_ms, 2_000.0)
+
     def test_the_most_advanced_replica_is_promoted(self) -> None:
         behind, ahead = self.rig.replicas()
         self.rig.run(self.rig.open("strict"), "WRITE a x")
