--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -29,6 +29,10 @@
 # A caller that connects to a host that has just started waits no longer than this for
 # its first configuration; callers give up after two seconds.
 FIRST_CONFIGURATION_MS: Final = 1_500.0
+# Endpoints count the connections of a process that lost power for three seconds more,
+# so a host that has just started takes half of its share at first.
+START_RAMP_MS: Final = 4_000.0
+START_RAMP_DIVISOR: Final = 2
 
 
 class RelayNode:
@@ -57,6 +61,7 @@
         self._groups: dict[str, GroupRelay] = {}
         self._routes: dict[str, Route] = {}
         self._entry_hosts = 1
+        self._is_ramping = True
         self._configured: Promise[None] = Promise()
         self._follower = ControlFollower(
             neighbourhood.failure_domain, seeds, link, timers, random_source, events
@@ -88,6 +93,7 @@
         self._follower.start(self._suspicions, self._on_change)
         self._timers.subscribe(PROOF_INTERVAL_MS, self._prove_leaders)
         self._timers.subscribe(SUSPICION_CHECK_MS, self._report_suspicions)
+        self._timers.call_later(START_RAMP_MS, self._end_ramp)
 
     def stop(self) -> None:
         """Close all connections to endpoints."""
@@ -171,11 +177,18 @@
                 self._events,
             )
 
+    def _end_ramp(self) -> None:
+        self._is_ramping = False
+        self._update_groups()
+
     def _update_groups(self, update: DirectoryUpdate | None = None) -> None:
         configuration = self._follower.configuration
         if configuration is None:
             return
         listed = {a.endpoint for a in update.announcements} if update else None
+        sharing_hosts = self._follower.entry_hosts
+        if self._is_ramping:
+            sharing_hosts *= START_RAMP_DIVISOR
         for group in configuration.groups:
             self._groups[group.name].update(
                 (
@@ -184,7 +197,7 @@
                     if listed is None or announcement.endpoint in listed
                 ),
                 group.connection_limit,
-                self._follower.entry_hosts,
+                sharing_hosts,
             )
 
     def _prove_leaders(self) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -282,6 +282,26 @@
         self.assertLessEqual(len({id(p) for p in shared}), 2)
 
 
+class StartTest(unittest.TestCase):
+    def test_a_host_takes_half_of_its_connections_right_after_its_start(self) -> None:
+        rig = PlatformRig(entry_hosts=3)
+        rig.start()
+        started_ms = rig.timers.now_ms()
+        node = rig.start_entry(4)
+        rig.wait_for(lambda: node.is_ready)
+        sessions = [rig.open("strict", 4) for _ in range(40)]
+        for session in sessions:
+            rig.send(session, "WRITE a x")
+        rig.timers.advance(300.0)
+        at_first = node.find("strict")[1].connections
+        self.assertLessEqual(at_first, 3 * 7)
+        rig.timers.advance(4_500.0 - (rig.timers.now_ms() - started_ms))
+        for session in sessions:
+            rig.send(session, "WRITE a x")
+        rig.timers.advance(300.0)
+        self.assertGreater(node.find("strict")[1].connections, at_first)
+
+
 class DrainingTest(RelayCase):
     def test_a_draining_replica_gets_no_new_work(self) -> None:
         replica = self.rig.replicas()[0]
