--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -46,7 +46,7 @@
 )
 from tests.platform_rig import configuration
 
-PROFILE = settings(derandomize=True, database=None, deadline=None, max_examples=150)
+PROFILE = settings(max_examples=150)
 LINE = st.text(
     st.characters(codec="utf-8", exclude_categories=("C", "Z")), min_size=1, max_size=30
 )
