--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -308,8 +308,9 @@
                 session.close()
                 pool.release(session)
                 group.note_missed_answer(pool, asked_ms)
+                attempt.reason = "the endpoint did not answer"
                 if isinstance(attempt.statement, Begin):
-                    await self._pause(attempt, "the endpoint did not answer")
+                    await self._pause(attempt, attempt.reason)
                     continue
                 return self._give_up(attempt, CallerError.IN_DOUBT, "unknown")
             reply = outcome.ok_value.ok_value
@@ -320,7 +321,7 @@
             if not reply.has_not_run:
                 return self._pass_on_error(attempt, reply)
             self._note_not_run(group, session, reply)
-            await self._pause(attempt, reply.error_text or "not run")
+            await self._pause(attempt, _cause(reply))
         return self._give_up(attempt, CallerError.BUSY, "no")
 
     async def _run_anywhere(
@@ -366,7 +367,7 @@
                 return self._accept(attempt, group, pool, session, asked_ms, reply)
             pool.release(session)
             excluded |= {pool.endpoint.endpoint}
-            attempt.reason = reply.error_text or "not run"
+            attempt.reason = _cause(reply)
             if not reply.has_not_run:
                 has_read_failed = reply
             self._note_not_run(group, session, reply)
@@ -490,7 +491,7 @@
             is_open = reply.state is SessionState.IN_TRANSACTION
             if not (is_open and reply.has_not_run and self._may_retry(attempt)):
                 return self._fail_pinned(attempt, transaction, reply)
-            await self._pause(attempt, reply.error_text or "not run")
+            await self._pause(attempt, _cause(reply))
 
     def _fail_pinned(
         self, attempt: _Attempt, transaction: _Transaction, reply: EndpointReply
@@ -732,3 +733,8 @@
 
 def _done(state: SessionState, reply: EndpointReply) -> CallerReply:
     return CallerReply(state, reply.rows, reply.signature, position=reply.position)
+
+
+def _cause(reply: EndpointReply) -> str:
+    """Return why an endpoint refused, in words and not in its own."""
+    return reply.error.value if reply.error is not None else "not run"
--- a/src/azurerelay/statements/__init__.py
+++ b/src/azurerelay/statements/__init__.py
@@ -12,7 +12,11 @@
     RunText,
     SetSessionValue,
 )
-from azurerelay.statements._endpoint_reply import EndpointError, EndpointReply
+from azurerelay.statements._endpoint_reply import (
+    NOT_RUN,
+    EndpointError,
+    EndpointReply,
+)
 from azurerelay.statements._endpoint_session import (
     ConnectFailed,
     ConnectionLost,
@@ -35,6 +39,7 @@
 )
 
 __all__ = [
+    "NOT_RUN",
     "AskStatus",
     "Begin",
     "CallerError",
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -27,7 +27,7 @@
 from azurerelay.hosts._json_event_log import BACKLOG_LINES, JsonEventLog
 from azurerelay.hosts._metrics_service import MetricsService
 from azurerelay.runtime import as_future
-from azurerelay.statements import RunText
+from azurerelay.statements import NOT_RUN, EndpointError, RunText
 from azurerelay.storage import MemoryDisk
 from azurerelay.telemetry import Meters
 from azurerelay.timing import ManualTimerService
@@ -136,6 +136,25 @@
         self.assertEqual(refused[-1].has_run, "no")
         self.assertGreater(refused[-1].waited_ms, 0.0)
 
+    def test_every_refusal_states_its_cause(self) -> None:
+        rig = PlatformRig()
+        rig.start()
+        rig.primary().lost_answers = 1
+        rig.run(rig.open("strict"), "WRITE a x")
+        refused = rig.events.of(StatementRefused)[-1]
+        self.assertEqual(refused.reason, "the endpoint did not answer")
+        self.assertEqual(refused.has_run, "unknown")
+        for error in EndpointError:
+            with self.subTest(error):
+                rig.primary().refuse_next = [error] * 200
+                rig.run(rig.open("strict"), "WRITE a x")
+                rig.primary().refuse_next = []
+                refused = rig.events.of(StatementRefused)[-1]
+                if error is not EndpointError.NOT_PRIMARY:
+                    self.assertEqual(refused.reason, error.value)
+                self.assertEqual(refused.has_run == "no", error in NOT_RUN)
+                rig.timers.advance(500.0)
+
 
 class CheckCommandTest(unittest.TestCase):
     def _check(self, name: str, content: str) -> Any:
