--- a/src/azurerelay/hosts/_entry_host.py
+++ b/src/azurerelay/hosts/_entry_host.py
@@ -12,7 +12,7 @@
 from azurerelay.hosts._metrics_service import MetricsService
 from azurerelay.messages import TaggedCodec
 from azurerelay.platform import READINESS_PATH, HostSettings
-from azurerelay.relay import Neighbourhood, RelayNode
+from azurerelay.relay import RelayNode, Topology
 from azurerelay.runtime import AsyncioTimerService, ZmqLink
 from azurerelay.telemetry import Meters
 from azurerelay.timing import ScopedTimerService
@@ -49,7 +49,7 @@
         self._connector = TcpEndpointConnector(loop)
         self._node = RelayNode(
             settings.name,
-            Neighbourhood(settings.failure_domain, settings.regions),
+            Topology(settings.failure_domain, settings.regions),
             settings.seed_links,
             self._link,
             self._connector,
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -1,7 +1,6 @@
 """One caller's session."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Final
 
@@ -20,7 +19,9 @@
     SessionProfile,
 )
 from azurerelay.relay._group_relay import GroupRelay
+from azurerelay.relay._pinned_transaction import PinnedTransaction
 from azurerelay.relay._route_table import RouteTable
+from azurerelay.relay._statement_attempt import StatementAttempt
 from azurerelay.routes import Consistency, Route
 from azurerelay.statements import (
     Begin,
@@ -72,32 +73,6 @@
 }
 
 
-@dataclass(slots=True)
-class _Transaction:
-    """The connection that a caller's transaction is pinned to."""
-
-    group: GroupRelay
-    pool: EndpointPool
-    session: PooledSession
-    route: Route
-    is_read_only: bool
-    has_written: bool = False
-
-
-@dataclass(slots=True)
-class _Attempt:
-    """The course of one statement, for its log line."""
-
-    statement: Statement
-    route: Route
-    started_ms: float
-    limit_ms: float
-    count: int = 0
-    endpoint: str = ""
-    required: str = ""
-    reason: str = "no endpoint could be used"
-
-
 class CallerSession:
     """Statements of one caller, one after the other.
 
@@ -114,13 +89,13 @@
         meters: Meters,
     ) -> None:
         self._meters = meters
-        self._attempt: _Attempt | None = None
+        self._attempt: StatementAttempt | None = None
         self._database = database
         self._table = table
         self._timers = timers
         self._events = events
         self._profile = SessionProfile()
-        self._transaction: _Transaction | None = None
+        self._transaction: PinnedTransaction | None = None
         self._is_failed = False
         self._was_aborted_idle = False
         self._own_commit: Position | None = None
@@ -282,7 +257,7 @@
     # A statement outside a transaction, or the first of one
 
     async def _run_on_primary(
-        self, attempt: _Attempt, group: GroupRelay, shape: PreparedShape | None
+        self, attempt: StatementAttempt, group: GroupRelay, shape: PreparedShape | None
     ) -> CallerReply:
         """Run a write or open a transaction at the endpoint that leads."""
         window_ms = min(WRITE_WINDOW_MS, attempt.route.statement_timeout_ms / 4)
@@ -325,7 +300,7 @@
         return self._give_up(attempt, CallerError.BUSY, "no")
 
     async def _run_anywhere(
-        self, attempt: _Attempt, group: GroupRelay, shape: PreparedShape | None
+        self, attempt: StatementAttempt, group: GroupRelay, shape: PreparedShape | None
     ) -> CallerReply:
         """Run a read on any endpoint whose log has what the read must see."""
         excluded: frozenset[str] = frozenset()
@@ -397,7 +372,7 @@
 
     async def _take(
         self,
-        attempt: _Attempt,
+        attempt: StatementAttempt,
         group: GroupRelay,
         pool: EndpointPool,
         shape: PreparedShape | None,
@@ -429,7 +404,7 @@
 
     def _accept(
         self,
-        attempt: _Attempt,
+        attempt: StatementAttempt,
         group: GroupRelay,
         pool: EndpointPool,
         session: PooledSession,
@@ -438,7 +413,7 @@
     ) -> CallerReply:
         statement = attempt.statement
         if isinstance(statement, Begin):
-            self._transaction = _Transaction(
+            self._transaction = PinnedTransaction(
                 group, pool, session, attempt.route, statement.is_read_only
             )
         else:
@@ -494,7 +469,10 @@
             await self._pause(attempt, _cause(reply))
 
     def _fail_pinned(
-        self, attempt: _Attempt, transaction: _Transaction, reply: EndpointReply
+        self,
+        attempt: StatementAttempt,
+        transaction: PinnedTransaction,
+        reply: EndpointReply,
     ) -> CallerReply:
         if reply.error is EndpointError.NOT_PRIMARY:
             transaction.group.refute(transaction.session.endpoint)
@@ -502,14 +480,16 @@
         self._is_failed = True
         return self._pass_on_error(attempt, reply)
 
-    def _abort(self, attempt: _Attempt, reason: str) -> CallerReply:
+    def _abort(self, attempt: StatementAttempt, reason: str) -> CallerReply:
         """Close the connection, which rolls back: nothing of it is kept."""
         attempt.reason = reason
         self._drop_transaction()
         self._is_failed = True
         return self._give_up(attempt, CallerError.ABORTED, "rolled back")
 
-    def _lose_commit(self, attempt: _Attempt, transaction: _Transaction) -> CallerReply:
+    def _lose_commit(
+        self, attempt: StatementAttempt, transaction: PinnedTransaction
+    ) -> CallerReply:
         attempt.endpoint = transaction.session.endpoint
         attempt.reason = "the endpoint did not answer the commit"
         self._drop_transaction()
@@ -519,8 +499,8 @@
 
     def _end_commit(
         self,
-        attempt: _Attempt,
-        transaction: _Transaction,
+        attempt: StatementAttempt,
+        transaction: PinnedTransaction,
         asked_ms: float,
         reply: EndpointReply,
     ) -> CallerReply:
@@ -548,7 +528,7 @@
             return
         spawn(self._roll_back(transaction))
 
-    async def _roll_back(self, transaction: _Transaction) -> None:
+    async def _roll_back(self, transaction: PinnedTransaction) -> None:
         outcome = await within(
             self._timers,
             transaction.session.send(DropTransaction()),
@@ -597,10 +577,10 @@
 
     # Small parts
 
-    def _begin_attempt(self, statement: Statement, route: Route) -> _Attempt:
+    def _begin_attempt(self, statement: Statement, route: Route) -> StatementAttempt:
         now_ms = self._timers.now_ms()
         limit_ms = now_ms + route.statement_timeout_ms
-        self._attempt = _Attempt(statement, route, now_ms, limit_ms)
+        self._attempt = StatementAttempt(statement, route, now_ms, limit_ms)
         return self._attempt
 
     def _note_outcome(
@@ -631,16 +611,16 @@
                 )
             )
 
-    def _may_retry(self, attempt: _Attempt) -> bool:
+    def _may_retry(self, attempt: StatementAttempt) -> bool:
         return self._timers.now_ms() < attempt.limit_ms and not self._is_closed
 
-    def _read_attempt_ms(self, attempt: _Attempt, pool: EndpointPool) -> float:
+    def _read_attempt_ms(self, attempt: StatementAttempt, pool: EndpointPool) -> float:
         left_ms = max(0.0, attempt.limit_ms - self._timers.now_ms())
         usual_ms = READ_ATTEMPT_FACTOR * pool.service_ms
         return min(left_ms, max(READ_ATTEMPT_MIN_MS, usual_ms))
 
     async def _pause(
-        self, attempt: _Attempt, reason: str, group: GroupRelay | None = None
+        self, attempt: StatementAttempt, reason: str, group: GroupRelay | None = None
     ) -> None:
         """Wait a moment, or until the group's endpoints change."""
         attempt.reason = reason
@@ -679,7 +659,7 @@
         elif reply.error is EndpointError.UNKNOWN_NAME:
             session.forget_prepared()
 
-    def _note_retry(self, attempt: _Attempt) -> None:
+    def _note_retry(self, attempt: StatementAttempt) -> None:
         self._meters.count("statement_retries_total")
         self._events.record(
             StatementRetried(
@@ -692,7 +672,7 @@
         )
 
     def _give_up(
-        self, attempt: _Attempt, error: CallerError, has_run: str
+        self, attempt: StatementAttempt, error: CallerError, has_run: str
     ) -> CallerReply:
         self._events.record(
             StatementRefused(
@@ -708,7 +688,9 @@
         )
         return CallerReply(self.state, error=error, error_text=attempt.reason)
 
-    def _pass_on_error(self, attempt: _Attempt, reply: EndpointReply) -> CallerReply:
+    def _pass_on_error(
+        self, attempt: StatementAttempt, reply: EndpointReply
+    ) -> CallerReply:
         assert reply.error is not None
         attempt.reason = reply.error.value
         has_run = "no" if reply.has_not_run else "unknown"
--- a/src/azurerelay/relay/_group_relay.py
+++ b/src/azurerelay/relay/_group_relay.py
@@ -20,8 +20,8 @@
     choose_endpoint,
     connection_share,
 )
-from azurerelay.relay._neighbourhood import Neighbourhood
 from azurerelay.relay._primary_tracker import PrimaryTracker
+from azurerelay.relay._topology import Topology
 from azurerelay.statements import (
     DropTransaction,
     EndpointConnector,
@@ -70,7 +70,7 @@
         name: str,
         own_name: str,
         connector: EndpointConnector,
-        neighbourhood: Neighbourhood,
+        topology: Topology,
         timers: TimerService,
         random_source: random.Random,
         events: EventLog,
@@ -78,7 +78,7 @@
         self._name = name
         self._own_name = own_name
         self._connector = connector
-        self._neighbourhood = neighbourhood
+        self._topology = topology
         self._timers = timers
         self._random = random_source
         self._events = events
@@ -175,8 +175,8 @@
         views = [
             EndpointView(
                 name,
-                self._neighbourhood.round_trip_ms(member.pool.endpoint.failure_domain),
-                self._neighbourhood.detour_ms(member.pool.endpoint.failure_domain),
+                self._topology.round_trip_ms(member.pool.endpoint.failure_domain),
+                self._topology.detour_ms(member.pool.endpoint.failure_domain),
                 member.pool.service_ms,
                 member.pool.in_use,
                 member.pool.has_free_slot,
@@ -188,7 +188,7 @@
             if name not in excluded
             and member.pool.is_usable
             and (member.draining_since_ms is None or name == primary_name)
-            and self._is_takeable(member, now_ms)
+            and self._accepts_work(member, now_ms)
         ]
         age_ms = self._samples.age_ms(required, now_ms)
         chosen = choose_endpoint(
@@ -201,12 +201,12 @@
     def primary(self) -> EndpointPool | None:
         """Return the pool of the endpoint that leads, as far as is known."""
         now_ms = self._timers.now_ms()
-        takeable = [
+        accepting = [
             self._members[name].pool
             for name in self._tracker.ranked(now_ms)
-            if name in self._members and self._is_takeable(self._members[name], now_ms)
+            if name in self._members and self._accepts_work(self._members[name], now_ms)
         ]
-        usable = [pool for pool in takeable if pool.is_usable]
+        usable = [pool for pool in accepting if pool.is_usable]
         return usable[0] if usable else None
 
     def refute(self, endpoint: str) -> None:
@@ -223,7 +223,7 @@
         """Record an answer: its duration and the endpoint's position."""
         now_ms = self._timers.now_ms()
         failing_ms = pool.failing_ms
-        round_trip_ms = self._neighbourhood.round_trip_ms(pool.endpoint.failure_domain)
+        round_trip_ms = self._topology.round_trip_ms(pool.endpoint.failure_domain)
         if reply.is_success:
             pool.note_success(max(0.0, now_ms - asked_ms - round_trip_ms))
         if failing_ms > 0.0 and reply.is_success:
@@ -365,7 +365,7 @@
         elif member.draining_since_ms is None:
             member.draining_since_ms = now_ms
 
-    def _is_takeable(self, member: _Member, now_ms: float) -> bool:
+    def _accepts_work(self, member: _Member, now_ms: float) -> bool:
         since_ms = member.draining_since_ms
         return since_ms is None or now_ms - since_ms < DRAINING_USE_MS
 
--- /dev/null
+++ b/src/azurerelay/relay/_pinned_transaction.py
@@ -0,0 +1,19 @@
+"""A transaction that a caller has open."""
+
+from dataclasses import dataclass
+
+from azurerelay.pooling import EndpointPool, PooledSession
+from azurerelay.relay._group_relay import GroupRelay
+from azurerelay.routes import Route
+
+
+@dataclass(slots=True)
+class PinnedTransaction:
+    """The connection that a caller's transaction is pinned to."""
+
+    group: GroupRelay
+    pool: EndpointPool
+    session: PooledSession
+    route: Route
+    is_read_only: bool
+    has_written: bool = False
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -15,7 +15,7 @@
 from azurerelay.messages import Link
 from azurerelay.relay._caller_session import CallerSession
 from azurerelay.relay._group_relay import GroupRelay
-from azurerelay.relay._neighbourhood import Neighbourhood
+from azurerelay.relay._topology import Topology
 from azurerelay.routes import Configuration, Route
 from azurerelay.statements import CallerError, EndpointConnector
 from azurerelay.telemetry import Meters
@@ -41,7 +41,7 @@
     def __init__(
         self,
         name: str,
-        neighbourhood: Neighbourhood,
+        topology: Topology,
         seeds: Iterable[str],
         link: Link,
         connector: EndpointConnector,
@@ -52,7 +52,7 @@
     ) -> None:
         self._meters = meters
         self._name = name
-        self._neighbourhood = neighbourhood
+        self._topology = topology
         self._connector = connector
         self._timers = timers
         self._random = random_source
@@ -64,7 +64,7 @@
         self._is_ramping = True
         self._configured: Promise[None] = Promise()
         self._follower = ControlFollower(
-            neighbourhood.failure_domain, seeds, link, timers, random_source, events
+            topology.failure_domain, seeds, link, timers, random_source, events
         )
 
     @property
@@ -171,7 +171,7 @@
                 name,
                 self._name,
                 self._connector,
-                self._neighbourhood,
+                self._topology,
                 self._timers,
                 self._random,
                 self._events,
--- a/src/azurerelay/relay/_neighbourhood.py
+++ b/src/azurerelay/relay/_topology.py
@@ -15,7 +15,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Neighbourhood:
+class Topology:
     """This host's failure domain, and the region of every domain."""
 
     failure_domain: str
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -20,7 +20,7 @@
 from azurerelay.consensus import Journal
 from azurerelay.discovery import Announcement
 from azurerelay.events import Event
-from azurerelay.relay import CallerSession, Neighbourhood, RelayNode
+from azurerelay.relay import CallerSession, RelayNode, Topology
 from azurerelay.routes import Configuration, Consistency, DatabaseGroup, Route
 from azurerelay.statements import (
     AskStatus,
@@ -588,7 +588,7 @@
         scope = ScopedTimerService(self.timers)
         node = RelayNode(
             f"entry {number}",
-            Neighbourhood(domain, DOMAINS),
+            Topology(domain, DOMAINS),
             self.seeds,
             _RigLink(self, address),
             FakeConnector(self, address),
