--- a/src/azurerelay/cli/_daemon_commands.py
+++ b/src/azurerelay/cli/_daemon_commands.py
@@ -8,6 +8,7 @@
 import typer
 from result import Err, Result
 
+from azurerelay.cli._deployment_file import check_deployment
 from azurerelay.control import StartRefusedError
 from azurerelay.daemons import (
     Application,
@@ -23,11 +24,7 @@
     run_until_signal,
     standin_application,
 )
-from azurerelay.hosts import (
-    check_deployment,
-    is_platform_settings,
-    load_host_settings,
-)
+from azurerelay.hosts import is_platform_settings, load_host_settings
 from azurerelay.settings import Finding
 
 SettingsFile = Annotated[Path, typer.Argument(help="The JSON settings file.")]
--- a/src/azurerelay/cluster/__init__.py
+++ b/src/azurerelay/cluster/__init__.py
@@ -16,11 +16,6 @@
     most_advanced,
     promotion_reason,
 )
-from azurerelay.cluster._promotion_port import (
-    PromotionAnswer,
-    PromotionOrder,
-    PromotionPort,
-)
 from azurerelay.cluster._voter_duty import VoterDuty
 from azurerelay.cluster._voter_plan import MAX_VOTERS, host_address, next_voters
 
@@ -33,10 +28,7 @@
     "ClusterNode",
     "GroupHealth",
     "OrderOutcome",
-    "PromotionAnswer",
     "PromotionDuty",
-    "PromotionOrder",
-    "PromotionPort",
     "VoterDuty",
     "candidates",
     "compress",
--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -32,7 +32,6 @@
     ProposalRequest,
 )
 from azurerelay.cluster._promotion_duty import PromotionDuty
-from azurerelay.cluster._promotion_port import PromotionPort
 from azurerelay.cluster._voter_duty import VoterDuty
 from azurerelay.cluster._voter_plan import host_address
 from azurerelay.consensus import (
@@ -46,6 +45,7 @@
 from azurerelay.events import EventLog, RoleChanged
 from azurerelay.membership import COMMAND_CODEC, ClusterState, ReplaceConfiguration
 from azurerelay.messages import Link, Requester, TaggedCodec
+from azurerelay.promotions import PromotionPort
 from azurerelay.routes import Configuration
 from azurerelay.statements import EndpointConnector
 from azurerelay.timing import Promise, TimerService, sleep, spawn, within
--- a/src/azurerelay/cluster/_promotion_duty.py
+++ b/src/azurerelay/cluster/_promotion_duty.py
@@ -12,11 +12,11 @@
     most_advanced,
     promotion_reason,
 )
-from azurerelay.cluster._promotion_port import PromotionOrder, PromotionPort
 from azurerelay.consensus import RaftNode
 from azurerelay.discovery import EndpointDirectory
 from azurerelay.events import EventLog, PromotionAnswered, PromotionDecided
 from azurerelay.membership import COMMAND_CODEC, ClusterState, RecordPromotion
+from azurerelay.promotions import PromotionOrder, PromotionPort
 from azurerelay.statements import EndpointConnector
 from azurerelay.timing import TimerService, gather, sleep, spawn
 
--- a/src/azurerelay/hosts/__init__.py
+++ b/src/azurerelay/hosts/__init__.py
@@ -1,11 +1,9 @@
 """Entry and control hosts as processes on the platform."""
 
-from azurerelay.hosts._deployment_file import check_deployment
 from azurerelay.hosts._run import run_host
 from azurerelay.hosts._settings_file import is_platform_settings, load_host_settings
 
 __all__ = [
-    "check_deployment",
     "is_platform_settings",
     "load_host_settings",
     "run_host",
--- a/src/azurerelay/hosts/_control_host.py
+++ b/src/azurerelay/hosts/_control_host.py
@@ -16,6 +16,7 @@
 )
 from azurerelay.consensus import Journal
 from azurerelay.events import AnnouncementRefused, ConfigurationOrdered, EventLog
+from azurerelay.hosts._damaged_disk_error import DamagedDiskError
 from azurerelay.hosts._directory_cache import DirectoryCache
 from azurerelay.hosts._disk_identity import FIRST_IDENTITY, disk_identity
 from azurerelay.hosts._endpoint_client import TcpEndpointConnector
@@ -42,10 +43,6 @@
 _UNAVAILABLE: Final = HttpAnswer(503)
 
 
-class DamagedDiskError(Exception):
-    """The data folder cannot be trusted; nothing may be answered from it."""
-
-
 class ControlHost:
     """The decisions of a control host, with its link, disk and HTTP calls."""
 
--- a/src/azurerelay/hosts/_promotion_client.py
+++ b/src/azurerelay/hosts/_promotion_client.py
@@ -5,9 +5,9 @@
 
 from absl import logging
 
-from azurerelay.cluster import PromotionAnswer, PromotionOrder
 from azurerelay.hosts._sockets import split_address, tune
 from azurerelay.platform import decode_promotion, encode_promotion
+from azurerelay.promotions import PromotionAnswer, PromotionOrder
 from azurerelay.runtime import HttpClientProtocol, HttpLost, as_future
 from azurerelay.timing import Promise
 
--- a/src/azurerelay/hosts/_run.py
+++ b/src/azurerelay/hosts/_run.py
@@ -12,8 +12,7 @@
 from result import Err
 
 from azurerelay.events import ProcessChanged
-from azurerelay.hosts._control_host import ControlHost, DamagedDiskError
-from azurerelay.hosts._entry_host import EntryHost
+from azurerelay.hosts._damaged_disk_error import DamagedDiskError
 from azurerelay.hosts._json_event_log import JsonEventLog, route_absl
 from azurerelay.hosts._settings_file import load_host_settings
 from azurerelay.platform import SETTINGS_VARIABLE, HostSettings
@@ -64,11 +63,7 @@
     events = JsonEventLog(settings.name, AsyncioTimerService(loop), meters)
     route_absl(events)
     loop.set_exception_handler(_log_exception)
-    host: Host
-    if role == "control":
-        host = ControlHost(settings, events, meters, loop)
-    else:
-        host = EntryHost(settings, events, meters, loop)
+    host = _build_host(role, settings, events, meters, loop)
     stopping, reloading = asyncio.Event(), asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     loop.add_signal_handler(signal.SIGINT, stopping.set)
@@ -91,6 +86,26 @@
     return 0
 
 
+def _build_host(
+    role: str,
+    settings: HostSettings,
+    events: JsonEventLog,
+    meters: Meters,
+    loop: asyncio.AbstractEventLoop,
+) -> Host:
+    """Import and build the role that runs here, and not the other one.
+
+    Callers wait for a host that restarts, and imports are most of its start.
+    """
+    if role == "control":
+        from azurerelay.hosts._control_host import ControlHost
+
+        return ControlHost(settings, events, meters, loop)
+    from azurerelay.hosts._entry_host import EntryHost
+
+    return EntryHost(settings, events, meters, loop)
+
+
 async def _watch_settings(
     file: Path,
     settings: HostSettings,
--- a/src/azurerelay/platform/_calls.py
+++ b/src/azurerelay/platform/_calls.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from azurerelay.cluster import PromotionAnswer, PromotionOrder
+from azurerelay.promotions import PromotionAnswer, PromotionOrder
 
 READINESS_PATH: Final = "/v1/readiness"
 REPLACE_PATH: Final = "/v1/Configuration.Replace"
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,6 +1,8 @@
 """Decisions stay free of input, output, clocks and processes."""
 
 import ast
+import subprocess
+import sys
 import unittest
 from pathlib import Path
 
@@ -62,6 +64,32 @@
                     self.assertTrue(file.name.startswith("_"))
 
 
+class StartTest(unittest.TestCase):
+    def test_an_entry_host_imports_nothing_of_control(self) -> None:
+        """Imports are most of a start, and callers wait for it."""
+        script = (
+            "import sys, azurerelay.hosts, azurerelay.hosts._entry_host;"
+            "print(*sorted(name for name in sys.modules if name.count('.') == 1))"
+        )
+        run = subprocess.run(
+            [sys.executable, "-c", script], capture_output=True, text=True, check=True
+        )
+        loaded = set(run.stdout.split())
+        unneeded = {
+            f"azurerelay.{name}"
+            for name in (
+                "cli",
+                "cluster",
+                "consensus",
+                "control",
+                "daemons",
+                "membership",
+            )
+        }
+        self.assertIn("azurerelay.relay", loaded)
+        self.assertEqual(loaded & unneeded, set())
+
+
 class ProcessSettingsTest(unittest.TestCase):
     def test_every_example_is_valid(self) -> None:
         files = sorted((ROOT / "examples").rglob("*.json"))
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -8,7 +8,6 @@
 from hypothesis import strategies as st
 from result import Err
 
-from azurerelay.cluster import PromotionOrder
 from azurerelay.discovery import Announcement
 from azurerelay.platform import (
     LineSplitter,
@@ -26,6 +25,7 @@
     parse_host_settings,
     parse_position,
 )
+from azurerelay.promotions import PromotionOrder
 from azurerelay.routes import Consistency, apply_change, change_between
 from azurerelay.statements import (
     Begin,
