Room for the connections of hosts that return together

Ruled out: control (leader 0.4 s after its start, configuration 0.1 s later); a smaller hard share (1 or 2 a host, transactions would wait for each other). Change: connections beyond the first are closed after 250 ms unused instead of 1 to 4 s; a host that has just started opens one to each endpoint for 3 s, where half of its share let some have two and others none.

--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -24,10 +24,10 @@
 # Without new answers the average returns to the typical value at this pace, so that an
 # endpoint that was slow is tried again.
 FORGET_HALF_LIFE_MS: Final = 2_000.0
-# A connection beyond the first is closed after this time unused. Endpoints count the
-# connections of hosts that lost power for seconds; what all hosts leave free is what
-# these need to come back.
-IDLE_CLOSE_MS: Final = 4_000.0
+# A connection beyond the first is closed after this time unused, a few times what it
+# costs to open one from another region. Endpoints count the connections of hosts that
+# lost power for seconds; what all hosts leave free is what these need to come back.
+IDLE_CLOSE_MS: Final = 250.0
 # Answers missed in a row before the endpoint itself counts as lost: single ones go
 # missing while it is well.
 MISSED_ANSWERS: Final = 3
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -24,15 +24,15 @@
 # The leader of each group is asked for a proof at least this often, so that its loss
 # is noticed without traffic; as often as endpoints send heartbeats.
 PROOF_INTERVAL_MS: Final = 1_000.0
-SUSPICION_CHECK_MS: Final = 100.0
+GROUP_CHECK_MS: Final = 100.0
 SUSPECT_AFTER_MS: Final = 250.0  # one lost proof and a second try
 # A caller that connects to a host that has just started waits no longer than this for
 # its first configuration; callers give up after two seconds.
 FIRST_CONFIGURATION_MS: Final = 1_500.0
-# Endpoints count the connections of a process that lost power for three seconds more,
-# so a host that has just started takes half of its share at first.
-START_RAMP_MS: Final = 4_000.0
-START_RAMP_DIVISOR: Final = 2
+# Endpoints count the connections of a host that lost power for three seconds more, and
+# all hosts may have lost it together: one that has just started takes one connection
+# to each endpoint until these are forgotten.
+START_RAMP_MS: Final = 3_000.0
 
 
 class RelayNode:
@@ -92,7 +92,7 @@
         """Begin to follow control."""
         self._follower.start(self._suspicions, self._on_change)
         self._timers.subscribe(PROOF_INTERVAL_MS, self._prove_leaders)
-        self._timers.subscribe(SUSPICION_CHECK_MS, self._report_suspicions)
+        self._timers.subscribe(GROUP_CHECK_MS, self._check_groups)
         self._timers.call_later(START_RAMP_MS, self._end_ramp)
 
     def stop(self) -> None:
@@ -186,9 +186,6 @@
         if configuration is None:
             return
         listed = {a.endpoint for a in update.announcements} if update else None
-        sharing_hosts = self._follower.entry_hosts
-        if self._is_ramping:
-            sharing_hosts *= START_RAMP_DIVISOR
         for group in configuration.groups:
             self._groups[group.name].update(
                 (
@@ -196,14 +193,13 @@
                     for announcement in self._directory.group(group.name)
                     if listed is None or announcement.endpoint in listed
                 ),
-                group.connection_limit,
-                sharing_hosts,
+                1 if self._is_ramping else group.connection_limit,
+                self._follower.entry_hosts,
             )
 
     def _prove_leaders(self) -> None:
         newest_ms = self._timers.now_ms() - PROOF_INTERVAL_MS
         for group in self._groups.values():
-            group.trim()
             sample = group.samples.newest
             if sample is None or sample[0] < newest_ms or group.suspicion():
                 group.prove()
@@ -216,9 +212,11 @@
             and suspicion[1] >= SUSPECT_AFTER_MS
         )
 
-    def _report_suspicions(self) -> None:
+    def _check_groups(self) -> None:
+        """Close idle connections, and report leaders that do not answer."""
         has_suspect = False
         for group in self._groups.values():
+            group.trim()
             if group.suspicion() is not None:
                 group.prove()
                 has_suspect = True
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -7,19 +7,16 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from result import Err, Ok, Result
 
-from azurerelay.cluster import (
-    ClusterConfig,
-    ClusterNode,
-    PromotionAnswer,
-    PromotionOrder,
-)
+from azurerelay.cluster import ClusterConfig, ClusterNode
 from azurerelay.consensus import Journal
 from azurerelay.discovery import Announcement
 from azurerelay.events import Event
+from azurerelay.promotions import PromotionAnswer, PromotionOrder
 from azurerelay.relay import CallerSession, RelayNode, Topology
 from azurerelay.routes import Configuration, Consistency, DatabaseGroup, Route
 from azurerelay.statements import (
@@ -57,6 +54,8 @@
 GROUP = "ledger"
 DRAIN_MS = 7_000.0
 HEARTBEAT_MS = 1_200.0
+# How long an endpoint counts the connections of a host that lost power.
+LINGER_MS = 3_000.0
 
 
 @dataclass
@@ -96,6 +95,9 @@
     incarnation: int = 1
     sequence: int = 0
     sessions: list["FakeSession"] = field(default_factory=list)
+    max_connections: int = 1_000
+    lingering: int = 0
+    refused_connections: int = 0
 
     @property
     def position(self) -> Position:
@@ -141,6 +143,9 @@
     def _apply(self, count: int) -> None:
         self.applied = max(self.applied, min(count, len(self.log)))
 
+    def forget(self, count: int) -> None:
+        self.lingering -= count
+
     def crash(self, silent: bool = False) -> None:
         self.is_up = False
         self.is_silent = silent
@@ -382,6 +387,11 @@
                 return
             if self._client in server.unreachable_from:
                 return
+            if len(server.sessions) + server.lingering >= server.max_connections:
+                server.refused_connections += 1
+                error = EndpointError.TOO_MANY_CONNECTIONS
+                promise.resolve(Err(ConnectFailed("reset", error)))
+                return
             rig.connections += 1
             promise.resolve(Ok(FakeSession(server, self._client)))
 
@@ -602,6 +612,17 @@
         node.start()
         return node
 
+    def cut_power(self, address: str) -> None:
+        """Stop an entry host at once; endpoints notice only after a while."""
+        self.scopes[address].close()
+        del self.entries[address]
+        for server in self.servers.values():
+            lost = [s for s in server.sessions if s.client == address]
+            for session in lost:
+                session.close()
+            server.lingering += len(lost)
+            self.timers.call_later(LINGER_MS, partial(server.forget, len(lost)))
+
     def start(self, first_version: int = 1) -> None:
         """Start everything, and wait until callers can be served."""
         if not self.servers:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,6 +1,8 @@
 """Statements of callers against the stand-in platform, on fake time."""
 
+import random
 import unittest
+from functools import partial
 
 from azurerelay.relay import PrimaryTracker
 from azurerelay.statements import CallerError, EndpointError, Position, SessionState
@@ -283,7 +285,9 @@
 
 
 class StartTest(unittest.TestCase):
-    def test_a_host_takes_half_of_its_connections_right_after_its_start(self) -> None:
+    def test_a_host_opens_one_connection_an_endpoint_right_after_its_start(
+        self,
+    ) -> None:
         rig = PlatformRig(entry_hosts=3)
         rig.start()
         started_ms = rig.timers.now_ms()
@@ -291,15 +295,52 @@
         rig.wait_for(lambda: node.is_ready)
         sessions = [rig.open("strict", 4) for _ in range(40)]
         for session in sessions:
-            rig.send(session, "WRITE a x")
+            rig.send(session, "BEGIN")
         rig.timers.advance(300.0)
-        at_first = node.find("strict")[1].connections
-        self.assertLessEqual(at_first, 3 * 7)
+        held = [s for s in rig.primary().sessions if s.client == "10.1.0.4:7440"]
+        self.assertEqual(len(held), 1)
         rig.timers.advance(4_500.0 - (rig.timers.now_ms() - started_ms))
         for session in sessions:
-            rig.send(session, "WRITE a x")
+            rig.send(session, "BEGIN")
         rig.timers.advance(300.0)
-        self.assertGreater(node.find("strict")[1].connections, at_first)
+        held = [s for s in rig.primary().sessions if s.client == "10.1.0.4:7440"]
+        self.assertGreater(len(held), 1)
+
+    def test_all_hosts_write_again_soon_after_all_lost_power_under_load(self) -> None:
+        """Connections of the dead count for 3 s, and must leave room for the new."""
+        hosts = 15
+        rig = PlatformRig(entry_hosts=hosts)
+        rig.add_group()
+        for server in rig.servers.values():
+            server.max_connections = 45
+        rig.start()
+        # The busiest standard day, for one group: a second has nine transactions of
+        # about half a second, and a dozen writes.
+        chance = random.Random(7)
+        for _ in range(9 * 6):
+            session = rig.open("strict", chance.randrange(1, hosts + 1))
+            rig.send(session, "BEGIN")
+            pause_ms = chance.uniform(200.0, 1_000.0)
+            rig.timers.call_later(pause_ms, partial(rig.send, session, "ROLLBACK"))
+            for _ in range(2):
+                other = rig.open("own", chance.randrange(1, hosts + 1))
+                rig.send(other, "WRITE a x")
+            rig.timers.advance(chance.expovariate(9.0) * 1_000.0)
+        addresses = list(rig.entries)
+        for address in addresses:
+            rig.cut_power(address)
+        rig.timers.advance(1_000.0)
+        for number in range(1, hosts + 1):
+            rig.start_entry(number)
+        rig.wait_for(lambda: all(e.is_ready for e in rig.entries.values()))
+        replies = [
+            rig.send(rig.open("strict", number), "WRITE a x")
+            for number in range(1, hosts + 1)
+        ]
+        rig.timers.advance(500.0)  # the route's response-time goal
+        self.assertEqual(
+            [p.is_done and p.value.error is None for p in replies], [True] * hosts
+        )
 
 
 class DrainingTest(RelayCase):
