Control has a leader before entry hosts have started again

The first election waited 200 to 400 ms, and 800 to 1,500 ms if its votes were not answered; an entry host that had chosen a control host without a leader waited 150 ms before it asked the next. Ruled out: serving the configuration of a host's own disk before a leader confirms it: it may be older than what was acknowledged. Change: the first election after a start waits 100 to 200 ms, further ones twice as long until a leader is heard; an entry host asks the next control host at once.

--- a/src/azurerelay/attachment/_control_follower.py
+++ b/src/azurerelay/attachment/_control_follower.py
@@ -119,6 +119,9 @@
             self._replied_ms = now_ms
             if reply.leader_silence_ms > STALE_LIMIT_MS:
                 self._leave("it has not heard the leader for too long")
+                if self._tried:
+                    # Not all have been asked in this round: the next one at once.
+                    self._ask()
             else:
                 self._tried.clear()
         if reply.control_hosts:
--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -51,12 +51,13 @@
 from azurerelay.timing import Promise, TimerService, sleep, spawn, within
 
 # Heartbeats several round trips between regions apart; an election starts after four
-# of them are missed, so that a busy host or a slow disk starts none.
+# of them are missed, so that a busy host or a slow disk starts none. The first one
+# after a start waits four such round trips at least: all may have started together.
 RAFT_CONFIG: Final = RaftConfig(
     heartbeat_ms=200.0,
     election_min_ms=800.0,
     election_max_ms=1_500.0,
-    first_election_max_ms=400.0,
+    first_election_max_ms=200.0,
     resend_ms=400.0,
     chunk_bytes=64 * 1024,
     snapshot_entries=64,
--- a/src/azurerelay/consensus/_raft_config.py
+++ b/src/azurerelay/consensus/_raft_config.py
@@ -12,8 +12,9 @@
     entry of the log. Otherwise the voters are fixed, and one that finds its disk
     empty learns under its old name.
 
-    The first election after a start waits less, up to `first_election_max_ms`: voters
-    that hear a leader deny the pre-vote, so a needless one disturbs nobody.
+    The first election after a start waits less, up to `first_election_max_ms`, and
+    each further one twice as long until a leader is heard: voters that hear a leader
+    deny the pre-vote, so a needless one disturbs nobody.
 
     With `announces_commits`, followers learn of a commit at once and not with the
     next heartbeat, for a message to each.
--- a/src/azurerelay/consensus/_raft_node.py
+++ b/src/azurerelay/consensus/_raft_node.py
@@ -91,6 +91,8 @@
         self._quorum_round = 0
         self._term_start_index = 0
         self._leader_heard_ms = float("-inf")
+        # Doubled with each election until there is a leader, and unlimited then.
+        self._start_election_ms = self._config.first_election_max_ms
         self._leading_since_ms = 0.0
         self._proposals: dict[int, tuple[int, Promise[Result[Any, ProposalLost]]]] = {}
         self._confirmations: list[tuple[int, Promise[bool]]] = []
@@ -198,7 +200,7 @@
 
     def start(self) -> None:
         """Begin to wait for a leader."""
-        self._reset_election_timer(self._config.first_election_max_ms)
+        self._reset_election_timer()
         self._timers.subscribe(self._config.heartbeat_ms, self._on_heartbeat)
         if self._is_learner:
             self._probe_freshness()
@@ -377,16 +379,16 @@
 
     # Elections
 
-    def _reset_election_timer(self, longest_ms: float | None = None) -> None:
+    def _reset_election_timer(self) -> None:
         if self._election_timer is not None:
             self._election_timer.cancel()
-        if longest_ms is None:
-            longest_ms = self._config.election_max_ms
+        longest_ms = min(self._config.election_max_ms, self._start_election_ms)
         shortest_ms = min(self._config.election_min_ms, longest_ms / 2)
         delay_ms = self._random.uniform(shortest_ms, longest_ms)
         self._election_timer = self._timers.call_later(delay_ms, self._on_election)
 
     def _on_election(self) -> None:
+        self._start_election_ms *= 2
         self._reset_election_timer()
         if not self.is_leader and self.is_voter and self._disk_error is None:
             try:
@@ -459,6 +461,7 @@
         self._role = Role.LEADER
         self._leader = self._name
         self._leading_since_ms = self._timers.now_ms()
+        self._start_election_ms = float("inf")
         self._peers.begin_term(self._log.last_index + 1, self._leading_since_ms)
         self._quorum_round = self._round
         self._term_start_index = self._append_as_leader(b"")
@@ -657,6 +660,7 @@
             self._step_down(term)
         self._leader = leader
         self._leader_heard_ms = self._timers.now_ms()
+        self._start_election_ms = float("inf")
         self._reset_election_timer()
 
     def _store_entries(self, request: AppendRequest) -> AppendReply:
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -48,6 +48,20 @@
         leaders = {n.raft.leader for n in self.rig.controls.values()}
         self.assertEqual(len(leaders), 1)
 
+    def test_a_leader_is_ready_before_entry_hosts_have_started_again(self) -> None:
+        """An entry host needs 300 ms to start; after a loss of power all wait."""
+        for seed in range(1, 11):
+            with self.subTest(seed=seed):
+                self.rig = PlatformRig(entry_hosts=1, seed=seed)
+                self._start()
+                for address in self.rig.addresses:
+                    self.rig.stop_control(address)
+                self.rig.timers.advance(1_000.0)
+                for address in self.rig.addresses:
+                    self.rig.start_control(address)
+                self.rig.timers.advance(300.0)
+                self.assertIsNotNone(self.rig.leader)
+
     def test_nothing_is_acknowledged_before_it_survives_two_lost_disks(self) -> None:
         for address in self.rig.addresses[:3]:
             self.rig.start_control(address, first=True)
@@ -187,6 +201,22 @@
                 self.rig.timers.advance(3_000.0)
                 self.assertEqual(entry.version, 4)
 
+    def test_a_host_that_starts_asks_on_until_one_knows_the_leader(self) -> None:
+        """Its callers wait; a control host may not know the leader yet."""
+        rig = PlatformRig(entry_hosts=1)
+        rig.start()
+        empty = next(a for a in rig.seeds if rig.controls[a] is not rig.leader)
+        rig.stop_control(empty, lose_disk=True)
+        for other in rig.addresses:
+            rig.cut.add(frozenset((empty, other)))
+        rig.start_control(empty)
+        for number in range(2, 12):
+            started_ms = rig.timers.now_ms()
+            node = rig.start_entry(number)
+            rig.wait_for(lambda node=node: node.version >= 0)
+            # Two questions and their answers, 12 ms each way at most.
+            self.assertLess(rig.timers.now_ms() - started_ms, 2 * 24.0 + 1.0)
+
     def test_dropped_and_added_routes_are_followed(self) -> None:
         kept = configuration(4).routes[:1]
         self.assertTrue(self.rig.replace(configuration(4, routes=kept)))
