Hosts take turns where an endpoint takes fewer connections than there are hosts

Ages count from when the entry host asked, so a late or frozen answer only looks older; sequence numbers start at random, so an answer to an earlier process counts for nothing. A leader silent to control makes all hosts ask for themselves at once.

--- a/src/azurerelay/attachment/__init__.py
+++ b/src/azurerelay/attachment/__init__.py
@@ -8,6 +8,7 @@
     DirectoryMark,
     DirectoryUpdate,
     PrimarySuspicion,
+    ProvenLeader,
     SyncReply,
     SyncRequest,
 )
@@ -20,6 +21,7 @@
     "DirectoryUpdate",
     "EntryHostTable",
     "PrimarySuspicion",
+    "ProvenLeader",
     "SyncReply",
     "SyncRequest",
 ]
--- a/src/azurerelay/attachment/_control_follower.py
+++ b/src/azurerelay/attachment/_control_follower.py
@@ -1,6 +1,7 @@
 """How an entry host follows control."""
 
 import random
+from collections import deque
 from collections.abc import Callable, Iterable
 from typing import Final
 
@@ -22,6 +23,8 @@
 SYNC_INTERVAL_MS: Final = 500.0
 FIRST_SYNC_INTERVAL_MS: Final = 150.0
 REPLY_LIMIT_MS: Final = 900.0
+FIRST_SEQUENCES: Final = 2**48
+KEPT_QUESTIONS: Final = 32  # several seconds
 # Older state than this means that the control host has lost the leader.
 STALE_LIMIT_MS: Final = 1_500.0
 
@@ -53,7 +56,9 @@
         self._tried: set[str] = set()
         self._asked_ms: float | None = None
         self._replied_ms = float("-inf")
-        self._sequence = 0
+        # Not those of an earlier process: its answers may still be on their way.
+        self._sequence = random_source.randrange(FIRST_SEQUENCES)
+        self._sent: deque[tuple[int, float]] = deque(maxlen=KEPT_QUESTIONS)
         self._directory = DirectoryMark(0, 0)
         self._configuration: Configuration | None = None
         self._entry_hosts = 1
@@ -86,6 +91,10 @@
         """The control host that is followed."""
         return self._followed
 
+    def asked_ms(self, sequence: int) -> float | None:
+        """Return when a question was sent; None if it is not known any more."""
+        return next((at_ms for sent, at_ms in self._sent if sent == sequence), None)
+
     def start(
         self,
         suspicions: Callable[[], tuple[PrimarySuspicion, ...]],
@@ -164,6 +173,7 @@
             if self._followed is None:
                 return
         self._sequence += 1
+        self._sent.append((self._sequence, self._timers.now_ms()))
         if self._asked_ms is None:
             self._asked_ms = self._timers.now_ms()
         self._link.send(
--- a/src/azurerelay/attachment/_entry_host_table.py
+++ b/src/azurerelay/attachment/_entry_host_table.py
@@ -9,6 +9,7 @@
     DirectoryMark,
     DirectoryUpdate,
     PrimarySuspicion,
+    ProvenLeader,
     SyncReply,
     SyncRequest,
 )
@@ -55,6 +56,7 @@
         self._leader_silence_ms: Callable[[], float] = lambda: float("inf")
         self._entry_hosts: Callable[[], int] = lambda: self.count
         self._control_hosts: Callable[[], tuple[ControlHost, ...]] = tuple
+        self._leaders: Callable[[], tuple[ProvenLeader, ...]] = tuple
 
     @property
     def count(self) -> int:
@@ -81,8 +83,10 @@
         leader_silence_ms: Callable[[], float],
         entry_hosts: Callable[[], int],
         control_hosts: Callable[[], tuple[ControlHost, ...]],
+        leaders: Callable[[], tuple[ProvenLeader, ...]],
     ) -> None:
         """Tell where the figures of an answer come from."""
+        self._leaders = leaders
         self._leader_silence_ms = leader_silence_ms
         self._entry_hosts = entry_hosts
         self._control_hosts = control_hosts
@@ -112,6 +116,13 @@
             self._is_push_due = True
             self._timers.call_later(0.0, self._push)
 
+    def push_to_all(self) -> None:
+        """Answer every attached host once more, since a leader has become silent."""
+        horizon_ms = self._timers.now_ms() - HEARD_LIMIT_MS
+        for name, host in list(self._hosts.items()):
+            if host.heard_ms >= horizon_ms:
+                self._reply(name, host.request, False)
+
     def _push(self) -> None:
         self._is_push_due = False
         horizon_ms = self._timers.now_ms() - HEARD_LIMIT_MS
@@ -146,6 +157,7 @@
                 change,
                 directory,
                 self._control_hosts() if with_hosts else (),
+                self._leaders(),
             ),
         )
         # The next change is taken from what was just sent; a host that has not got
--- a/src/azurerelay/attachment/_messages.py
+++ b/src/azurerelay/attachment/_messages.py
@@ -4,6 +4,7 @@
 
 from azurerelay.discovery import Announcement, Departure
 from azurerelay.routes import ConfigurationChange
+from azurerelay.statements import Position
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,12 +53,27 @@
     departures: tuple[Departure, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ProvenLeader:
+    """A position that a group's leader has proven to a control host.
+
+    `age_ms` is how long before this was written the proof was asked for, and
+    `silent_ms` for how long the leader has not answered control; 0 when it does.
+    """
+
+    group: str
+    position: Position | None
+    age_ms: float
+    silent_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class SyncReply:
     """What the entry host lacks; sent in answer, and at each change.
 
-    `leader_silence_ms` tells how old the control host's state may be, and
-    `entry_hosts` by how many the connections of endpoints are shared.
+    `leader_silence_ms` tells how old the control host's state may be, `entry_hosts` by
+    how many the connections of endpoints are shared, and `leaders` which positions
+    have been proven, for groups with fewer connections than hosts.
     """
 
     sequence: int
@@ -66,6 +82,7 @@
     configuration: ConfigurationChange | None
     directory: DirectoryUpdate | None
     control_hosts: tuple[ControlHost, ...]
+    leaders: tuple[ProvenLeader, ...]
 
 
 ATTACHMENT_MESSAGES = (SyncRequest, SyncReply)
--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -16,6 +16,7 @@
 )
 from azurerelay.cluster._cluster_config import ClusterConfig
 from azurerelay.cluster._compression import compress, decompress
+from azurerelay.cluster._leader_proofs import LeaderProofs
 from azurerelay.cluster._messages import (
     CLUSTER_MESSAGES,
     AnnouncementRelay,
@@ -43,6 +44,7 @@
 )
 from azurerelay.discovery import Announcement, Departure, EndpointDirectory
 from azurerelay.events import EventLog, RoleChanged
+from azurerelay.groups import Topology
 from azurerelay.membership import COMMAND_CODEC, ClusterState, ReplaceConfiguration
 from azurerelay.messages import Link, Requester, TaggedCodec
 from azurerelay.promotions import PromotionPort
@@ -160,6 +162,7 @@
             lambda: self._raft.leader_silence_ms,
             self._count_entry_hosts,
             self._control_hosts,
+            lambda: self._leader_proofs.leaders,
         )
         self._raft.add_role_listener(self._on_role)
         self._voter_duty = VoterDuty(
@@ -177,6 +180,15 @@
             config.heartbeat_interval_ms,
         )
         self._promotion_duty.set_sources(self._suspicions, self._count_entry_hosts)
+        self._leader_proofs = LeaderProofs(
+            config.name,
+            Topology(config.failure_domain, {}),
+            self._directory,
+            connector,
+            timers,
+            random_source,
+            events,
+        )
 
     @property
     def raft(self) -> RaftNode:
@@ -220,6 +232,11 @@
         self._timers.subscribe(JOIN_INTERVAL_MS, self._join)
         self._timers.subscribe(DIGEST_INTERVAL_MS, self._send_digest)
         self._timers.subscribe(REPORT_INTERVAL_MS, self._report)
+        self._leader_proofs.start(
+            lambda: self._state.configuration,
+            self._count_entry_hosts,
+            self._entry_hosts.push_to_all,
+        )
         self._join()
 
     def on_message(self, sender: str, message: Any) -> None:
--- a/src/azurerelay/relay/_group_relay.py
+++ b/src/azurerelay/groups/_group_relay.py
@@ -1,7 +1,7 @@
 """One group of endpoints as one entry host uses it."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -9,7 +9,10 @@
 
 from azurerelay.discovery import Announcement
 from azurerelay.events import EndpointLost, EndpointRegained, EventLog, PrimaryProven
+from azurerelay.groups._primary_tracker import PrimaryTracker
+from azurerelay.groups._topology import Topology
 from azurerelay.pooling import (
+    ConnectionShare,
     EndpointPool,
     EndpointView,
     LagEstimate,
@@ -18,10 +21,7 @@
     RequiredPosition,
     SessionProfile,
     choose_endpoint,
-    connection_share,
 )
-from azurerelay.relay._primary_tracker import PrimaryTracker
-from azurerelay.relay._topology import Topology
 from azurerelay.statements import (
     DropTransaction,
     EndpointConnector,
@@ -36,6 +36,11 @@
 # Positions are refreshed at this age, or at half of the bound if that is less, while
 # reads ask for them.
 REFRESH_MS: Final = 800.0
+# Where control proves leaders for its hosts, these ask only this long before a position
+# is too old: a proof may take its whole time.
+LATE_REFRESH_MS: Final = PROOF_TIMEOUT_MS
+# A proof over a connection that must be opened first waits for that, too.
+CONNECT_LIMIT_MS: Final = 1_000.0
 # A draining endpoint takes new work no longer than this after it was first seen to
 # drain; the platform allows seven seconds from its acknowledged report.
 DRAINING_USE_MS: Final = 5_000.0
@@ -68,7 +73,6 @@
     def __init__(
         self,
         name: str,
-        own_name: str,
         connector: EndpointConnector,
         topology: Topology,
         timers: TimerService,
@@ -76,7 +80,6 @@
         events: EventLog,
     ) -> None:
         self._name = name
-        self._own_name = own_name
         self._connector = connector
         self._topology = topology
         self._timers = timers
@@ -90,6 +93,7 @@
         self._changed: Promise[None] = Promise()
         self._failed_proofs_since_ms: float | None = None
         self._suspect: str | None = None
+        self._is_sharing_turns = False
 
     @property
     def name(self) -> str:
@@ -117,15 +121,16 @@
         return self._suspect, self._timers.now_ms() - self._failed_proofs_since_ms
 
     def update(
-        self, endpoints: Iterable[Announcement], connection_limit: int, hosts: int
+        self,
+        endpoints: Iterable[Announcement],
+        share_of: Callable[[str], ConnectionShare],
     ) -> None:
-        """Take the newest announcements, and how many hosts share each endpoint."""
+        """Take the newest announcements, and this host's share of each endpoint."""
         now_ms = self._timers.now_ms()
         listed = {endpoint.endpoint: endpoint for endpoint in endpoints}
         for endpoint in listed.values():
-            share = connection_share(
-                connection_limit, hosts, self._own_name, endpoint.endpoint
-            )
+            share = share_of(endpoint.endpoint)
+            self._is_sharing_turns = share.is_scarce
             self._update_member(endpoint, share, now_ms)
         for name, member in list(self._members.items()):
             if name in listed:
@@ -160,7 +165,10 @@
         """Return a position no staler than the bound, and refresh it in time."""
         now_ms = self._timers.now_ms()
         newest = self._samples.newest
-        if newest is None or now_ms - newest[0] > min(REFRESH_MS, max_staleness_ms / 2):
+        refresh_ms = min(REFRESH_MS, max_staleness_ms / 2)
+        if self._is_sharing_turns:
+            refresh_ms = max(refresh_ms, max_staleness_ms - LATE_REFRESH_MS)
+        if newest is None or now_ms - newest[0] > refresh_ms:
             if not self._is_proving:
                 self.prove()
         return self._samples.covering(now_ms - max_staleness_ms)
@@ -286,9 +294,10 @@
         if pool is None:
             return None
         endpoint = pool.endpoint.endpoint
-        granted = await pool.acquire(PROOF_PRIORITY, SessionProfile(), PROOF_TIMEOUT_MS)
+        wait_ms = PROOF_TIMEOUT_MS if pool.open_connections else CONNECT_LIMIT_MS
+        granted = await pool.acquire(PROOF_PRIORITY, SessionProfile(), wait_ms)
         if isinstance(granted, Err):
-            if granted.err_value.error is None and not pool.size:
+            if granted.err_value.error is None and not pool.open_connections:
                 self._note_failed_proof(endpoint)
             return None
         session = granted.ok_value
@@ -334,6 +343,10 @@
         self._failed_proofs_since_ms = None
         self._suspect = None
 
+    def note_control_proof(self, asked_ms: float, position: Position) -> None:
+        """Take a proof of control; this host's own judgement of the leader stays."""
+        self._samples.add(asked_ms, position, self._timers.now_ms())
+
     def _note_failed_proof(self, endpoint: str) -> None:
         if self._suspect != endpoint:
             self._suspect = endpoint
@@ -342,7 +355,7 @@
     # Endpoints
 
     def _update_member(
-        self, endpoint: Announcement, connection_limit: int, now_ms: float
+        self, endpoint: Announcement, share: ConnectionShare, now_ms: float
     ) -> None:
         member = self._members.get(endpoint.endpoint)
         if member is not None:
@@ -354,12 +367,10 @@
                 self._remove(endpoint.endpoint)
                 member = None
         if member is None:
-            pool = EndpointPool(
-                endpoint, self._connector, self._timers, connection_limit
-            )
+            pool = EndpointPool(endpoint, self._connector, self._timers, share)
             member = _Member(pool)
             self._members[endpoint.endpoint] = member
-        member.pool.update(endpoint, connection_limit)
+        member.pool.update(endpoint, share)
         if not endpoint.is_draining:
             member.draining_since_ms = None
         elif member.draining_since_ms is None:
--- a/src/azurerelay/hosts/_entry_host.py
+++ b/src/azurerelay/hosts/_entry_host.py
@@ -6,13 +6,14 @@
 
 from azurerelay.attachment import ATTACHMENT_MESSAGES
 from azurerelay.events import EventLog
+from azurerelay.groups import Topology
 from azurerelay.hosts._caller_server import CallerServer
 from azurerelay.hosts._endpoint_client import TcpEndpointConnector
 from azurerelay.hosts._http_service import HttpAnswer, HttpRequest, HttpService
 from azurerelay.hosts._metrics_service import MetricsService
 from azurerelay.messages import TaggedCodec
 from azurerelay.platform import READINESS_PATH, HostSettings
-from azurerelay.relay import RelayNode, Topology
+from azurerelay.relay import RelayNode
 from azurerelay.runtime import AsyncioTimerService, ZmqLink
 from azurerelay.telemetry import Meters
 from azurerelay.timing import ScopedTimerService
--- a/src/azurerelay/pooling/__init__.py
+++ b/src/azurerelay/pooling/__init__.py
@@ -1,6 +1,10 @@
 """Connections to endpoints: lending, matching, placing and positions."""
 
-from azurerelay.pooling._connection_share import connection_share
+from azurerelay.pooling._connection_share import (
+    ConnectionShare,
+    connection_share,
+    holding_ms,
+)
 from azurerelay.pooling._endpoint_pool import EndpointPool
 from azurerelay.pooling._lag_estimate import LagEstimate
 from azurerelay.pooling._placement import (
@@ -15,6 +19,7 @@
 from azurerelay.pooling._session_profile import PreparedShape, SessionProfile
 
 __all__ = [
+    "ConnectionShare",
     "EndpointPool",
     "EndpointView",
     "LagEstimate",
@@ -26,5 +31,6 @@
     "choose_endpoint",
     "connection_share",
     "expected_ms",
+    "holding_ms",
     "is_likely_behind",
 ]
--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from azurerelay.discovery import Announcement
+from azurerelay.pooling._connection_share import ConnectionShare, holding_ms
 from azurerelay.pooling._pooled_session import PooledSession
 from azurerelay.pooling._session_profile import SessionProfile
 from azurerelay.statements import ConnectFailed, EndpointConnector, EndpointError
@@ -28,6 +29,7 @@
 # costs to open one from another region. Endpoints count the connections of hosts that
 # lost power for seconds; what all hosts leave free is what these need to come back.
 IDLE_CLOSE_MS: Final = 250.0
+INITIAL_USE_GAP_MS: Final = 1_000.0  # between two uses, until they are timed
 # Answers missed in a row before the endpoint itself counts as lost: single ones go
 # missing while it is well.
 MISSED_ANSWERS: Final = 3
@@ -51,7 +53,7 @@
 
 
 class EndpointPool:
-    """Open, lend and take back connections, at most `limit` of them.
+    """Open, lend and take back connections, as many as its share allows.
 
     Answers scarce connections: an endpoint takes a fixed number from all hosts
     together, and each new one costs it as much as a statement.
@@ -62,12 +64,14 @@
         endpoint: Announcement,
         connector: EndpointConnector,
         timers: TimerService,
-        limit: int,
+        share: ConnectionShare,
     ) -> None:
         self._endpoint = endpoint
         self._connector = connector
         self._timers = timers
-        self._limit = limit
+        self._share = share
+        self._used_ms = timers.now_ms()
+        self._use_gap_ms = INITIAL_USE_GAP_MS
         self._idle: list[_IdleSession] = []
         self._lent: set[PooledSession] = set()
         self._connecting = 0
@@ -91,6 +95,11 @@
         """How many statements of this host wait or run there."""
         return len(self._lent) + len(self._waiters)
 
+    @property
+    def open_connections(self) -> int:
+        """How many connections are open."""
+        return len(self._idle) + len(self._lent)
+
     @property
     def size(self) -> int:
         """How many connections are open or being opened."""
@@ -106,7 +115,7 @@
     @property
     def has_free_slot(self) -> bool:
         """Whether a connection could be had without waiting for another caller."""
-        return bool(self._idle) or self.size < self._limit
+        return bool(self._idle) or self.size < self._share.limit
 
     @property
     def is_usable(self) -> bool:
@@ -123,15 +132,16 @@
             return 0.0
         return self._timers.now_ms() - self._failing_since_ms
 
-    def update(self, endpoint: Announcement, limit: int) -> None:
-        """Take a newer announcement of the same incarnation, and a new limit."""
+    def update(self, endpoint: Announcement, share: ConnectionShare) -> None:
+        """Take a newer announcement of the same incarnation, and a new share."""
         self._endpoint = endpoint
-        self._limit = limit
+        self._share = share
 
     def acquire(
         self, priority: int, profile: SessionProfile, wait_ms: float
     ) -> Promise[Result[PooledSession, ConnectFailed]]:
         """Return a connection, to be released, or why there is none in time."""
+        self._note_use()
         waiter = _Waiter(priority, profile, Promise())
         if self._is_closed:
             waiter.granted.resolve(Err(ConnectFailed("the endpoint is gone")))
@@ -157,9 +167,11 @@
 
     def trim(self) -> None:
         """Close connections that are not needed any more; called regularly."""
-        horizon_ms = self._timers.now_ms() - IDLE_CLOSE_MS
+        now_ms = self._timers.now_ms()
+        last_kept_ms = holding_ms(self._share, self._use_gap_ms)
         for idle in list(self._idle):
-            if self.size > 1 and idle.since_ms < horizon_ms:
+            kept_ms = IDLE_CLOSE_MS if self.size > 1 else last_kept_ms
+            if now_ms - idle.since_ms > kept_ms:
                 self._idle.remove(idle)
                 idle.session.close()
 
@@ -201,6 +213,11 @@
         self._service_ms += SMOOTHING * (duration_ms - self._service_ms)
         self._answered_ms = self._timers.now_ms()
 
+    def _note_use(self) -> None:
+        now_ms = self._timers.now_ms()
+        self._use_gap_ms += SMOOTHING * (now_ms - self._used_ms - self._use_gap_ms)
+        self._used_ms = now_ms
+
     def _enqueue(self, waiter: _Waiter) -> None:
         """Insert behind all waiters of the same or a higher priority."""
         place = len(self._waiters)
@@ -221,7 +238,7 @@
             waiter.granted.resolve(Ok(session))
         waiting = sum(not waiter.granted.is_done for waiter in self._waiters)
         may_open = self._timers.now_ms() >= self._open_again_ms
-        if may_open and waiting > self._connecting and self.size < self._limit:
+        if may_open and waiting > self._connecting and self.size < self._share.limit:
             spawn(self._open())
 
     def _take_idle(self, profile: SessionProfile) -> PooledSession | None:
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -12,13 +12,13 @@
     StatementRetried,
     StatementServed,
 )
+from azurerelay.groups import GroupRelay
 from azurerelay.pooling import (
     EndpointPool,
     PooledSession,
     PreparedShape,
     SessionProfile,
 )
-from azurerelay.relay._group_relay import GroupRelay
 from azurerelay.relay._pinned_transaction import PinnedTransaction
 from azurerelay.relay._route_table import RouteTable
 from azurerelay.relay._statement_attempt import StatementAttempt
--- a/src/azurerelay/relay/_pinned_transaction.py
+++ b/src/azurerelay/relay/_pinned_transaction.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
+from azurerelay.groups import GroupRelay
 from azurerelay.pooling import EndpointPool, PooledSession
-from azurerelay.relay._group_relay import GroupRelay
 from azurerelay.routes import Route
 
 
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -2,6 +2,8 @@
 
 import random
 from collections.abc import Iterable
+from dataclasses import replace
+from functools import partial
 from typing import Any, Final
 
 from azurerelay.attachment import (
@@ -12,10 +14,10 @@
 )
 from azurerelay.discovery import EndpointDirectory
 from azurerelay.events import DirectoryChanged, EventLog, SessionRefused
+from azurerelay.groups import GroupRelay, Topology
 from azurerelay.messages import Link
+from azurerelay.pooling import ConnectionShare, connection_share
 from azurerelay.relay._caller_session import CallerSession
-from azurerelay.relay._group_relay import GroupRelay
-from azurerelay.relay._topology import Topology
 from azurerelay.routes import Configuration, Route
 from azurerelay.statements import CallerError, EndpointConnector
 from azurerelay.telemetry import Meters
@@ -104,10 +106,27 @@
         """Handle a message of a control host."""
         if isinstance(message, SyncReply):
             self._follower.on_reply(sender, message)
+            self._take_proofs(message)
             if self._follower.entry_hosts != self._entry_hosts:
                 self._entry_hosts = self._follower.entry_hosts
                 self._update_groups()
 
+    def _take_proofs(self, reply: SyncReply) -> None:
+        """Take what control has proven of leaders.
+
+        Ages are counted from when this host asked: control answered after that, so a
+        position cannot be younger than it seems, however late the answer is.
+        """
+        asked_ms = self._follower.asked_ms(reply.sequence)
+        for leader in reply.leaders:
+            group = self._groups.get(leader.group)
+            if group is None or asked_ms is None:
+                continue
+            if leader.position is not None:
+                group.note_control_proof(asked_ms - leader.age_ms, leader.position)
+            if leader.silent_ms > 0.0:
+                group.prove()
+
     async def open_session(self, database: str) -> CallerSession | CallerError:
         """Return a session, or why there is none.
 
@@ -169,7 +188,6 @@
         for name in names - self._groups.keys():
             self._groups[name] = GroupRelay(
                 name,
-                self._name,
                 self._connector,
                 self._topology,
                 self._timers,
@@ -193,10 +211,15 @@
                     for announcement in self._directory.group(group.name)
                     if listed is None or announcement.endpoint in listed
                 ),
-                1 if self._is_ramping else group.connection_limit,
-                self._follower.entry_hosts,
+                partial(self._share, group.connection_limit),
             )
 
+    def _share(self, limit: int, endpoint: str) -> ConnectionShare:
+        """Return this host's share of an endpoint's connections."""
+        hosts = self._follower.entry_hosts
+        share = connection_share(limit, hosts, self._name, endpoint)
+        return replace(share, limit=1) if self._is_ramping else share
+
     def _prove_leaders(self) -> None:
         newest_ms = self._timers.now_ms() - PROOF_INTERVAL_MS
         for group in self._groups.values():
--- a/src/azurerelay/relay/_route_table.py
+++ b/src/azurerelay/relay/_route_table.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from azurerelay.relay._group_relay import GroupRelay
+from azurerelay.groups import GroupRelay
 from azurerelay.routes import Route
 
 
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -16,8 +16,9 @@
 from azurerelay.consensus import Journal
 from azurerelay.discovery import Announcement
 from azurerelay.events import Event
+from azurerelay.groups import Topology
 from azurerelay.promotions import PromotionAnswer, PromotionOrder
-from azurerelay.relay import CallerSession, RelayNode, Topology
+from azurerelay.relay import CallerSession, RelayNode
 from azurerelay.routes import Configuration, Consistency, DatabaseGroup, Route
 from azurerelay.statements import (
     AskStatus,
@@ -623,7 +624,7 @@
             server.lingering += len(lost)
             self.timers.call_later(LINGER_MS, partial(server.forget, len(lost)))
 
-    def start(self, first_version: int = 1) -> None:
+    def start(self, first: Configuration | None = None) -> None:
         """Start everything, and wait until callers can be served."""
         if not self.servers:
             self.add_group()
@@ -634,7 +635,7 @@
         self.timers.subscribe(HEARTBEAT_MS, self.send_heartbeats)
         self.wait_for(lambda: self.leader is not None and len(self.voters) == 5)
         self.send_heartbeats()
-        assert self.replace(configuration(first_version))
+        assert self.replace(first or configuration(1))
         self.wait_for(lambda: all(e.is_ready for e in self.entries.values()))
         self.timers.advance(1_500.0)
 
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -158,7 +158,7 @@
 class ConfigurationTest(unittest.TestCase):
     def setUp(self) -> None:
         self.rig = PlatformRig()
-        self.rig.start(first_version=3)
+        self.rig.start(first=configuration(3))
 
     def test_resent_and_older_orders_are_acknowledged_and_change_nothing(self) -> None:
         other = configuration(3, transaction_idle_ms=9_999)
@@ -184,7 +184,7 @@
         for how in ("lost", "cut off"):
             with self.subTest(how):
                 self.rig = PlatformRig()
-                self.rig.start(first_version=3)
+                self.rig.start(first=configuration(3))
                 entry = self.rig.entries["10.1.0.1:7440"]
                 followed = entry.follower.followed
                 assert followed is not None
--- a/tests/test_pooling.py
+++ b/tests/test_pooling.py
@@ -7,6 +7,7 @@
 from result import Err, Ok
 
 from azurerelay.pooling import (
+    ConnectionShare,
     EndpointPool,
     EndpointView,
     LagEstimate,
@@ -15,6 +16,7 @@
     SessionProfile,
     choose_endpoint,
     connection_share,
+    holding_ms,
 )
 from azurerelay.statements import ConnectFailed, EndpointError, Position
 from azurerelay.timing import ManualTimerService, Promise
@@ -61,7 +63,8 @@
     def _pool(self, limit: int, refusals: list[EndpointError | None]) -> EndpointPool:
         self.connector = _Connector(self.rig, refusals)
         endpoint = self.rig.primary().announcement()
-        return EndpointPool(endpoint, self.connector, self.timers, limit)
+        share = ConnectionShare(limit, float(limit))
+        return EndpointPool(endpoint, self.connector, self.timers, share)
 
     def test_no_more_connections_than_the_limit_and_waiters_by_priority(self) -> None:
         pool = self._pool(2, [])
@@ -108,6 +111,18 @@
         self.assertEqual(pool.size, 1)
         self.assertTrue(used.is_open)
 
+    def test_hosts_that_take_turns_close_the_last_one_when_it_is_not_used(self) -> None:
+        pool = self._pool(1, [])
+        pool.update(self.rig.primary().announcement(), ConnectionShare(2, 0.7))
+        for _ in range(10):
+            pool.release(pool.acquire(1, SessionProfile(), 500.0).value.ok_value)
+            pool.trim()
+            self.assertEqual(pool.size, 1)
+            self.timers.advance(500.0)
+        self.timers.advance(2_000.0)
+        pool.trim()
+        self.assertEqual(pool.size, 0)
+
     def test_a_connection_that_is_not_clean_is_closed(self) -> None:
         pool = self._pool(1, [])
         session = pool.acquire(1, SessionProfile(), 500.0).value.ok_value
@@ -129,14 +144,36 @@
             with self.subTest(limit=limit, hosts=hosts):
                 for endpoint in ("e1", "e2", "e3"):
                     total = sum(
-                        connection_share(limit, hosts, f"host-{n}", endpoint)
+                        connection_share(limit, hosts, f"host-{n}", endpoint).limit
                         for n in range(hosts)
                     )
                     self.assertLessEqual(total, limit + hosts * 0.15)
                     self.assertGreaterEqual(total, limit * 0.75)
 
     def test_every_host_has_one_at_least(self) -> None:
-        self.assertEqual(connection_share(10, 145, "host", "e"), 1)
+        self.assertEqual(connection_share(10, 145, "host", "e").limit, 1)
+
+    def test_hosts_that_take_turns_hold_less_than_there_is_at_any_pace(self) -> None:
+        for limit, hosts, gap_ms in (
+            (106, 145, 2_000.0),
+            (45, 60, 400.0),
+            (20, 300, 9e3),
+        ):
+            with self.subTest(limit=limit, hosts=hosts, gap_ms=gap_ms):
+                chance = random.Random(5)
+                share = connection_share(limit, hosts, "host", "e")
+                kept_ms = holding_ms(share, gap_ms)
+                moments = 50
+                held = sum(
+                    chance.expovariate(1.0 / gap_ms) < kept_ms
+                    for _ in range(hosts * moments)
+                )
+                self.assertLess(held / moments, 0.8 * limit)
+                self.assertGreater(held / moments, 0.5 * limit)
+
+    def test_a_host_with_a_connection_of_its_own_keeps_it(self) -> None:
+        share = connection_share(45, 15, "host", "e")
+        self.assertEqual(holding_ms(share, 1_000.0), float("inf"))
 
 
 class SamplesTest(unittest.TestCase):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -4,9 +4,10 @@
 import unittest
 from functools import partial
 
-from azurerelay.relay import PrimaryTracker
+from azurerelay.groups import PrimaryTracker
+from azurerelay.routes import DatabaseGroup
 from azurerelay.statements import CallerError, EndpointError, Position, SessionState
-from tests.platform_rig import GROUP, PlatformRig
+from tests.platform_rig import GROUP, PlatformRig, configuration
 
 
 class RelayCase(unittest.TestCase):
@@ -343,6 +344,53 @@
         )
 
 
+class FewConnectionsTest(unittest.TestCase):
+    """More entry hosts than an endpoint takes connections."""
+
+    HOSTS = 40
+    LIMIT = 30
+
+    def setUp(self) -> None:
+        self.rig = PlatformRig(entry_hosts=self.HOSTS)
+        self.rig.add_group()
+        for server in self.rig.servers.values():
+            server.max_connections = self.LIMIT
+        few = (DatabaseGroup(GROUP, self.LIMIT, 0),)
+        self.rig.start(first=configuration(1, groups=few))
+        self.chance = random.Random(11)
+
+    def tearDown(self) -> None:
+        self.assertEqual(self.rig.stale, [])
+
+    def _play(self, seconds: float) -> list[bool]:
+        """Send 20 writes and 60 reads a second, at hosts drawn at random."""
+        replies = []
+        for _ in range(int(80 * seconds)):
+            number = self.chance.randrange(1, self.HOSTS + 1)
+            is_write = self.chance.random() < 0.25
+            session = self.rig.open("own" if is_write else "bounded", number)
+            text = "WRITE a x" if is_write else "READ a"
+            replies.append(self.rig.send(session, text, 1_500.0))
+            self.rig.timers.advance(self.chance.expovariate(80.0) * 1_000.0)
+        self.rig.timers.advance(1_000.0)
+        return [p.is_done and p.value.error is None for p in replies]
+
+    def test_all_hosts_serve_and_few_connections_are_refused(self) -> None:
+        served = self._play(8.0)
+        self.assertGreaterEqual(sum(served) / len(served), 0.99)
+        refused = sum(s.refused_connections for s in self.rig.servers.values())
+        self.assertLess(refused, 0.05 * len(served))
+
+    def test_a_dark_primary_is_replaced_within_the_target(self) -> None:
+        self._play(4.0)
+        before = self.rig.primary()
+        before.crash(silent=True)
+        lost_ms = self.rig.timers.now_ms()
+        while self.rig.primary() is before:
+            self._play(0.2)
+            self.assertLess(self.rig.timers.now_ms() - lost_ms, 7_000.0)
+
+
 class DrainingTest(RelayCase):
     def test_a_draining_replica_gets_no_new_work(self) -> None:
         replica = self.rig.replicas()[0]
