A proof of leadership is one packet each way

Change: the roll-back is sent along with the question; positions are refreshed a second old, or as early as a proof's whole time before the bound, instead of at half of it. Ruled out for now: heartbeats of control less often (failover), its directory as differences (larger change).

--- a/src/azurerelay/groups/_group_relay.py
+++ b/src/azurerelay/groups/_group_relay.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from result import Err
+from result import Err, Result
 
 from azurerelay.discovery import Announcement
 from azurerelay.events import EndpointLost, EndpointRegained, EventLog, PrimaryProven
@@ -23,6 +23,7 @@
     choose_endpoint,
 )
 from azurerelay.statements import (
+    ConnectionLost,
     DropTransaction,
     EndpointConnector,
     EndpointError,
@@ -33,12 +34,9 @@
 from azurerelay.timing import Promise, TimerService, spawn, within
 
 PROOF_TIMEOUT_MS: Final = 400.0  # 16 round trips between regions
-# Positions are refreshed at this age, or at half of the bound if that is less, while
-# reads ask for them.
-REFRESH_MS: Final = 800.0
-# Where control proves leaders for its hosts, these ask only this long before a position
-# is too old: a proof may take its whole time.
-LATE_REFRESH_MS: Final = PROOF_TIMEOUT_MS
+# Positions are refreshed at this age while reads ask for them, or early enough that a
+# proof may take its whole time before they are too old.
+REFRESH_MS: Final = 1_000.0
 # A proof over a connection that must be opened first waits for that, too.
 CONNECT_LIMIT_MS: Final = 1_000.0
 # A draining endpoint takes new work no longer than this after it was first seen to
@@ -48,6 +46,8 @@
 UNLISTED_KEPT_MS: Final = 20_000.0
 PROOF_PRIORITY: Final = -1  # before all callers
 
+CommandPromise = Promise[Result[EndpointReply, ConnectionLost]]
+
 
 @dataclass(slots=True)
 class _Member:
@@ -165,9 +165,9 @@
         """Return a position no staler than the bound, and refresh it in time."""
         now_ms = self._timers.now_ms()
         newest = self._samples.newest
-        refresh_ms = min(REFRESH_MS, max_staleness_ms / 2)
-        if self._is_sharing_turns:
-            refresh_ms = max(refresh_ms, max_staleness_ms - LATE_REFRESH_MS)
+        refresh_ms = max(max_staleness_ms / 2, max_staleness_ms - PROOF_TIMEOUT_MS)
+        if not self._is_sharing_turns:
+            refresh_ms = min(REFRESH_MS, refresh_ms)
         if newest is None or now_ms - newest[0] > refresh_ms:
             if not self._is_proving:
                 self.prove()
@@ -302,20 +302,19 @@
             return None
         session = granted.ok_value
         asked_ms = self._timers.now_ms()
-        outcome = await within(
-            self._timers, session.send(OpenTransaction()), PROOF_TIMEOUT_MS
-        )
+        opened = session.send(OpenTransaction())
+        # Sent along, so that a proof is one packet each way: an endpoint that opened no
+        # transaction answers this as well.
+        ended = session.send(DropTransaction())
+        outcome = await within(self._timers, opened, PROOF_TIMEOUT_MS)
         if isinstance(outcome, Err) or isinstance(outcome.ok_value, Err):
             session.close()
             pool.release(session)
             self._note_failed_proof(endpoint)
             self._note_loss(pool, "it did not answer a proof of leadership")
             return None
+        spawn(self._end_proof(pool, session, ended))
         reply = outcome.ok_value.ok_value
-        if reply.is_success:
-            spawn(self._end_proof(pool, session))
-        else:
-            pool.release(session)
         if reply.error is EndpointError.NOT_PRIMARY:
             self.refute(endpoint)
         if not reply.is_success or reply.position is None:
@@ -326,11 +325,11 @@
             member.position = reply.position
         return reply.position
 
-    async def _end_proof(self, pool: EndpointPool, session: PooledSession) -> None:
+    async def _end_proof(
+        self, pool: EndpointPool, session: PooledSession, ended: CommandPromise
+    ) -> None:
         """Give the connection back once its transaction is rolled back."""
-        outcome = await within(
-            self._timers, session.send(DropTransaction()), PROOF_TIMEOUT_MS
-        )
+        outcome = await within(self._timers, ended, PROOF_TIMEOUT_MS)
         if isinstance(outcome, Err):
             session.close()
         pool.release(session)
