--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -28,7 +28,7 @@
 # A connection beyond the first is closed after this time unused, a few times what it
 # costs to open one from another region. Endpoints count the connections of hosts that
 # lost power for seconds; what all hosts leave free is what these need to come back.
-IDLE_CLOSE_MS: Final = 250.0
+IDLE_CLOSE_MS: Final = 500.0
 INITIAL_USE_GAP_MS: Final = 1_000.0  # between two uses, until they are timed
 # Answers missed in a row before the endpoint itself counts as lost: single ones go
 # missing while it is well.
