Reads go on after a promotion that rolls commits back

Change: a leader that was asked later and states less ends the higher positions; so it does for a session's own commit that was acknowledged before. A read that all endpoints refused for its position asks for a proof at once. Why it is safe: positions are only dropped, and the lower one was proven by an endpoint that led after them, whose log is the group's. Test: the stand-in platform commits nothing at a switch any more; a read after such a promotion took over 2 s, or was refused, and now ends within the route's goal.

--- a/src/azurerelay/pooling/_position_samples.py
+++ b/src/azurerelay/pooling/_position_samples.py
@@ -41,11 +41,14 @@
             # Positions of the term before may have been rolled back.
             self._samples.clear()
             self._first_seen.clear()
+        is_late = bool(self._samples) and asked_ms <= self._samples[-1][0]
+        if not is_late:
+            self._drop_beyond(position)
         if not self._first_seen or position > self._first_seen[-1][1]:
             self._first_seen.append((seen_ms, position))
             while seen_ms - self._first_seen[0][0] > KEPT_MS:
                 self._first_seen.popleft()
-        if self._samples and asked_ms <= self._samples[-1][0]:
+        if is_late:
             return
         is_close = (
             len(self._samples) > 1 and asked_ms - self._samples[-2][0] < MIN_SPACING_MS
@@ -56,6 +59,26 @@
         while asked_ms - self._samples[0][0] > KEPT_MS:
             self._samples.popleft()
 
+    def is_rolled_back(self, position: Position, acknowledged_ms: float) -> bool:
+        """Return whether a promotion has dropped a commit acknowledged at a time.
+
+        So it is when an endpoint that was asked later leads without it.
+        """
+        if not self._samples:
+            return False
+        asked_ms, newest = self._samples[-1]
+        return asked_ms > acknowledged_ms and newest < position
+
+    def _drop_beyond(self, position: Position) -> None:
+        """Forget positions beyond that of a leader that was asked later.
+
+        A promotion has rolled them back, and no endpoint holds them any more.
+        """
+        while self._samples and self._samples[-1][1] > position:
+            self._samples.pop()
+        while self._first_seen and self._first_seen[-1][1] > position:
+            self._first_seen.pop()
+
     def covering(self, not_before_ms: float) -> Position | None:
         """Return the lowest position that covers all commits before a time."""
         for asked_ms, position in self._samples:
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -99,6 +99,7 @@
         self._is_failed = False
         self._was_aborted_idle = False
         self._own_commit: Position | None = None
+        self._own_commit_ms = 0.0
         self._idle_timer: Timer | None = None
         self._is_closed = False
         self._is_busy = False
@@ -315,6 +316,8 @@
             attempt.required = str(required)
             pool = group.choose(required, excluded)
             if pool is None:
+                # All lack the position: a promotion may have rolled it back.
+                group.prove()
                 excluded, required = frozenset(), None
                 await self._pause(attempt, "no endpoint could be used")
                 continue
@@ -365,8 +368,11 @@
         if route.consistency is Consistency.BOUNDED or own is None:
             return position
         newest = group.samples.newest
-        if newest is not None and own.term < newest[1].term:
-            # What a promotion kept of an older term is in the new leader's log.
+        if newest is not None and (
+            own.term < newest[1].term
+            or group.samples.is_rolled_back(own, self._own_commit_ms)
+        ):
+            # What a promotion kept is in the new leader's log.
             return max(position, newest[1])
         return max(position, own)
 
@@ -650,6 +656,7 @@
     def _note_own_commit(self, position: Position) -> None:
         if self._own_commit is None or position > self._own_commit:
             self._own_commit = position
+            self._own_commit_ms = self._timers.now_ms()
 
     def _note_not_run(
         self, group: GroupRelay, session: PooledSession, reply: EndpointReply
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -694,18 +694,20 @@
         return self.controls[at].announce(server.announcement())
 
     def switch(self, server: FakeServer) -> None:
-        """Let a server lead the next term with what it has received."""
+        """Let a server lead the next term with what it has received.
+
+        Its position stays one of the old term until it commits.
+        """
         old = self.servers[self.leaders[server.group]]
         old.is_primary = False
         self.terms[server.group] += 1
         self.leaders[server.group] = server.name
         server.is_primary = True
         server.applied = len(server.log)
-        last = server.log[-1].number
-        server.log.append(Position(self.terms[server.group], last + 1))
-        server.applied = len(server.log)
         kept = set(server.log)
         self.acknowledged = [a for a in self.acknowledged if a[1] in kept]
+        for commits in self.own_commits.values():
+            commits[:] = [position for position in commits if position in kept]
         for other in self.members(server.group):
             if other is not server:
                 self.catch_up(other)
--- a/tests/test_pooling.py
+++ b/tests/test_pooling.py
@@ -184,6 +184,18 @@
         self.assertEqual(samples.covering(1_450.0), Position(3, 1_500))
         self.assertIsNone(samples.covering(1_950.0))
 
+    def test_a_lower_position_proven_later_ends_those_beyond_it(self) -> None:
+        samples = PositionSamples()
+        for at_ms, number in ((0.0, 5), (100.0, 9), (200.0, 12)):
+            samples.add(at_ms, Position(3, number), at_ms + 5.0)
+        samples.add(150.0, Position(3, 8), 210.0)  # asked before the newest
+        self.assertEqual(samples.newest, (200.0, Position(3, 12)))
+        samples.add(300.0, Position(3, 8), 305.0)
+        self.assertEqual(samples.covering(50.0), Position(3, 8))
+        self.assertTrue(samples.is_rolled_back(Position(3, 9), 250.0))
+        self.assertFalse(samples.is_rolled_back(Position(3, 9), 301.0))
+        self.assertFalse(samples.is_rolled_back(Position(3, 8), 250.0))
+
     def test_a_new_term_ends_the_positions_of_the_old_one(self) -> None:
         samples = PositionSamples()
         samples.add(0.0, Position(3, 10), 1.0)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -238,6 +238,28 @@
             self.rig.run(sessions[0], "WRITE a x")
         self.assertTrue(all(self.rig.primary() is target for _ in sessions))
 
+    def test_reads_go_on_after_a_promotion_that_rolls_commits_back(self) -> None:
+        """The new primary states a lower position until it commits for itself."""
+        own, bounded = self.rig.open("own"), self.rig.open("bounded")
+        self.rig.run(own, "WRITE a x")
+        self.rig.timers.advance(300.0)
+        target = self.rig.replicas()[0]
+        for replica in self.rig.replicas():
+            replica.is_up = False
+        self.rig.run(own, "WRITE b y")
+        self.rig.run(bounded, "READ a", 1_500.0)
+        for replica in self.rig.replicas():
+            replica.is_up = True
+        self.rig.primary().crash()
+        self.rig.switch(target)
+        self.rig.timers.advance(400.0)  # a proof may take so long
+        for database, session in (("own", own), ("bounded", bounded)):
+            with self.subTest(database=database):
+                started_ms = self.rig.timers.now_ms()
+                self.assertIsNone(self.rig.run(session, "READ a", 1_500.0).error)
+                # The route's response-time goal.
+                self.assertLess(self.rig.timers.now_ms() - started_ms, 500.0)
+
     def test_a_primary_that_few_hosts_cannot_reach_stays(self) -> None:
         self.rig.primary().unreachable_from = {"10.1.0.3:7440"}
         before = self.rig.primary()
