Hosts that take turns do not keep control from proving leaders

After a failover all hosts asked the new primary for proofs over connections of their own; control hosts got none there, so its feed stayed silent, and all went on asking. Change: control hosts keep one connection to each endpoint of such groups, and these are reserved; entry hosts check a silent leader only over connections they have, and half of those judge it; a refused connection is tried again later each time, at a random moment; reads look elsewhere meanwhile; a pause counts for three gaps at most.

--- a/src/azurerelay/cluster/_leader_proofs.py
+++ b/src/azurerelay/cluster/_leader_proofs.py
@@ -86,6 +86,7 @@
         self._keep_groups()
         for group in self._groups.values():
             group.update(self._directory.group(group.name), lambda _: _OWN_SHARE)
+            group.open_ahead()
             group.prove()
 
     def _check_silence(self) -> None:
--- a/src/azurerelay/cluster/_promotion_duty.py
+++ b/src/azurerelay/cluster/_promotion_duty.py
@@ -16,7 +16,9 @@
 from azurerelay.discovery import EndpointDirectory
 from azurerelay.events import EventLog, PromotionAnswered, PromotionDecided
 from azurerelay.membership import COMMAND_CODEC, ClusterState, RecordPromotion
+from azurerelay.pooling import connected_hosts
 from azurerelay.promotions import PromotionOrder, PromotionPort
+from azurerelay.routes import DatabaseGroup
 from azurerelay.statements import EndpointConnector
 from azurerelay.timing import TimerService, gather, sleep, spawn
 
@@ -95,28 +97,29 @@
             return
         for group in configuration.groups:
             if group.name not in self._busy and self._directory.group(group.name):
-                reason = promotion_reason(self._health(group.name), self._heartbeat_ms)
+                reason = promotion_reason(self._health(group), self._heartbeat_ms)
                 if reason is not None:
                     self._busy.add(group.name)
                     spawn(self._replace_primary(group.name, reason))
 
-    def _health(self, group: str) -> GroupHealth:
-        primaries = self._directory.primaries(group)
+    def _health(self, group: DatabaseGroup) -> GroupHealth:
+        primaries = self._directory.primaries(group.name)
         newest = primaries[0] if primaries else None
+        judging = connected_hosts(group.connection_limit, self._entry_hosts())
         if newest is None:
-            return GroupHealth(None, 0.0, 0, 0.0, self._entry_hosts())
+            return GroupHealth(None, 0.0, 0, 0.0, judging)
         # Hosts that still miss an earlier primary do not speak of this one.
         suspicions = {
             host: suspicion
             for host, suspicion in self._suspicions()
-            if suspicion.group == group and suspicion.endpoint == newest.endpoint
+            if suspicion.group == group.name and suspicion.endpoint == newest.endpoint
         }
         return GroupHealth(
             newest,
             self._directory.silence_ms(newest.endpoint, self._timers.now_ms()),
             len(suspicions),
             max((s.silent_ms for s in suspicions.values()), default=0.0),
-            self._entry_hosts(),
+            judging,
         )
 
     async def _replace_primary(self, group: str, reason: str) -> None:
--- a/src/azurerelay/cluster/_promotion_policy.py
+++ b/src/azurerelay/cluster/_promotion_policy.py
@@ -7,7 +7,8 @@
 from azurerelay.discovery import Announcement, EndpointDirectory
 from azurerelay.statements import Position
 
-# Half of the entry hosts must miss the leader: fewer may be cut off themselves.
+# Half of the entry hosts with a connection must miss the leader: fewer may be cut off
+# themselves.
 SUSPECT_SHARE: Final = 0.5
 SUSPECT_MS: Final = 300.0
 # Heartbeats missed in a row before silence alone counts against a leader.
@@ -17,13 +18,16 @@
 
 @dataclass(frozen=True, slots=True)
 class GroupHealth:
-    """What the leader of control knows of a group's primary."""
+    """What the leader of control knows of a group's primary.
+
+    `judging_hosts` is how many entry hosts can tell whether it answers.
+    """
 
     primary: Announcement | None
     primary_silence_ms: float
     suspecting_hosts: int
     longest_suspicion_ms: float
-    entry_hosts: int
+    judging_hosts: float
 
 
 def promotion_reason(health: GroupHealth, heartbeat_ms: float) -> str | None:
@@ -36,14 +40,14 @@
         return "no endpoint says that it leads"
     if health.primary.is_draining:
         return "the primary is draining"
-    needed = max(1.0, SUSPECT_SHARE * health.entry_hosts)
+    needed = max(1.0, SUSPECT_SHARE * health.judging_hosts)
     is_suspect = (
         health.suspecting_hosts >= needed and health.longest_suspicion_ms >= SUSPECT_MS
     )
     if is_suspect:
         return (
-            f"{health.suspecting_hosts} of {health.entry_hosts} entry hosts get no "
-            "answer from the primary"
+            f"{health.suspecting_hosts} of {health.judging_hosts:.0f} connected entry "
+            "hosts get no answer from the primary"
         )
     is_silent = health.primary_silence_ms > MISSED_HEARTBEATS * heartbeat_ms
     if is_silent and health.suspecting_hosts > 0:
--- a/src/azurerelay/groups/_group_relay.py
+++ b/src/azurerelay/groups/_group_relay.py
@@ -149,6 +149,11 @@
             self._remove(endpoint)
             self._tracker.update(m.pool.endpoint for m in self._members.values())
 
+    def open_ahead(self) -> None:
+        """Open a connection to each endpoint, so that any may become the leader."""
+        for member in self._members.values():
+            member.pool.open_ahead()
+
     def trim(self) -> None:
         """Close connections that are not needed any more; called regularly."""
         for member in self._members.values():
@@ -282,6 +287,17 @@
             spawn(self._run_proofs())
         return promise
 
+    def check_leader(self) -> None:
+        """Prove the leader, where hosts take turns only if that opens no connection.
+
+        All of them asking at once would leave none to those that have work.
+        """
+        pool = self.primary()
+        if pool is None or self._is_proving:
+            return
+        if pool.open_connections or not self._is_sharing_turns:
+            self.prove()
+
     async def _run_proofs(self) -> None:
         self._is_proving = True
         while self._next_proof is not None:
@@ -366,7 +382,9 @@
                 self._remove(endpoint.endpoint)
                 member = None
         if member is None:
-            pool = EndpointPool(endpoint, self._connector, self._timers, share)
+            pool = EndpointPool(
+                endpoint, self._connector, self._timers, share, self._random
+            )
             member = _Member(pool)
             self._members[endpoint.endpoint] = member
         member.pool.update(endpoint, share)
--- a/src/azurerelay/pooling/__init__.py
+++ b/src/azurerelay/pooling/__init__.py
@@ -2,6 +2,7 @@
 
 from azurerelay.pooling._connection_share import (
     ConnectionShare,
+    connected_hosts,
     connection_share,
     holding_ms,
 )
@@ -29,6 +30,7 @@
     "RequiredPosition",
     "SessionProfile",
     "choose_endpoint",
+    "connected_hosts",
     "connection_share",
     "expected_ms",
     "holding_ms",
--- a/src/azurerelay/pooling/_connection_share.py
+++ b/src/azurerelay/pooling/_connection_share.py
@@ -8,6 +8,8 @@
 # Connections of an endpoint that no entry host takes: control asks for positions
 # before a promotion, and a host may start before control counts it.
 RESERVED_CONNECTIONS: Final = 2
+# Where hosts take turns, each of up to seven control hosts keeps one as well.
+RESERVED_FOR_CONTROL: Final = 7
 # The part of its share that a host holds unused where there are fewer connections than
 # hosts; the rest is for those in use, and for hosts that come back after a loss.
 HELD_PART: Final = 0.7
@@ -42,7 +44,7 @@
     and the endpoint's, so that few connections are neither unused nor asked for twice.
     Where hosts take turns, one may use twice its share for a moment.
     """
-    fair = max(0.0, limit - RESERVED_CONNECTIONS) / max(1, hosts)
+    fair = _fair_share(limit, hosts)
     if fair < 1.0:
         return ConnectionShare(max(1, math.ceil(2.0 * fair)), fair)
     whole = int(fair)
@@ -61,3 +63,16 @@
         return math.inf
     kept_ms = -math.log(1.0 - HELD_PART * share.fair) * use_gap_ms
     return min(MAX_HOLDING_MS, max(MIN_HOLDING_MS, kept_ms))
+
+
+def connected_hosts(limit: int, hosts: int) -> float:
+    """Return how many hosts are expected to have a connection to an endpoint."""
+    fair = _fair_share(limit, hosts)
+    return hosts * min(1.0, HELD_PART * fair) if fair < 1.0 else float(hosts)
+
+
+def _fair_share(limit: int, hosts: int) -> float:
+    free = max(0, limit - RESERVED_CONNECTIONS)
+    if free < hosts:
+        free = max(0, free - RESERVED_FOR_CONTROL)
+    return free / max(1, hosts)
--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -1,6 +1,7 @@
 """The connections of this host to one endpoint."""
 
 import math
+import random
 from collections import deque
 from dataclasses import dataclass
 from typing import Final
@@ -18,8 +19,11 @@
 # takes about a second, and a try costs one packet each way.
 RETRY_MS: Final = 100.0
 RETRY_MAX_MS: Final = 1_000.0
-# A refused connection is tried again after this: a few statements have ended by then.
+# A connection over the endpoint's limit is tried again after about this, when a few
+# statements have ended; doubled up to the maximum, which is less than callers wait.
 REOPEN_MS: Final = 100.0
+REOPEN_MAX_MS: Final = 400.0
+REOPEN_SPREAD: Final = 0.5  # so that hosts which were refused together return apart
 SMOOTHING: Final = 0.2  # weight of the newest duration in the moving average
 INITIAL_SERVICE_MS: Final = 30.0  # typical statement, until one is measured
 # Without new answers the average returns to the typical value at this pace, so that an
@@ -30,6 +34,7 @@
 # lost power for seconds; what all hosts leave free is what these need to come back.
 IDLE_CLOSE_MS: Final = 500.0
 INITIAL_USE_GAP_MS: Final = 1_000.0  # between two uses, until they are timed
+LONGEST_GAP: Final = 3.0  # averages that a pause counts for, so that one proves little
 # Answers missed in a row before the endpoint itself counts as lost: single ones go
 # missing while it is well.
 MISSED_ANSWERS: Final = 3
@@ -65,7 +70,9 @@
         connector: EndpointConnector,
         timers: TimerService,
         share: ConnectionShare,
+        random_source: random.Random,
     ) -> None:
+        self._random = random_source
         self._endpoint = endpoint
         self._connector = connector
         self._timers = timers
@@ -84,6 +91,7 @@
         self._missed = 0
         self._is_closed = False
         self._open_again_ms = 0.0
+        self._reopen_ms = REOPEN_MS
 
     @property
     def endpoint(self) -> Announcement:
@@ -122,8 +130,10 @@
         """Whether an attempt is worth while now."""
         if self._is_closed:
             return False
-        is_failing = self._failing_since_ms is not None
-        return not is_failing or self._timers.now_ms() >= self._retry_at_ms
+        now_ms = self._timers.now_ms()
+        if not self.size and now_ms < self._open_again_ms:
+            return False
+        return self._failing_since_ms is None or now_ms >= self._retry_at_ms
 
     @property
     def failing_ms(self) -> float:
@@ -165,6 +175,12 @@
             session.close()
         self._serve()
 
+    def open_ahead(self) -> None:
+        """Open a connection before it is needed, if there is none."""
+        may_open = self.is_usable and self._timers.now_ms() >= self._open_again_ms
+        if not self.size and may_open:
+            spawn(self._open())
+
     def trim(self) -> None:
         """Close connections that are not needed any more; called regularly."""
         now_ms = self._timers.now_ms()
@@ -215,7 +231,8 @@
 
     def _note_use(self) -> None:
         now_ms = self._timers.now_ms()
-        self._use_gap_ms += SMOOTHING * (now_ms - self._used_ms - self._use_gap_ms)
+        gap_ms = min(now_ms - self._used_ms, LONGEST_GAP * self._use_gap_ms)
+        self._use_gap_ms += SMOOTHING * (gap_ms - self._use_gap_ms)
         self._used_ms = now_ms
 
     def _enqueue(self, waiter: _Waiter) -> None:
@@ -268,6 +285,7 @@
             self._add_idle(session)
             self._failing_since_ms = None
             self._retry_ms = RETRY_MS
+            self._reopen_ms = REOPEN_MS
             self._serve()
             return
         if outcome.err_value.error in (
@@ -276,8 +294,11 @@
         ):
             # The endpoint is well; connections of hosts that lost power count there
             # for some seconds.
-            self._open_again_ms = self._timers.now_ms() + REOPEN_MS
-            self._timers.call_later(REOPEN_MS, self._serve)
+            spread = self._random.uniform(1.0 - REOPEN_SPREAD, 1.0 + REOPEN_SPREAD)
+            pause_ms = self._reopen_ms * spread
+            self._reopen_ms = min(REOPEN_MAX_MS, 2.0 * self._reopen_ms)
+            self._open_again_ms = self._timers.now_ms() + pause_ms
+            self._timers.call_later(pause_ms, self._serve)
         else:
             self.note_failure()
         self._refuse_waiters(outcome.err_value)
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -125,7 +125,7 @@
             if leader.position is not None:
                 group.note_control_proof(asked_ms - leader.age_ms, leader.position)
             if leader.silent_ms > 0.0:
-                group.prove()
+                group.check_leader()
 
     async def open_session(self, database: str) -> CallerSession | CallerError:
         """Return a session, or why there is none.
@@ -225,7 +225,7 @@
         for group in self._groups.values():
             sample = group.samples.newest
             if sample is None or sample[0] < newest_ms or group.suspicion():
-                group.prove()
+                group.check_leader()
 
     def _suspicions(self) -> tuple[PrimarySuspicion, ...]:
         return tuple(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -403,6 +403,18 @@
         refused = sum(s.refused_connections for s in self.rig.servers.values())
         self.assertLess(refused, 0.05 * len(served))
 
+    def test_service_is_whole_again_after_a_failover(self) -> None:
+        """Hosts that all look for the leader must not keep each other from it."""
+        self._play(4.0)
+        self.rig.primary().crash(silent=True)
+        self._play(7.0)
+        self.rig.timers.advance(3_000.0)
+        before = sum(s.refused_connections for s in self.rig.servers.values())
+        served = self._play(4.0)
+        self.assertGreaterEqual(sum(served) / len(served), 0.99)
+        refused = sum(s.refused_connections for s in self.rig.servers.values())
+        self.assertLess(refused - before, 0.05 * len(served))
+
     def test_a_dark_primary_is_replaced_within_the_target(self) -> None:
         self._play(4.0)
         before = self.rig.primary()
