Answers of a draining entry host close their connections

Change: from the start of the drain each answer says Connection: close and closes. Ruled out: a middleware (paid by every statement at every layer); closing idle connections at once (a request may be on its way). Test: three answers after the drain carry the header and close; failed before.

--- a/src/azurerelay/daemons/_http_server.py
+++ b/src/azurerelay/daemons/_http_server.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from http import HTTPStatus
 
-from aiohttp import web
+from aiohttp import hdrs, web
 from aiohttp.typedefs import Handler, Middleware
 
 from azurerelay.daemons._entry_limits import MAX_BODY_BYTES, MAX_HEADER_BYTES
@@ -25,6 +25,7 @@
         self._routes = list(routes)
         self._middlewares = tuple(middlewares)
         self._runner: web.AppRunner | None = None
+        self._is_draining = False
 
     @property
     def name(self) -> str:
@@ -37,6 +38,7 @@
             client_max_size=MAX_BODY_BYTES, middlewares=self._middlewares
         )
         app.add_routes(self._routes)
+        app.on_response_prepare.append(self._close_when_draining)
         return app
 
     async def start(self) -> None:
@@ -57,13 +59,24 @@
         await site.start()
 
     async def drain(self) -> None:
-        """Go on: readiness and the decisions refuse new work."""
+        """Go on, but ask callers to leave: each answer closes its connection.
+
+        A connection that is kept would be closed under a later request.
+        """
+        self._is_draining = True
 
     async def stop(self) -> None:
         """Close the server."""
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def _close_when_draining(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self._is_draining:
+            response.headers[hdrs.CONNECTION] = "close"
+            response.force_close()
+
 
 @web.middleware
 async def input_errors(request: web.Request, handler: Handler) -> web.StreamResponse:
--- a/tests/test_entry_api.py
+++ b/tests/test_entry_api.py
@@ -46,12 +46,12 @@
 class EntryApiTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.node = _Node()
-        server = HttpServer(
+        self.server = HttpServer(
             "callers",
             "127.0.0.1:0",
             [*EntryApi(self.node).routes(), web.route("*", "/{path:.*}", not_found)],
         )
-        self.client = TestClient(TestServer(server.build()))
+        self.client = TestClient(TestServer(self.server.build()))
         await self.client.start_server()
 
     async def asyncTearDown(self) -> None:
@@ -64,6 +64,17 @@
         response = await self.client.post(path, data=data, headers=headers)
         return response.status, json.loads(await response.text()), response
 
+    async def test_answers_of_a_draining_host_close_their_connections(self) -> None:
+        """A kept connection would break under the request after the drain."""
+        _, _, response = await self._post(READ)
+        self.assertNotEqual(response.headers.get("Connection"), "close")
+        await self.server.drain()
+        for _ in range(3):
+            status, _, response = await self._post(READ)
+            self.assertEqual(status, 200)
+            self.assertEqual(response.headers.get("Connection"), "close")
+            self.assertIsNone(response.connection)
+
     async def test_an_answer_carries_token_staleness_and_server(self) -> None:
         token = encode_token(SessionToken((GroupPosition(1, 3, "g"),)))
         status, body, response = await self._post(READ, {"Azurerelay-Session": token})
