A replica that was far behind is tried again

A host does not ask a replica whose lag seems larger than the age of what a read needs, and its estimate fell only by answers of that replica: once beyond the staleness bound it stayed there for ever. Ruled out: connections (the group's replicas had them free), slow replicas. Change: without news the estimate returns to a healthy replica's within a few seconds; a try costs one refusal that runs nothing. Tests: a replica serves again after 8 s without any commits (never before).

--- a/src/azurerelay/groups/_group_relay.py
+++ b/src/azurerelay/groups/_group_relay.py
@@ -194,7 +194,7 @@
                 member.pool.in_use,
                 member.pool.has_free_slot,
                 member.position,
-                member.lag.lag_ms,
+                member.lag.lag_ms(now_ms),
                 name == primary_name,
             )
             for name, member in self._members.items()
@@ -254,9 +254,9 @@
         member.position = position
         missing_ms = self._samples.missing_age_ms(position, now_ms)
         if missing_ms is not None:
-            member.lag.note_missing(missing_ms)
+            member.lag.note_missing(missing_ms, now_ms)
         else:
-            member.lag.note_present(self._samples.age_ms(position, now_ms))
+            member.lag.note_present(self._samples.age_ms(position, now_ms), now_ms)
 
     def note_missed_answer(self, pool: EndpointPool, asked_ms: float) -> None:
         """Record that a statement got no answer, in time or at all.
--- a/tests/test_pooling.py
+++ b/tests/test_pooling.py
@@ -223,13 +223,19 @@
 
     def test_a_lag_rises_at_once_and_falls_slowly(self) -> None:
         lag = LagEstimate()
-        lag.note_missing(800.0)
-        self.assertEqual(lag.lag_ms, 800.0)
-        lag.note_present(20.0)
-        self.assertGreater(lag.lag_ms, 500.0)
+        lag.note_missing(800.0, 0.0)
+        self.assertEqual(lag.lag_ms(0.0), 800.0)
+        lag.note_present(20.0, 0.0)
+        self.assertGreater(lag.lag_ms(0.0), 500.0)
         for _ in range(20):
-            lag.note_present(20.0)
-        self.assertLess(lag.lag_ms, 25.0)
+            lag.note_present(20.0, 0.0)
+        self.assertLess(lag.lag_ms(0.0), 25.0)
+
+    def test_without_news_a_replica_is_tried_again(self) -> None:
+        lag = LagEstimate()
+        lag.note_missing(8_000.0, 0.0)
+        self.assertGreater(lag.lag_ms(1_000.0), 2_500.0)
+        self.assertLess(lag.lag_ms(4_000.0), 1_500.0)
 
 
 class PlacementTest(unittest.TestCase):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -221,6 +221,27 @@
         self._lose(False)
         self.assertIs(self.rig.primary(), ahead)
 
+    def test_a_replica_that_received_nothing_for_a_while_serves_again(self) -> None:
+        replica = next(s for s in self.rig.replicas() if s.domain == "west-1")
+        session, writer = self.rig.open("bounded", 2), self.rig.open("strict")
+
+        def play(seconds: int) -> set[str]:
+            before = len(self.rig.runs)
+            for _ in range(10 * seconds):
+                self.rig.run(writer, "WRITE a x")
+                self.rig.run(session, "READ a", 1_500.0)
+                self.rig.timers.advance(60.0)
+            reads = [r for r in self.rig.runs[before:] if r.text.startswith("READ")]
+            return {run.endpoint for run in reads}
+
+        self.assertIn(replica.name, play(2))
+        replica.lag_ms = 60_000.0
+        play(8)
+        replica.lag_ms = 20.0
+        replica.applied = len(replica.log)
+        play(4)
+        self.assertEqual(play(2), {replica.name})
+
     def test_a_replaced_primary_that_hosts_still_reach_serves_no_stale_read(
         self,
     ) -> None:
