--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -6,12 +6,7 @@
 
 from result import Err, Ok
 
-from azurerelay.events import (
-    EventLog,
-    StatementRefused,
-    StatementRetried,
-    StatementServed,
-)
+from azurerelay.events import EventLog
 from azurerelay.groups import GroupRelay
 from azurerelay.pooling import (
     EndpointPool,
@@ -19,9 +14,11 @@
     PreparedShape,
     SessionProfile,
 )
+from azurerelay.relay._own_commit import OwnCommit
 from azurerelay.relay._pinned_transaction import PinnedTransaction
 from azurerelay.relay._route_table import RouteTable
 from azurerelay.relay._statement_attempt import StatementAttempt
+from azurerelay.relay._statement_recorder import StatementRecorder
 from azurerelay.routes import Consistency, Route
 from azurerelay.statements import (
     Begin,
@@ -88,18 +85,16 @@
         events: EventLog,
         meters: Meters,
     ) -> None:
-        self._meters = meters
         self._attempt: StatementAttempt | None = None
         self._database = database
         self._table = table
         self._timers = timers
-        self._events = events
+        self._recorder = StatementRecorder(database, table, timers, events, meters)
         self._profile = SessionProfile()
         self._transaction: PinnedTransaction | None = None
         self._is_failed = False
         self._was_aborted_idle = False
-        self._own_commit: Position | None = None
-        self._own_commit_ms = 0.0
+        self._own_commit = OwnCommit()
         self._idle_timer: Timer | None = None
         self._is_closed = False
         self._is_busy = False
@@ -130,7 +125,8 @@
         else:
             reply = await self._run(statement)
         self._is_busy = False
-        self._note_outcome(statement, reply, self._timers.now_ms() - started_ms)
+        duration_ms = self._timers.now_ms() - started_ms
+        self._recorder.note_outcome(statement, self._attempt, reply, duration_ms)
         if self._is_closed:
             self._release_transaction()
         elif self._transaction is not None:
@@ -337,7 +333,7 @@
                 excluded |= {pool.endpoint.endpoint}
                 attempt.reason = "the endpoint did not answer"
                 group.note_missed_answer(pool, asked_ms)
-                self._note_retry(attempt)
+                self._recorder.note_retry(attempt)
                 continue
             reply = outcome.ok_value.ok_value
             group.note_reply(pool, asked_ms, reply)
@@ -349,7 +345,7 @@
             if not reply.has_not_run:
                 has_read_failed = reply
             self._note_not_run(group, session, reply)
-            self._note_retry(attempt)
+            self._recorder.note_retry(attempt)
         if has_read_failed is not None:
             return self._pass_on_error(attempt, has_read_failed)
         return self._give_up(attempt, CallerError.BUSY, "no")
@@ -364,17 +360,9 @@
         position = group.covering_position(bound_ms)
         if position is None:
             return await group.prove()
-        own = self._own_commit
-        if route.consistency is Consistency.BOUNDED or own is None:
+        if route.consistency is Consistency.BOUNDED:
             return position
-        newest = group.samples.newest
-        if newest is not None and (
-            own.term < newest[1].term
-            or group.samples.is_rolled_back(own, self._own_commit_ms)
-        ):
-            # What a promotion kept is in the new leader's log.
-            return max(position, newest[1])
-        return max(position, own)
+        return self._own_commit.required(position, group.samples)
 
     async def _take(
         self,
@@ -432,7 +420,7 @@
         if proves_lead and reply.position is not None:
             group.note_commit(session.endpoint, asked_ms, reply.position)
             if not isinstance(statement, Begin):
-                self._note_own_commit(reply.position)
+                self._own_commit.note(reply.position, self._timers.now_ms())
         return _done(self.state, reply)
 
     # Statements inside a transaction
@@ -518,7 +506,7 @@
             self._is_failed = reply.state is not SessionState.IDLE
             return self._pass_on_error(attempt, reply)
         if transaction.has_written and reply.position is not None:
-            self._note_own_commit(reply.position)
+            self._own_commit.note(reply.position, self._timers.now_ms())
             transaction.group.note_commit(
                 transaction.session.endpoint, asked_ms, reply.position
             )
@@ -589,34 +577,6 @@
         self._attempt = StatementAttempt(statement, route, now_ms, limit_ms)
         return self._attempt
 
-    def _note_outcome(
-        self, statement: Statement, reply: CallerReply, duration_ms: float
-    ) -> None:
-        attempt = self._attempt
-        outcome = "done" if reply.error is None else reply.error.name.lower()
-        kind = type(statement).__name__.lower()
-        self._meters.count("statements_total", statement=kind, outcome=outcome)
-        if attempt is None:
-            return
-        consistency = attempt.route.consistency.value
-        self._meters.observe(
-            "statement_duration_seconds", duration_ms, consistency=consistency
-        )
-        if reply.error is None:
-            self._events.record(
-                StatementServed(
-                    statement.request_id,
-                    self._database,
-                    kind,
-                    attempt.endpoint,
-                    attempt.required,
-                    str(reply.position),
-                    duration_ms,
-                    attempt.count,
-                    self._table.version,
-                )
-            )
-
     def _may_retry(self, attempt: StatementAttempt) -> bool:
         return self._timers.now_ms() < attempt.limit_ms and not self._is_closed
 
@@ -653,11 +613,6 @@
             return shape is not None and shape.is_write
         return isinstance(statement, Write)
 
-    def _note_own_commit(self, position: Position) -> None:
-        if self._own_commit is None or position > self._own_commit:
-            self._own_commit = position
-            self._own_commit_ms = self._timers.now_ms()
-
     def _note_not_run(
         self, group: GroupRelay, session: PooledSession, reply: EndpointReply
     ) -> None:
@@ -666,33 +621,10 @@
         elif reply.error is EndpointError.UNKNOWN_NAME:
             session.forget_prepared()
 
-    def _note_retry(self, attempt: StatementAttempt) -> None:
-        self._meters.count("statement_retries_total")
-        self._events.record(
-            StatementRetried(
-                attempt.statement.request_id,
-                attempt.endpoint,
-                attempt.reason,
-                attempt.count,
-                attempt.required,
-            )
-        )
-
     def _give_up(
         self, attempt: StatementAttempt, error: CallerError, has_run: str
     ) -> CallerReply:
-        self._events.record(
-            StatementRefused(
-                attempt.statement.request_id,
-                self._database,
-                attempt.reason,
-                has_run,
-                self._timers.now_ms() - attempt.started_ms,
-                attempt.count,
-                attempt.endpoint,
-                self._table.version,
-            )
-        )
+        self._recorder.note_refusal(attempt, has_run)
         return CallerReply(self.state, error=error, error_text=attempt.reason)
 
     def _pass_on_error(
