Reads that need the newest position may try a replica that has it soon

Right after a start a host knows no position but the newest; replicas counted as behind by their 30 ms, and all reads that had waited went to the primary, one after the other. The same rule sent each strict read that could not be sure to the primary. Ruled out: connections over the limit (none refused there), the endpoint's own load. Change: being behind is a cost where it is less than 50 ms, not an exclusion: the risk of a refusal, which runs nothing, against the primary's queue and the way to it.

--- a/src/azurerelay/pooling/__init__.py
+++ b/src/azurerelay/pooling/__init__.py
@@ -11,9 +11,9 @@
 from azurerelay.pooling._placement import (
     EndpointView,
     RequiredPosition,
+    behind_ms,
     choose_endpoint,
     expected_ms,
-    is_likely_behind,
 )
 from azurerelay.pooling._pooled_session import PooledSession
 from azurerelay.pooling._position_samples import PositionSamples
@@ -29,10 +29,10 @@
     "PreparedShape",
     "RequiredPosition",
     "SessionProfile",
+    "behind_ms",
     "choose_endpoint",
     "connected_hosts",
     "connection_share",
     "expected_ms",
     "holding_ms",
-    "is_likely_behind",
 ]
--- a/src/azurerelay/pooling/_placement.py
+++ b/src/azurerelay/pooling/_placement.py
@@ -10,6 +10,11 @@
 # Endpoints whose costs differ by less share the load at random, so that hosts which
 # all see the same costs do not move to the same endpoint together.
 TIE_MS: Final = 4.0
+# A replica that is behind by no more than this may have the position when the read
+# arrives; about a healthy replica's lag.
+NEARLY_MS: Final = 50.0
+# What the chance of a refusal there costs: it runs nothing, and takes no slot.
+REFUSAL_RISK_MS: Final = 40.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,13 +40,13 @@
     age_ms: float
 
 
-def is_likely_behind(view: EndpointView, required: RequiredPosition) -> bool:
-    """Return whether a read would probably not find its position there."""
+def behind_ms(view: EndpointView, required: RequiredPosition) -> float:
+    """Return in how long a read is expected to find its position there; 0 for now."""
     if view.is_primary:
-        return False
+        return 0.0
     if view.position is not None and view.position >= required.position:
-        return False
-    return required.age_ms < view.lag_ms
+        return 0.0
+    return max(0.0, view.lag_ms - required.age_ms)
 
 
 def expected_ms(view: EndpointView) -> float:
@@ -55,15 +60,21 @@
     required: RequiredPosition,
     random_source: random.Random,
 ) -> EndpointView | None:
-    """Return the endpoint with the least expected time that is not behind.
+    """Return the endpoint with the least expected time that is not far behind.
 
     Answers uneven load: the average time a statement takes shows the queue that all
-    hosts together make at an endpoint, and what this host has there is added.
+    hosts together make at an endpoint, and what this host has there is added. Answers
+    bursts of reads that need the newest position, too: all would go to the primary.
     """
-    candidates = [view for view in views if not is_likely_behind(view, required)]
-    if not candidates:
+    costs: list[tuple[float, EndpointView]] = []
+    for view in views:
+        missing_ms = behind_ms(view, required)
+        if missing_ms <= NEARLY_MS:
+            risk_ms = view.round_trip_ms + REFUSAL_RISK_MS if missing_ms > 0.0 else 0.0
+            costs.append((expected_ms(view) + risk_ms, view))
+    if not costs:
         return None
-    best_ms = min(expected_ms(view) for view in candidates)
+    best_ms = min(cost_ms for cost_ms, _ in costs)
     return random_source.choice(
-        [view for view in candidates if expected_ms(view) <= best_ms + TIE_MS]
+        [view for cost_ms, view in costs if cost_ms <= best_ms + TIE_MS]
     )
--- a/tests/test_pooling.py
+++ b/tests/test_pooling.py
@@ -255,6 +255,13 @@
              [lagging, view("b", **far)], 950.0, "a"),
             ("one that is known to have the position",
              [view("a", lag_ms=900.0), view("b", **far)], 0.0, "a"),
+            ("one that may have it soon, before a busy primary",
+             [view("a", lag_ms=30.0, **behind),
+              view("b", is_primary=True, in_use=6)], 0.0, "a"),
+            ("an idle primary, before one that may have it soon",
+             [view("a", lag_ms=30.0, **behind), view("b", is_primary=True)], 0.0, "b"),
+            ("a busy primary, before one that is far behind",
+             [lagging, view("b", is_primary=True, in_use=6)], 0.0, "b"),
             ("the primary is never behind",
              [view("a", is_primary=True, **behind), view("b", **far)], 0.0, "a"),
         ]  # fmt: skip
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,6 +7,7 @@
 from azurerelay.groups import PrimaryTracker
 from azurerelay.routes import DatabaseGroup
 from azurerelay.statements import CallerError, EndpointError, Position, SessionState
+from azurerelay.timing import spawn
 from tests.platform_rig import GROUP, PlatformRig, configuration
 
 
@@ -350,6 +351,21 @@
         held = [s for s in rig.primary().sessions if s.client == "10.1.0.4:7440"]
         self.assertGreater(len(held), 1)
 
+    def test_reads_that_waited_for_a_start_are_shared_by_all_endpoints(self) -> None:
+        """They need the newest position; the primary alone would take a second."""
+        rig = PlatformRig(entry_hosts=3)
+        rig.start()
+        for server in rig.servers.values():
+            server.work_ms = 30.0
+        node = rig.start_entry(4)
+        opened = [spawn(node.open_session("bounded")) for _ in range(18)]
+        rig.wait_for(lambda: all(promise.is_done for promise in opened))
+        replies = [rig.send(p.value, "READ a", 1_500.0) for p in opened]
+        # A third of the reads at each endpoint, one after the other, and the proof.
+        rig.timers.advance(18 / 3 * (30.0 + 12.0) + 100.0)
+        self.assertEqual([p.is_done for p in replies], [True] * 18)
+        self.assertEqual(rig.stale, [])
+
     def test_all_hosts_write_again_soon_after_all_lost_power_under_load(self) -> None:
         """Connections of the dead count for 3 s, and must leave room for the new."""
         hosts = 15
