--- a/src/azurerelay/events/_events.py
+++ b/src/azurerelay/events/_events.py
@@ -66,6 +66,16 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionRefused(Event):
+    """A connection to an endpoint could not be opened."""
+
+    endpoint: str
+    group: str
+    reason: str
+    waited_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointRegained(Event):
     """An endpoint answers again."""
--- a/src/azurerelay/events/_explanation.py
+++ b/src/azurerelay/events/_explanation.py
@@ -11,6 +11,7 @@
 CONTEXT_MS: Final = 6_000
 _CONTEXT_EVENTS: Final = frozenset(
     {
+        "ConnectionRefused",
         "EndpointLost",
         "EndpointRegained",
         "PrimaryProven",
--- a/src/azurerelay/groups/_group_relay.py
+++ b/src/azurerelay/groups/_group_relay.py
@@ -3,12 +3,19 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Final
 
 from result import Err, Result
 
 from azurerelay.discovery import Announcement
-from azurerelay.events import EndpointLost, EndpointRegained, EventLog, PrimaryProven
+from azurerelay.events import (
+    ConnectionRefused,
+    EndpointLost,
+    EndpointRegained,
+    EventLog,
+    PrimaryProven,
+)
 from azurerelay.groups._primary_tracker import PrimaryTracker
 from azurerelay.groups._topology import Topology
 from azurerelay.pooling import (
@@ -23,6 +30,7 @@
     choose_endpoint,
 )
 from azurerelay.statements import (
+    ConnectFailed,
     ConnectionLost,
     DropTransaction,
     EndpointConnector,
@@ -268,6 +276,13 @@
         if pool is self.primary() and not self._is_proving:
             self.prove()
 
+    def _note_refused(
+        self, endpoint: str, failure: ConnectFailed, waited_ms: float
+    ) -> None:
+        self._events.record(
+            ConnectionRefused(endpoint, self._name, failure.reason, waited_ms)
+        )
+
     def _note_loss(self, pool: EndpointPool, reason: str) -> None:
         if pool.failing_ms == 0.0:
             self._events.record(
@@ -383,7 +398,12 @@
                 member = None
         if member is None:
             pool = EndpointPool(
-                endpoint, self._connector, self._timers, share, self._random
+                endpoint,
+                self._connector,
+                self._timers,
+                share,
+                self._random,
+                partial(self._note_refused, endpoint.endpoint),
             )
             member = _Member(pool)
             self._members[endpoint.endpoint] = member
--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -3,6 +3,7 @@
 import math
 import random
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -71,8 +72,10 @@
         timers: TimerService,
         share: ConnectionShare,
         random_source: random.Random,
+        on_refused: Callable[[ConnectFailed, float], object],
     ) -> None:
         self._random = random_source
+        self._on_refused = on_refused
         self._endpoint = endpoint
         self._connector = connector
         self._timers = timers
@@ -275,6 +278,7 @@
 
     async def _open(self) -> None:
         self._connecting += 1
+        started_ms = self._timers.now_ms()
         outcome = await self._connector.connect(self._endpoint)
         self._connecting -= 1
         if isinstance(outcome, Ok):
@@ -288,6 +292,7 @@
             self._reopen_ms = REOPEN_MS
             self._serve()
             return
+        self._on_refused(outcome.err_value, self._timers.now_ms() - started_ms)
         if outcome.err_value.error in (
             EndpointError.BUSY,
             EndpointError.TOO_MANY_CONNECTIONS,
--- a/tests/test_pooling.py
+++ b/tests/test_pooling.py
@@ -69,7 +69,15 @@
         endpoint = self.rig.primary().announcement()
         share = ConnectionShare(limit, float(limit))
         chance = random.Random(3)
-        return EndpointPool(endpoint, self.connector, self.timers, share, chance)
+        self.refused: list[ConnectFailed] = []
+        return EndpointPool(
+            endpoint,
+            self.connector,
+            self.timers,
+            share,
+            chance,
+            lambda failure, _: self.refused.append(failure),
+        )
 
     def test_no_more_connections_than_the_limit_and_waiters_by_priority(self) -> None:
         pool = self._pool(2, [])
@@ -90,6 +98,7 @@
         first = pool.acquire(1, SessionProfile(), 500.0)
         self.assertTrue(first.value.is_err())
         self.assertEqual(pool.failing_ms, 0.0)
+        self.assertEqual(len(self.refused), 1)
         self.assertFalse(pool.is_usable)  # reads look elsewhere meanwhile
         waiting = pool.acquire(1, SessionProfile(), 500.0)
         self.timers.advance(200.0)
