A connection to an endpoint that hangs is tried anew

What fits is a lost first packet: a full queue of new connections drops it, it is repeated after a second, and the attempt ends after 0.9 s. Refused connections were not logged then, so this cause is inferred and not seen. Change: the first attempt ends after 0.28 s and a second one has the rest of the time. Test: a connector whose first attempt hangs connects with the second; it failed before.

--- a/src/azurerelay/hosts/_endpoint_client.py
+++ b/src/azurerelay/hosts/_endpoint_client.py
@@ -31,6 +31,10 @@
 _Outcome = Result[EndpointReply, ConnectionLost]
 # A new connection waits for a slot of the endpoint, behind a full queue at worst.
 CONNECT_TIMEOUT_S: Final = 0.9
+# The first packet to an endpoint whose queue of new connections is full is lost, and
+# the system repeats it after a second only: a connection that is not made within ten
+# round trips between regions is tried anew, once, for a slow link needs longer.
+FIRST_ATTEMPT_TIMEOUT_S: Final = 0.28
 
 
 class EndpointProtocol(asyncio.Protocol):
@@ -153,7 +157,7 @@
         protocol = EndpointProtocol()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await self._loop.create_connection(lambda: protocol, host, port)
+                await self._reach(protocol, host, port)
                 started = await as_future(protocol.start(endpoint))
         except TimeoutError:
             protocol.close()
@@ -175,3 +179,13 @@
         else:
             self._opened += 1
             resolve(Ok(protocol))
+
+    async def _reach(self, protocol: EndpointProtocol, host: str, port: int) -> None:
+        """Connect, with a second try; raise OSError if the endpoint refuses."""
+        try:
+            async with asyncio.timeout(FIRST_ATTEMPT_TIMEOUT_S):
+                await self._loop.create_connection(lambda: protocol, host, port)
+                return
+        except TimeoutError:
+            # Nothing came back: the packet is lost, or the endpoint is dark.
+            await self._loop.create_connection(lambda: protocol, host, port)
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -312,6 +312,42 @@
         server.close()
         await asyncio.sleep(0)
 
+    def test_a_connection_that_hangs_is_tried_anew(self) -> None:
+        """An endpoint with a full queue of new connections drops the first packet."""
+        asyncio.run(self._connect_after_a_lost_packet())
+
+    async def _connect_after_a_lost_packet(self) -> None:
+        async def endpoint(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readline()
+            writer.write(b"READY I 3.1\r\n")
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(endpoint, LOCAL, 0)
+        port = server.sockets[0].getsockname()[1]
+        loop = asyncio.get_running_loop()
+        connect, attempts = loop.create_connection, 0
+
+        async def lose_first(*arguments: Any) -> Any:
+            nonlocal attempts
+            attempts += 1
+            if attempts == 1:
+                await asyncio.Event().wait()
+            return await connect(*arguments)
+
+        loop.create_connection = lose_first  # type: ignore[assignment]
+        connector = TcpEndpointConnector(loop)
+        outcome = await as_future(
+            connector.connect(announcement(address=f"{LOCAL}:{port}"))
+        )
+        self.assertTrue(outcome.is_ok())
+        self.assertEqual(attempts, 2)
+        outcome.ok_value.close()
+        server.close()
+        await asyncio.sleep(0)
+
     def test_http_requests_that_are_split_joined_or_broken(self) -> None:
         asyncio.run(self._serve_http())
 
