--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -114,6 +114,23 @@
                 current = {f"{a}#{i}" for a, i in self.rig.identities.items()}
                 self.rig.wait_for(lambda c=current: self.rig.voters == c)
 
+    def test_a_control_host_without_a_disk_soon_knows_all_endpoints(self) -> None:
+        """Entry hosts that follow it have no primary until then."""
+        for seed in range(1, 6):
+            with self.subTest(seed=seed):
+                self.rig = PlatformRig(entry_hosts=1, seed=seed)
+                self.rig.start()
+                empty = next(
+                    a for a, n in self.rig.controls.items() if n is not self.rig.leader
+                )
+                self.rig.stop_control(empty, lose_disk=True)
+                self.rig.timers.advance(1_000.0)
+                node = self.rig.start_control(empty)
+                self.rig.wait_for(lambda n=node: n.raft.leader is not None)
+                self.rig.timers.advance(500.0)  # a route's response-time goal
+                known = {a.endpoint for a in node.directory.announcements}
+                self.assertEqual(known, set(self.rig.servers))
+
     def test_disks_lost_in_turn_are_replaced_one_by_one(self) -> None:
         for version, address in enumerate(self.rig.addresses * 2, start=2):
             self.rig.stop_control(address, lose_disk=True)
