Proofs that control passes on are tested against late and foreign answers

Read as a newcomer: that an answer of control counts from its question, and that one to an earlier process counts for nothing, was stated and broken by no test. Three tests; all fail when ages count from the answer. No source changed.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -4,6 +4,7 @@
 import unittest
 from functools import partial
 
+from azurerelay.attachment import ProvenLeader, SyncReply, SyncRequest
 from azurerelay.groups import PrimaryTracker
 from azurerelay.routes import DatabaseGroup
 from azurerelay.statements import CallerError, EndpointError, Position, SessionState
@@ -462,6 +463,49 @@
             self.assertLess(self.rig.timers.now_ms() - lost_ms, 7_000.0)
 
 
+class ControlProofTest(RelayCase):
+    """Proofs that control passes on must never seem younger than they are."""
+
+    FAR = Position(3, 10_000)
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.node = self.rig.entries["10.1.0.1:7440"]
+        self.samples = self.node.find("bounded")[1].samples
+        self.asked: list[tuple[float, int]] = []
+        deliver = self.rig.deliver
+
+        def capture(sender: str, peer: str, message: object) -> None:
+            if isinstance(message, SyncRequest) and sender == "10.1.0.1:7440":
+                self.asked.append((self.rig.timers.now_ms(), message.sequence))
+            deliver(sender, peer, message)
+
+        self.rig.deliver = capture  # type: ignore[method-assign]
+        self.rig.wait_for(lambda: bool(self.asked))
+
+    def _answer(self, sequence: int, age_ms: float) -> None:
+        leader = ProvenLeader(GROUP, self.FAR, age_ms, 0.0)
+        reply = SyncReply(sequence, 0.0, 3, None, None, (), (leader,))
+        self.node.on_message(self.rig.addresses[0], reply)
+
+    def test_an_answer_counts_from_its_question(self) -> None:
+        asked_ms, sequence = self.asked[-1]
+        self.rig.timers.advance(6.0)
+        self._answer(sequence, 0.0)
+        self.assertEqual(self.samples.newest, (asked_ms, self.FAR))
+
+    def test_an_answer_that_was_held_up_proves_nothing_new(self) -> None:
+        _, sequence = self.asked[-1]
+        self.rig.timers.advance(5_000.0)
+        self._answer(sequence, 0.0)
+        self.assertLess(self.samples.newest[1], self.FAR)
+
+    def test_an_answer_to_an_earlier_process_counts_for_nothing(self) -> None:
+        _, sequence = self.asked[-1]
+        self._answer(sequence + 1_000_000, 0.0)
+        self.assertLess(self.samples.newest[1], self.FAR)
+
+
 class DrainingTest(RelayCase):
     def test_a_draining_replica_gets_no_new_work(self) -> None:
         replica = self.rig.replicas()[0]
