A control host asks a new leader for its directory at once

Ruled out: answering the join with the digest, as was planned: the host does not know yet that the sender leads, and drops a digest from anyone else; a digest with each repeated join would send all endpoints every 300 ms. Change: a host that learns of a leader sends it a DirectoryRequest, and the leader answers with its digest. The digest every 2 s stays, for requests that are lost.

--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -24,6 +24,7 @@
     BarrierRequest,
     DepartureRelay,
     DirectoryDigest,
+    DirectoryRequest,
     JoinReply,
     JoinRequest,
     LeaveReply,
@@ -165,6 +166,7 @@
         self._attachment_reports: dict[str, tuple[AttachmentReport, float]] = {}
         self._total_entry_hosts = 1
         self._known_voters: frozenset[str] = frozenset()
+        self._directory_source: str | None = None
         state_machine.on_applied = self._on_applied
         self._on_applied()
         self._entry_hosts.set_sources(
@@ -254,6 +256,7 @@
         """Handle a message from a control host or an entry host."""
         if isinstance(message, CONSENSUS_MESSAGES):
             self._raft.on_message(sender, message)
+            self._request_directory()
             return
         match message:
             case SyncRequest():
@@ -266,6 +269,9 @@
                 self._merge_announcement(message.announcement)
             case DepartureRelay():
                 self._merge_departure(message.departure)
+            case DirectoryRequest():
+                if self._raft.is_leader:
+                    self._link.send(sender, self._digest())
             case DirectoryDigest():
                 self._on_digest(sender, message)
             case AttachmentReport():
@@ -477,13 +483,29 @@
             self._entry_hosts.push()
         if not self._raft.is_leader:
             return
-        digest = DirectoryDigest(
+        digest = self._digest()
+        for peer in self._peers():
+            self._link.send(peer, digest)
+
+    def _digest(self) -> DirectoryDigest:
+        return DirectoryDigest(
             self._directory.announcements,
             self._directory.departures,
             self._count_entry_hosts(),
         )
-        for peer in self._peers():
-            self._link.send(peer, digest)
+
+    def _request_directory(self) -> None:
+        """Ask a new leader for its directory, without waiting for its next digest.
+
+        A host that has lost its disk knows no endpoint, and neither do the entry hosts
+        that attach to it.
+        """
+        leader = self._raft.leader
+        if leader == self._directory_source:
+            return
+        self._directory_source = leader
+        if leader is not None and leader != self._config.name:
+            self._link.send(leader, DirectoryRequest())
 
     def _on_digest(self, sender: str, digest: DirectoryDigest) -> None:
         if sender != self._raft.leader:
--- a/src/azurerelay/cluster/_messages.py
+++ b/src/azurerelay/cluster/_messages.py
@@ -36,6 +36,11 @@
     departure: Departure
 
 
+@dataclass(frozen=True, slots=True)
+class DirectoryRequest:
+    """Asks the leader for a `DirectoryDigest`; sent when a host learns of a leader."""
+
+
 @dataclass(frozen=True, slots=True)
 class DirectoryDigest:
     """The leader's whole endpoint directory, for hosts that missed a relayed change.
@@ -126,6 +131,7 @@
     JoinReply,
     AnnouncementRelay,
     DepartureRelay,
+    DirectoryRequest,
     DirectoryDigest,
     LeaveRequest,
     LeaveReply,
