Entry hosts follow a near control host and get directories as differences

Entry hosts start at one of three seeds whose failure domains they do not know, and stay there; only the leader knew the failure domains of control hosts, so the list that others gave out named none. And each change of one endpoint sent all endpoints (30 here, about 7 KB) to each of 195 hosts. Ruled out: moving at once when the list arrives (a control host that is back from a failure would be met by all hosts of its domain together); leaving the old control host before the near one has answered. Change: hosts try a nearer control host every 4 s on average, at random times, stay where they are until it has answered and has heard from the leader, and tell the old one. The leader's digest carries the failure domains. A directory counts the revision of each change, and hosts get the changes since theirs; those of an older build still get whole directories. The link also logs an error raised by a message's handler: until now it ended the read of the batch, and the messages behind it waited for the next one to arrive.

--- a/src/azurerelay/attachment/__init__.py
+++ b/src/azurerelay/attachment/__init__.py
@@ -5,6 +5,7 @@
 from azurerelay.attachment._messages import (
     ATTACHMENT_MESSAGES,
     ControlHost,
+    Detach,
     DirectoryMark,
     DirectoryUpdate,
     PrimarySuspicion,
@@ -17,6 +18,7 @@
     "ATTACHMENT_MESSAGES",
     "ControlFollower",
     "ControlHost",
+    "Detach",
     "DirectoryMark",
     "DirectoryUpdate",
     "EntryHostTable",
--- a/src/azurerelay/attachment/_control_follower.py
+++ b/src/azurerelay/attachment/_control_follower.py
@@ -7,6 +7,7 @@
 
 from azurerelay.attachment._messages import (
     ControlHost,
+    Detach,
     DirectoryMark,
     DirectoryUpdate,
     PrimarySuspicion,
@@ -31,6 +32,9 @@
 MAX_REMEMBERED_REQUESTS: Final = 32  # the requests of several seconds
 # A control host that has not heard from the leader for this long is considered cut off.
 LEADER_SILENCE_LIMIT_MS: Final = 1_500.0
+# While a nearer control host is known, it is tried at random intervals of this mean, so
+# that the hosts of a failure domain do not all return to it together.
+NEARER_HOST_INTERVAL_MS: Final = 4_000.0
 
 
 class ControlFollower:
@@ -38,12 +42,17 @@
 
     Switches to another control host if the current one does not answer, or if it is cut
     off from the leader while this host can still reach it: each reply states for how
-    long the control host has not heard from the leader.
+    long the control host has not heard from the leader. The failure domains of the
+    seeds are not known, so a host may start with a distant one; it moves to a nearer
+    one once that has answered, because traffic between regions is expensive.
+
+    `round_trip_ms` returns the expected round-trip time to a failure domain.
     """
 
     def __init__(
         self,
         failure_domain: str,
+        round_trip_ms: Callable[[str], float],
         seeds: Iterable[str],
         link: Link,
         timers: TimerService,
@@ -51,6 +60,7 @@
         events: EventLog,
     ) -> None:
         self._failure_domain = failure_domain
+        self._round_trip_ms = round_trip_ms
         self._control_hosts = [ControlHost(seed, "") for seed in seeds]
         self._link = link
         self._timers = timers
@@ -58,6 +68,8 @@
         self._events = events
         self._current_control_host: str | None = None
         self._tried_addresses: set[str] = set()
+        self._nearer_host: str | None = None
+        self._try_nearer_at_ms = float("-inf")
         self._unanswered_since_ms: float | None = None
         self._replied_ms = float("-inf")
         # Random, because replies to an earlier process of this host may still arrive.
@@ -150,6 +162,10 @@
                     self._send_request()
             else:
                 self._tried_addresses.clear()
+        elif address == self._nearer_host:
+            self._nearer_host = None
+            if reply.leader_silence_ms <= LEADER_SILENCE_LIMIT_MS:
+                self._move_to_nearer_host(address)
         if reply.control_hosts:
             self._control_hosts = list(reply.control_hosts)
         self._entry_hosts = max(1, reply.entry_hosts)
@@ -158,6 +174,7 @@
     def _apply_reply(self, address: str, reply: SyncReply) -> None:
         change = reply.configuration
         has_changed = False
+        directory = reply.directory
         if change is not None and change.version > self.version:
             changed = apply_change(self._configuration, change)
             if changed is None:
@@ -170,10 +187,26 @@
                 self._events.record(
                     ConfigurationInForce(changed.version, len(changed.routes), address)
                 )
-        if reply.directory is not None:
-            self._directory_mark = reply.directory.mark
-        if has_changed or reply.directory is not None:
-            self._on_change(reply.directory)
+        if directory is not None and not self._follows(directory):
+            directory = None
+        if directory is not None:
+            self._directory_mark = directory.mark
+        if has_changed or directory is not None:
+            self._on_change(directory)
+
+    def _follows(self, update: DirectoryUpdate) -> bool:
+        """Return whether a directory update can be applied to what this host has.
+
+        If an earlier push was lost, it cannot; the next request states the revision
+        that this host has, and the reply starts there.
+        """
+        if update.base_revision is None:
+            return True
+        known = self._directory_mark
+        is_same_process = known.incarnation == update.mark.incarnation
+        return is_same_process and (
+            update.base_revision <= known.revision < update.mark.revision
+        )
 
     def _tick(self) -> None:
         interval_ms, timeout_ms = SYNC_INTERVAL_MS, REPLY_TIMEOUT_MS
@@ -187,18 +220,23 @@
         ):
             self._switch_control_host("the previous one did not answer in time")
         self._send_request()
+        if self._configuration is not None and now_ms >= self._try_nearer_at_ms:
+            self._try_nearer_host()
 
     def _send_request(self) -> None:
         if self._current_control_host is None:
             self._current_control_host = self._choose_control_host()
             if self._current_control_host is None:
                 return
-        self._sequence += 1
-        self._sent_requests.append((self._sequence, self._timers.now_ms()))
         if self._unanswered_since_ms is None:
             self._unanswered_since_ms = self._timers.now_ms()
+        self._send_request_to(self._current_control_host)
+
+    def _send_request_to(self, address: str) -> None:
+        self._sequence += 1
+        self._sent_requests.append((self._sequence, self._timers.now_ms()))
         self._link.send(
-            self._current_control_host,
+            address,
             SyncRequest(
                 self._sequence,
                 self._failure_domain,
@@ -206,9 +244,52 @@
                 self._directory_mark,
                 self._is_draining,
                 self._suspicions(),
+                accepts_directory_changes=True,
             ),
         )
 
+    def _try_nearer_host(self) -> None:
+        """Send a request to a control host that is nearer than the current one.
+
+        The current one stays in use until the nearer one has answered.
+        """
+        interval_ms = self._random.uniform(0.5, 1.5) * NEARER_HOST_INTERVAL_MS
+        is_first = self._try_nearer_at_ms == float("-inf")
+        self._try_nearer_at_ms = self._timers.now_ms() + interval_ms
+        current_ms = self._distance_ms(self._current_control_host)
+        nearer = [h for h in self._control_hosts if self._host_ms(h) < current_ms]
+        if is_first or not nearer:
+            return
+        self._nearer_host = self._nearest(nearer)
+        self._send_request_to(self._nearer_host)
+
+    def _move_to_nearer_host(self, address: str) -> None:
+        if self._current_control_host is not None:
+            self._link.send(self._current_control_host, Detach())
+        self._current_control_host = address
+        self._tried_addresses.clear()
+        self._unanswered_since_ms = None
+        self._replied_ms = self._timers.now_ms()
+        self._events.record(ControlHostChosen(address, "it is nearer"))
+
+    def _distance_ms(self, address: str | None) -> float:
+        """Return the expected round trip to a control host; infinite if unknown."""
+        distances = [
+            self._host_ms(h) for h in self._control_hosts if h.address == address
+        ]
+        return min(distances, default=float("inf"))
+
+    def _host_ms(self, host: ControlHost) -> float:
+        return self._round_trip_ms(host.failure_domain)
+
+    def _nearest(self, hosts: Iterable[ControlHost]) -> str:
+        """Return the address of one of the nearest hosts, drawn at random."""
+        candidates = list(hosts)
+        best_ms = min(self._host_ms(host) for host in candidates)
+        return self._random.choice(
+            [host for host in candidates if self._host_ms(host) == best_ms]
+        ).address
+
     def _switch_control_host(self, reason: str) -> None:
         if self._current_control_host is not None:
             self._tried_addresses.add(self._current_control_host)
@@ -218,10 +299,9 @@
             self._events.record(ControlHostChosen(self._current_control_host, reason))
 
     def _choose_control_host(self) -> str | None:
-        """Return a random untried control host, or None if none is known.
+        """Return one of the nearest untried control hosts, or None if none is known.
 
-        One in the same failure domain is preferred. Once all have been tried, all are
-        eligible again.
+        Once all have been tried, all are eligible again.
         """
         if not self._control_hosts:
             return None
@@ -233,7 +313,4 @@
         if not untried:
             self._tried_addresses.clear()
             untried = self._control_hosts
-        same_domain = [
-            host for host in untried if host.failure_domain == self._failure_domain
-        ]
-        return self._random.choice(same_domain or untried).address
+        return self._nearest(untried)
--- a/src/azurerelay/attachment/_entry_host_table.py
+++ b/src/azurerelay/attachment/_entry_host_table.py
@@ -106,6 +106,10 @@
         )
         self._reply(sender, request, is_new_or_changed or request.sequence % 10 == 1)
 
+    def detach(self, sender: str) -> None:
+        """Stop counting an entry host, which follows another control host now."""
+        self._hosts.pop(sender, None)
+
     def set_configuration(self, configuration: Configuration) -> None:
         """Push a committed configuration, unless a newer one is known."""
         if self._current and configuration.version <= self._current.version:
@@ -153,12 +157,8 @@
         return DirectoryMark(self._incarnation, self._directory.revision)
 
     def _reply(self, name: str, request: SyncRequest, with_control_hosts: bool) -> None:
-        directory = None
         mark = self._directory_mark
-        if request.directory != mark:
-            directory = DirectoryUpdate(
-                mark, self._directory.announcements, self._directory.departures
-            )
+        directory = self._directory_update_for(request)
         change = self._configuration_change_from(request.configuration_version)
         self._link.send(
             name,
@@ -178,6 +178,30 @@
         sent = replace(request, configuration_version=version, directory=mark)
         self._hosts[name].request = sent
 
+    def _directory_update_for(self, request: SyncRequest) -> DirectoryUpdate | None:
+        """Return what a host lacks according to its request; None if it has all.
+
+        A host that has followed another control host, or that has missed too many
+        changes, gets the whole directory.
+        """
+        known, mark = request.directory, self._directory_mark
+        if known == mark:
+            return None
+        is_same_process = known.incarnation == mark.incarnation
+        if is_same_process and request.accepts_directory_changes:
+            changes = self._directory.changes_since(known.revision)
+            if changes is not None:
+                return DirectoryUpdate(
+                    mark,
+                    changes.announcements,
+                    changes.departures,
+                    known.revision,
+                    changes.removed,
+                )
+        return DirectoryUpdate(
+            mark, self._directory.announcements, self._directory.departures
+        )
+
     def _configuration_change_from(self, version: int) -> ConfigurationChange | None:
         if self._current is None or version >= self._current.version:
             return None
--- a/src/azurerelay/attachment/_messages.py
+++ b/src/azurerelay/attachment/_messages.py
@@ -33,7 +33,8 @@
     """The state of an entry host, sent regularly; also serves as its heartbeat.
 
     `configuration_version` and `directory` tell what the host has, so that the reply
-    contains only what it lacks.
+    contains only what it lacks. A host of a build that does not know directory changes
+    leaves `accepts_directory_changes` out, and gets whole directories.
     """
 
     sequence: int
@@ -42,6 +43,12 @@
     directory: DirectoryMark
     is_draining: bool
     suspicions: tuple[PrimarySuspicion, ...]
+    accepts_directory_changes: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Detach:
+    """Tells a control host that the sending entry host now follows another one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,11 +61,18 @@
 
 @dataclass(frozen=True, slots=True)
 class DirectoryUpdate:
-    """All endpoints that a control host knows, and those that departed recently."""
+    """The changes of the endpoint directory after `base_revision`, up to `mark`.
+
+    Both count the revisions of the same control host process. Without a base revision,
+    `announcements` holds all endpoints that the control host knows. `removed` names
+    endpoints that are no longer known and have not restarted since.
+    """
 
     mark: DirectoryMark
     announcements: tuple[Announcement, ...]
     departures: tuple[Departure, ...]
+    base_revision: int | None = None
+    removed: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,4 +110,4 @@
     leaders: tuple[ProvenLeader, ...]
 
 
-ATTACHMENT_MESSAGES = (SyncRequest, SyncReply)
+ATTACHMENT_MESSAGES = (SyncRequest, SyncReply, Detach)
--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -10,6 +10,7 @@
 from azurerelay.attachment import (
     ATTACHMENT_MESSAGES,
     ControlHost,
+    Detach,
     EntryHostTable,
     PrimarySuspicion,
     SyncRequest,
@@ -261,6 +262,8 @@
         match message:
             case SyncRequest():
                 self._on_sync_request(sender, message)
+            case Detach():
+                self._entry_hosts.detach(sender)
             case JoinRequest():
                 self._on_join_request(sender, message)
             case JoinReply():
@@ -492,6 +495,7 @@
             self._directory.announcements,
             self._directory.departures,
             self._count_entry_hosts(),
+            self._control_hosts(),
         )
 
     def _request_directory(self) -> None:
@@ -511,6 +515,9 @@
         if sender != self._raft.leader:
             return
         self._total_entry_hosts = digest.entry_hosts
+        for host in digest.control_hosts:
+            if host.failure_domain:
+                self._failure_domains[host.address] = host.failure_domain
         before = self._directory.revision
         self._directory.merge_all(
             digest.announcements, digest.departures, self._timers.now_ms()
--- a/src/azurerelay/cluster/_messages.py
+++ b/src/azurerelay/cluster/_messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from azurerelay.attachment import PrimarySuspicion
+from azurerelay.attachment import ControlHost, PrimarySuspicion
 from azurerelay.discovery import Announcement, Departure
 
 
@@ -45,12 +45,14 @@
 class DirectoryDigest:
     """The leader's whole endpoint directory, for hosts that missed a relayed change.
 
-    `entry_hosts` is the number of entry hosts in the fleet.
+    `entry_hosts` is the number of entry hosts in the fleet. `control_hosts` tells the
+    failure domains of the control hosts, which only the leader is told directly.
     """
 
     announcements: tuple[Announcement, ...]
     departures: tuple[Departure, ...]
     entry_hosts: int
+    control_hosts: tuple[ControlHost, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurerelay/discovery/_endpoint_directory.py
+++ b/src/azurerelay/discovery/_endpoint_directory.py
@@ -5,8 +5,12 @@
 
 from azurerelay.discovery._announcement import Announcement
 from azurerelay.discovery._departure import Departure
+from azurerelay.discovery._directory_changes import DirectoryChanges
 
 DEPARTURE_RETENTION_MS: Final = 60_000.0  # longer than any heartbeat is delayed
+# Removed endpoints that are remembered, so that hosts which missed a few changes get
+# the difference instead of the whole directory.
+MAX_KEPT_REMOVALS: Final = 256
 
 
 class EndpointDirectory:
@@ -23,6 +27,11 @@
         self._claims: dict[str, int] = {}
         self._claim_count = 0
         self._revision = 0
+        # The revision of the last change of each endpoint, departure and removal.
+        self._changed_at: dict[str, int] = {}
+        self._departed_at: dict[str, int] = {}
+        self._removed_at: dict[str, int] = {}
+        self._oldest_base = 0
 
     @property
     def revision(self) -> int:
@@ -59,6 +68,24 @@
         """Return the time since the last heartbeat; infinite if there was none."""
         return now_ms - self._last_heard_ms.get(endpoint, float("-inf"))
 
+    def changes_since(self, revision: int) -> DirectoryChanges | None:
+        """Return the changes after a revision; None if they are no longer known."""
+        if not self._oldest_base <= revision <= self._revision:
+            return None
+        return DirectoryChanges(
+            tuple(
+                announcement
+                for name, announcement in self._announcements.items()
+                if self._changed_at[name] > revision
+            ),
+            tuple(
+                departure
+                for name, (departure, _) in self._departures.items()
+                if self._departed_at[name] > revision
+            ),
+            tuple(name for name, at in self._removed_at.items() if at > revision),
+        )
+
     def merge(self, announcement: Announcement, now_ms: float) -> bool:
         """Add an announcement; return False if it is out of date and was ignored.
 
@@ -80,6 +107,8 @@
         self._last_heard_ms[announcement.endpoint] = now_ms
         if known is None or not announcement.is_equivalent_to(known):
             self._revision += 1
+            self._changed_at[announcement.endpoint] = self._revision
+            self._removed_at.pop(announcement.endpoint, None)
         return True
 
     def merge_all(
@@ -99,14 +128,15 @@
         known_departure = self._departures.get(departure.endpoint)
         if known_departure and known_departure[0].incarnation >= departure.incarnation:
             return
+        self._revision += 1
         self._departures[departure.endpoint] = (departure, now_ms)
+        self._departed_at[departure.endpoint] = self._revision
         announcement = self._announcements.get(departure.endpoint)
         if (
             announcement is not None
             and announcement.incarnation <= departure.incarnation
         ):
             self._remove(departure.endpoint)
-        self._revision += 1
 
     def expire(self, limit_ms: float, now_ms: float) -> tuple[str, ...]:
         """Remove endpoints that were silent for longer than the limit.
@@ -120,10 +150,10 @@
         )
         for name in silent:
             self._remove(name)
-            self._revision += 1
         for name, (_, since_ms) in list(self._departures.items()):
             if now_ms - since_ms > DEPARTURE_RETENTION_MS:
                 del self._departures[name]
+                del self._departed_at[name]
         return silent
 
     def _sharing_address(self, announcement: Announcement) -> tuple[Announcement, ...]:
@@ -148,3 +178,9 @@
         self._announcements.pop(endpoint, None)
         self._last_heard_ms.pop(endpoint, None)
         self._claims.pop(endpoint, None)
+        self._changed_at.pop(endpoint, None)
+        self._revision += 1
+        self._removed_at[endpoint] = self._revision
+        while len(self._removed_at) > MAX_KEPT_REMOVALS:
+            oldest = min(self._removed_at, key=self._removed_at.__getitem__)
+            self._oldest_base = self._removed_at.pop(oldest)
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -62,13 +62,20 @@
         self._random = random_source
         self._events = events
         self._directory = EndpointDirectory()
+        self._listed_endpoints: set[str] = set()
         self._groups: dict[str, GroupConnections] = {}
         self._routes: dict[str, Route] = {}
         self._entry_host_count = 1
         self._is_ramping = True
         self._configured: Promise[None] = Promise()
         self._control_follower = ControlFollower(
-            topology.failure_domain, seeds, link, timers, random_source, events
+            topology.failure_domain,
+            topology.round_trip_ms,
+            seeds,
+            link,
+            timers,
+            random_source,
+            events,
         )
 
     @property
@@ -81,6 +88,11 @@
         """The client that follows a control host."""
         return self._control_follower
 
+    @property
+    def directory(self) -> EndpointDirectory:
+        """The endpoints that control has listed so far."""
+        return self._directory
+
     @property
     def transaction_idle_ms(self) -> int:
         """How long a transaction may stay idle, in milliseconds.
@@ -180,12 +192,13 @@
                 for group in self._groups.values():
                     group.remove_departed(departure.endpoint, departure.incarnation)
             self._directory.merge_all(update.announcements, update.departures, now_ms)
+            self._update_listed_endpoints(update)
             if self._directory.revision != previous_revision:
                 self._record_directory_change(update)
         configuration = self._control_follower.configuration
         if configuration is not None:
             self._apply_configuration(configuration)
-        self._update_groups(update)
+        self._update_groups()
         if configuration is not None:
             self._configured.resolve(None)
 
@@ -209,22 +222,25 @@
         self._is_ramping = False
         self._update_groups()
 
-    def _update_groups(self, update: DirectoryUpdate | None = None) -> None:
-        """Pass endpoints and connection shares to the groups.
+    def _update_listed_endpoints(self, update: DirectoryUpdate) -> None:
+        """Apply an update to the names of the endpoints that control lists."""
+        if update.base_revision is None:
+            self._listed_endpoints.clear()
+        self._listed_endpoints -= {d.endpoint for d in update.departures}
+        self._listed_endpoints -= set(update.removed)
+        self._listed_endpoints |= {a.endpoint for a in update.announcements}
 
-        With an update, only its endpoints count as listed by control; without one, all
-        endpoints in the directory do.
-        """
+    def _update_groups(self) -> None:
+        """Pass the endpoints that control lists and connection shares to the groups."""
         configuration = self._control_follower.configuration
         if configuration is None:
             return
-        listed = {a.endpoint for a in update.announcements} if update else None
         for group in configuration.groups:
             self._groups[group.name].update(
                 (
                     announcement
                     for announcement in self._directory.group(group.name)
-                    if listed is None or announcement.endpoint in listed
+                    if announcement.endpoint in self._listed_endpoints
                 ),
                 partial(self._endpoint_share, group.connection_limit),
             )
--- a/src/azurerelay/runtime/_zmq_link.py
+++ b/src/azurerelay/runtime/_zmq_link.py
@@ -244,7 +244,24 @@
             self._count_malformed(decoded.err_value.reason)
             return
         if self._handler is not None:
-            self._handler(sender, decoded.ok_value)
+            self._deliver(self._handler, sender, decoded.ok_value)
+
+    def _deliver(
+        self, handler: Callable[[str, Any], None], sender: str, message: Any
+    ) -> None:
+        """Pass a message to the handler; log an error that the handler raises.
+
+        If the error ended the read of a batch, the messages behind this one would stay
+        unread until another arrives.
+        """
+        try:
+            handler(sender, message)
+        except Exception:
+            logging.exception(
+                "handling a %s from %s failed; the message is dropped",
+                type(message).__name__,
+                sender[:100],
+            )
 
     def _count_malformed(self, reason: str) -> None:
         self._malformed += 1
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -53,6 +53,26 @@
         await self._wait(lambda: received)
         self.assertEqual(received, [("sender", MESSAGE)])
 
+    async def test_messages_behind_one_whose_handler_fails_are_delivered(self) -> None:
+        """An unexpected error must not hold up the messages that arrived with it."""
+        received: list[int] = []
+
+        def handle(sender: str, message: object) -> None:
+            assert isinstance(message, GroupPosition)
+            if message.term == 1:
+                raise ValueError("unexpected")
+            received.append(message.term)
+
+        sender_link, receiver_link = await self._link("sender"), await self._link(
+            "receiver"
+        )
+        sender_link.set_peer_address("receiver", receiver_link.address)
+        receiver_link.set_handler(handle)
+        with self.assertLogs("absl", "ERROR"):
+            for term in (1, 4):
+                sender_link.send("receiver", GroupPosition(term, 1, "g"))
+            await self._wait(lambda: received == [4])
+
     async def test_only_messages_with_the_trusted_key_of_their_sender_are_delivered(
         self,
     ) -> None:
