A crowded primary that is alive is not replaced

Ruled out: a higher share of suspecting hosts (a primary that is lost would stay longer); trusting heartbeats alone (up to 1.2 s late). Change: a suspicion says whether it is certain: no answer over an open connection, or nothing listens at the address. An endpoint that refuses a connection because of its limits is alive and ends the suspicion.

--- a/src/azurerelay/attachment/_messages.py
+++ b/src/azurerelay/attachment/_messages.py
@@ -9,11 +9,17 @@
 
 @dataclass(frozen=True, slots=True)
 class PrimarySuspicion:
-    """A primary that has not answered the sending entry host for `silent_ms`."""
+    """A primary that has not answered the sending entry host for `silent_ms`.
+
+    `is_certain` is set if it did not answer over an open connection, or if nothing
+    listens at its address. An entry host that could only not open a connection may have
+    met a crowd of other hosts.
+    """
 
     group: str
     endpoint: str
     silent_ms: float
+    is_certain: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurerelay/cluster/__init__.py
+++ b/src/azurerelay/cluster/__init__.py
@@ -9,9 +9,11 @@
 )
 from azurerelay.cluster._compression import compress, decompress, is_compressed
 from azurerelay.cluster._messages import CLUSTER_MESSAGES
+from azurerelay.cluster._primary_contact import PrimaryContact
 from azurerelay.cluster._promotion_controller import PromotionController
 from azurerelay.cluster._promotion_policy import (
     GroupHealth,
+    Suspicions,
     candidates,
     most_advanced,
     promotion_reason,
@@ -28,7 +30,9 @@
     "ClusterNode",
     "GroupHealth",
     "OrderOutcome",
+    "PrimaryContact",
     "PromotionController",
+    "Suspicions",
     "VoterSetController",
     "candidates",
     "compress",
--- a/src/azurerelay/cluster/_endpoint_status_client.py
+++ b/src/azurerelay/cluster/_endpoint_status_client.py
@@ -2,14 +2,19 @@
 
 from typing import Final
 
-from result import Err, Ok
+from result import Err
 
+from azurerelay.cluster._primary_contact import PrimaryContact
 from azurerelay.discovery import Announcement, EndpointDirectory
 from azurerelay.statements import (
+    BeginTransaction,
+    ConnectFailed,
     EndpointConnector,
+    EndpointError,
     EndpointSession,
     Position,
     QueryStatus,
+    RollbackTransaction,
 )
 from azurerelay.timing import TimerService, spawn, with_timeout
 
@@ -17,6 +22,9 @@
 # answered within this time is left out, since callers fail while there is no primary.
 STATUS_TIMEOUT_MS: Final = 350.0
 MAINTENANCE_INTERVAL_MS: Final = 1_000.0
+# Six round trips between regions. A BEGIN takes no slot, so it does not wait behind the
+# statements of callers.
+CONTACT_TIMEOUT_MS: Final = 150.0
 
 
 class EndpointStatusClient:
@@ -81,13 +89,50 @@
         reply = answer.ok_value.ok_value
         return reply.received if reply.is_success else session.position
 
-    async def _connect(self, endpoint: Announcement) -> None:
+    async def contact_primary(self, endpoint: Announcement) -> PrimaryContact:
+        """Open and roll back a read-write transaction, which only a primary accepts."""
+        key = (endpoint.endpoint, endpoint.incarnation)
+        session = self._sessions.get(key)
+        if session is None or not session.is_open:
+            return await self._contact_by_connecting(endpoint)
+        begun = session.request(BeginTransaction())
+        session.request(RollbackTransaction())
+        answer = await with_timeout(self._timers, begun, CONTACT_TIMEOUT_MS)
+        if isinstance(answer, Err) or isinstance(answer.ok_value, Err):
+            session.close()
+            return PrimaryContact.SILENT
+        reply = answer.ok_value.ok_value
+        if reply.is_success:
+            return PrimaryContact.PROVEN
+        if reply.error is EndpointError.NOT_PRIMARY:
+            return PrimaryContact.DENIED
+        return PrimaryContact.ANSWERED
+
+    async def _contact_by_connecting(self, endpoint: Announcement) -> PrimaryContact:
+        if (endpoint.endpoint, endpoint.incarnation) in self._connecting:
+            return PrimaryContact.UNKNOWN
+        outcome = await with_timeout(
+            self._timers, spawn(self._connect(endpoint)), CONTACT_TIMEOUT_MS
+        )
+        if isinstance(outcome, Err) or outcome.ok_value is None:
+            return PrimaryContact.UNKNOWN
+        failure = outcome.ok_value
+        if failure.error is not None:
+            return PrimaryContact.ANSWERED
+        return (
+            PrimaryContact.SILENT if failure.is_unreachable else PrimaryContact.UNKNOWN
+        )
+
+    async def _connect(self, endpoint: Announcement) -> ConnectFailed | None:
+        """Open a connection; return the failure, or None if it is open."""
         key = (endpoint.endpoint, endpoint.incarnation)
         self._connecting.add(key)
         outcome = await self._connector.connect(endpoint)
         self._connecting.discard(key)
-        if isinstance(outcome, Ok):
-            previous = self._sessions.get(key)
-            if previous is not None:
-                previous.close()
-            self._sessions[key] = outcome.ok_value
+        if isinstance(outcome, Err):
+            return outcome.err_value
+        previous = self._sessions.get(key)
+        if previous is not None:
+            previous.close()
+        self._sessions[key] = outcome.ok_value
+        return None
--- a/src/azurerelay/cluster/_primary_prober.py
+++ b/src/azurerelay/cluster/_primary_prober.py
@@ -59,13 +59,13 @@
         proven = []
         for group in self._groups.values():
             newest = group.samples.newest
-            suspicion = group.primary_suspicion()
+            suspect = group.suspected_primary()
             proven.append(
                 ProvenLeader(
                     group.name,
                     newest[1] if newest else None,
                     now_ms - newest[0] if newest else 0.0,
-                    suspicion[1] if suspicion else 0.0,
+                    suspect.silent_ms if suspect else 0.0,
                 )
             )
         return tuple(proven)
@@ -94,7 +94,7 @@
 
     def _check_silence(self) -> None:
         silent_groups = frozenset(
-            g.name for g in self._groups.values() if g.primary_suspicion()
+            g.name for g in self._groups.values() if g.suspected_primary()
         )
         if silent_groups - self._silent_groups:
             self._on_silence()
--- a/src/azurerelay/cluster/_promotion_controller.py
+++ b/src/azurerelay/cluster/_promotion_controller.py
@@ -1,6 +1,6 @@
 """Failover of the primaries of all groups by the control leader."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from azurerelay.attachment import PrimarySuspicion
@@ -9,8 +9,11 @@
     MAINTENANCE_INTERVAL_MS,
     EndpointStatusClient,
 )
+from azurerelay.cluster._primary_contact import PrimaryContact
+from azurerelay.cluster._primary_contacts import PrimaryContacts
 from azurerelay.cluster._promotion_policy import (
     GroupHealth,
+    Suspicions,
     candidates,
     most_advanced,
     promotion_reason,
@@ -42,6 +45,11 @@
 SuspicionSource = Callable[[], tuple[tuple[str, PrimarySuspicion], ...]]
 
 
+def _summarize(suspicions: Iterable[PrimarySuspicion]) -> Suspicions:
+    silences_ms = [suspicion.silent_ms for suspicion in suspicions]
+    return Suspicions(len(silences_ms), max(silences_ms, default=0.0))
+
+
 class PromotionController:
     """Replaces primaries that are lost or draining.
 
@@ -73,6 +81,9 @@
         self._heartbeat_ms = heartbeat_ms
         self._order_count = 0
         self._groups_in_failover: set[str] = set()
+        self._contacts = PrimaryContacts(
+            lambda primary: spawn(self._status_client.contact_primary(primary)), timers
+        )
         self._startup_grace_end_ms = (
             timers.now_ms() + STARTUP_GRACE_HEARTBEATS * heartbeat_ms
         )
@@ -123,8 +134,10 @@
         observing_hosts = connected_hosts(
             group.connection_limit, self._count_entry_hosts()
         )
+        unknown = PrimaryContact.UNKNOWN
         if primary is None:
-            return GroupHealth(None, 0.0, 0, 0.0, observing_hosts)
+            nobody = Suspicions()
+            return GroupHealth(None, 0.0, nobody, nobody, unknown, observing_hosts)
         # Suspicions of an earlier primary say nothing about this one.
         suspicions = {
             host: suspicion
@@ -134,8 +147,9 @@
         return GroupHealth(
             primary,
             self._directory.silence_ms(primary.endpoint, self._timers.now_ms()),
-            len(suspicions),
-            max((s.silent_ms for s in suspicions.values()), default=0.0),
+            _summarize(suspicions.values()),
+            _summarize(s for s in suspicions.values() if s.is_certain),
+            self._contacts.recent(primary) if suspicions else unknown,
             observing_hosts,
         )
 
--- a/src/azurerelay/groups/__init__.py
+++ b/src/azurerelay/groups/__init__.py
@@ -2,6 +2,7 @@
 
 from azurerelay.groups._group_connections import GroupConnections
 from azurerelay.groups._primary_tracker import PrimaryTracker
+from azurerelay.groups._suspected_primary import SuspectedPrimary
 from azurerelay.groups._topology import Topology
 
-__all__ = ["GroupConnections", "PrimaryTracker", "Topology"]
+__all__ = ["GroupConnections", "PrimaryTracker", "SuspectedPrimary", "Topology"]
--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -17,6 +17,7 @@
     PrimaryProven,
 )
 from azurerelay.groups._primary_tracker import PrimaryTracker
+from azurerelay.groups._suspected_primary import SuspectedPrimary
 from azurerelay.groups._topology import Topology
 from azurerelay.pooling import (
     ConnectionShare,
@@ -102,6 +103,7 @@
         self._changed: Promise[None] = Promise()
         self._failed_proofs_since_ms: float | None = None
         self._suspect: str | None = None
+        self._is_suspect_certain = False
         self._are_connections_scarce = False
 
     @property
@@ -126,14 +128,15 @@
         """
         return self._changed
 
-    def primary_suspicion(self) -> tuple[str, float] | None:
-        """Return the primary that fails its proofs, and for how long in milliseconds.
+    def suspected_primary(self) -> SuspectedPrimary | None:
+        """Return the primary that fails its proofs.
 
-        None if no proof has failed since the last successful one.
+        None if no proof has failed since it last answered.
         """
         if self._suspect is None or self._failed_proofs_since_ms is None:
             return None
-        return self._suspect, self._timers.now_ms() - self._failed_proofs_since_ms
+        silent_ms = self._timers.now_ms() - self._failed_proofs_since_ms
+        return SuspectedPrimary(self._suspect, silent_ms, self._is_suspect_certain)
 
     def update(
         self,
@@ -358,8 +361,12 @@
         )
         granted = await pool.acquire(PROOF_PRIORITY, SessionProfile(), wait_ms)
         if isinstance(granted, Err):
-            if granted.err_value.error is None and not pool.open_connection_count:
-                self._record_failed_proof(endpoint)
+            failure = granted.err_value
+            if failure.error is not None:
+                # An endpoint that refuses a connection is alive and reachable.
+                self._clear_suspicion(endpoint)
+            elif not pool.open_connection_count:
+                self._record_failed_proof(endpoint, failure.is_unreachable)
             return None
         session = granted.ok_value
         sent_ms = self._timers.now_ms()
@@ -371,7 +378,7 @@
         if isinstance(outcome, Err) or isinstance(outcome.ok_value, Err):
             session.close()
             pool.release(session)
-            self._record_failed_proof(endpoint)
+            self._record_failed_proof(endpoint, True)
             self._record_endpoint_loss(
                 pool, "no answer to a request for a leadership proof"
             )
@@ -405,8 +412,7 @@
         if self._tracker.record_proof(endpoint, position):
             self._events.record(PrimaryProven(endpoint, self._name, str(position)))
             self._notify()
-        self._failed_proofs_since_ms = None
-        self._suspect = None
+        self._clear_suspicion()
 
     def record_control_proof(self, sent_ms: float, position: Position) -> None:
         """Record a proof that control has passed on.
@@ -416,10 +422,18 @@
         """
         self._samples.add(sent_ms, position, self._timers.now_ms())
 
-    def _record_failed_proof(self, endpoint: str) -> None:
+    def _record_failed_proof(self, endpoint: str, is_certain: bool) -> None:
         if self._suspect != endpoint:
             self._suspect = endpoint
+            self._is_suspect_certain = False
             self._failed_proofs_since_ms = self._timers.now_ms()
+        self._is_suspect_certain = self._is_suspect_certain or is_certain
+
+    def _clear_suspicion(self, endpoint: str | None = None) -> None:
+        """End the suspicion of an endpoint, or of any without an argument."""
+        if endpoint is None or endpoint == self._suspect:
+            self._failed_proofs_since_ms = None
+            self._suspect = None
 
     # Endpoints
 
--- a/src/azurerelay/hosts/_endpoint_client.py
+++ b/src/azurerelay/hosts/_endpoint_client.py
@@ -169,7 +169,9 @@
             return
         except OSError as error:
             protocol.close()
-            resolve(Err(ConnectFailed(error.strerror or str(error))))
+            is_unreachable = isinstance(error, ConnectionRefusedError)
+            reason = error.strerror or str(error)
+            resolve(Err(ConnectFailed(reason, is_unreachable=is_unreachable)))
             return
         if isinstance(started, Err):
             # An endpoint at its connection limit may close the connection without a
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -258,15 +258,17 @@
         oldest_ms = self._timers.now_ms() - PROOF_INTERVAL_MS
         for group in self._groups.values():
             sample = group.samples.newest
-            if sample is None or sample[0] < oldest_ms or group.primary_suspicion():
+            if sample is None or sample[0] < oldest_ms or group.suspected_primary():
                 group.check_primary()
 
     def _suspicions(self) -> tuple[PrimarySuspicion, ...]:
         return tuple(
-            PrimarySuspicion(group.name, suspicion[0], suspicion[1])
+            PrimarySuspicion(
+                group.name, suspect.endpoint, suspect.silent_ms, suspect.is_certain
+            )
             for group in self._groups.values()
-            if (suspicion := group.primary_suspicion()) is not None
-            and suspicion[1] >= SUSPECT_AFTER_MS
+            if (suspect := group.suspected_primary()) is not None
+            and suspect.silent_ms >= SUSPECT_AFTER_MS
         )
 
     def _check_groups(self) -> None:
@@ -274,7 +276,7 @@
         has_suspect = False
         for group in self._groups.values():
             group.close_idle_connections()
-            if group.primary_suspicion() is not None:
+            if group.suspected_primary() is not None:
                 group.prove_primary()
                 has_suspect = True
         if has_suspect and self._suspicions():
--- a/src/azurerelay/statements/_endpoint_session.py
+++ b/src/azurerelay/statements/_endpoint_session.py
@@ -21,10 +21,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ConnectFailed:
-    """No session was opened; `error` is set if the endpoint itself refused it."""
+    """No session was opened.
+
+    `error` is set if the endpoint itself refused the session. `is_unreachable` is set
+    if nothing listens at the endpoint's address; an endpoint that only does not answer
+    may be crowded.
+    """
 
     reason: str
     error: EndpointError | None = None
+    is_unreachable: bool = False
 
 
 class EndpointSession(Protocol):
