Returning hosts get the configuration once, compressed; suspicions are counted

Beside it, each request with a suspicion made a control host send all suspicions of all its hosts to the leader, by name: 39 hosts, ten groups, ten times a second, which grows with the fleet's square. Ruled out: endpoints' slots (a connection each takes 0.6 s for all hosts), a longer time-out before the next control host is asked (a lost one would cost more). Change: large replies are compressed and shared by hosts in the same state; what was sent less than 400 ms ago is not sent again unless the host says that it missed it. Control hosts report counts for each suspected primary, at most every 20 ms; entry hosts report when the set changes, and control adds the time since. The link's backlog holds 1,024 connections instead of 100. Before: tests.test_large_fleet, 195 hosts on links of 2 Mbit/s, 110 ready a second after their start. After: all 195, no promotion.

--- a/src/azurerelay/attachment/__init__.py
+++ b/src/azurerelay/attachment/__init__.py
@@ -13,6 +13,10 @@
     SyncReply,
     SyncRequest,
 )
+from azurerelay.attachment._suspected_primary_report import (
+    SuspectedPrimaryReport,
+    merge_suspicions,
+)
 
 __all__ = [
     "ATTACHMENT_MESSAGES",
@@ -24,6 +28,8 @@
     "EntryHostTable",
     "PrimarySuspicion",
     "ProvenLeader",
+    "SuspectedPrimaryReport",
     "SyncReply",
     "SyncRequest",
+    "merge_suspicions",
 ]
--- a/src/azurerelay/attachment/_control_follower.py
+++ b/src/azurerelay/attachment/_control_follower.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
+from result import Err
+
 from azurerelay.attachment._messages import (
     ControlHost,
     Detach,
@@ -14,6 +16,7 @@
     SyncReply,
     SyncRequest,
 )
+from azurerelay.attachment._packed_update import unpack_update
 from azurerelay.events import ConfigurationInForce, ControlHostChosen, EventLog
 from azurerelay.messages import Link
 from azurerelay.routes import Configuration, apply_change
@@ -81,6 +84,7 @@
         self._configuration: Configuration | None = None
         self._entry_hosts = 1
         self._is_draining = False
+        self._has_missed_update = False
         self._suspicions: Callable[[], tuple[PrimarySuspicion, ...]] = tuple
         self._on_change: Callable[[DirectoryUpdate | None], object] = lambda _: None
 
@@ -172,15 +176,19 @@
         self._apply_reply(address, reply)
 
     def _apply_reply(self, address: str, reply: SyncReply) -> None:
-        change = reply.configuration
+        change, directory = reply.configuration, reply.directory
         has_changed = False
-        directory = reply.directory
+        if reply.packed_update is not None:
+            unpacked = unpack_update(reply.packed_update)
+            if isinstance(unpacked, Err):
+                self._request_missed_update()
+                return
+            change = unpacked.ok_value.configuration
+            directory = unpacked.ok_value.directory
         if change is not None and change.version > self.version:
             changed = apply_change(self._configuration, change)
             if changed is None:
-                # An earlier push was lost. The reply to this request is based on the
-                # version in force here.
-                self._send_request()
+                self._request_missed_update()
             else:
                 self._configuration = changed
                 has_changed = True
@@ -188,6 +196,8 @@
                     ConfigurationInForce(changed.version, len(changed.routes), address)
                 )
         if directory is not None and not self._follows(directory):
+            if self._is_ahead_of_this_host(directory):
+                self._request_missed_update()
             directory = None
         if directory is not None:
             self._directory_mark = directory.mark
@@ -195,11 +205,7 @@
             self._on_change(directory)
 
     def _follows(self, update: DirectoryUpdate) -> bool:
-        """Return whether a directory update can be applied to what this host has.
-
-        If an earlier push was lost, it cannot; the next request states the revision
-        that this host has, and the reply starts there.
-        """
+        """Return whether a directory update can be applied to what this host has."""
         if update.base_revision is None:
             return True
         known = self._directory_mark
@@ -208,6 +214,20 @@
             update.base_revision <= known.revision < update.mark.revision
         )
 
+    def _is_ahead_of_this_host(self, update: DirectoryUpdate) -> bool:
+        """Return whether an update that this host cannot apply brings newer changes."""
+        known = self._directory_mark
+        is_same_process = known.incarnation == update.mark.incarnation
+        return not is_same_process or known.revision < update.mark.revision
+
+    def _request_missed_update(self) -> None:
+        """Report that an earlier reply was lost.
+
+        The answer starts from what this host has.
+        """
+        self._has_missed_update = True
+        self._send_request()
+
     def _tick(self) -> None:
         interval_ms, timeout_ms = SYNC_INTERVAL_MS, REPLY_TIMEOUT_MS
         if self._configuration is None:
@@ -244,9 +264,11 @@
                 self._directory_mark,
                 self._is_draining,
                 self._suspicions(),
-                accepts_directory_changes=True,
+                accepts_compact_replies=True,
+                has_missed_update=self._has_missed_update,
             ),
         )
+        self._has_missed_update = False
 
     def _try_nearer_host(self) -> None:
         """Send a request to a control host that is nearer than the current one.
--- a/src/azurerelay/attachment/_entry_host_table.py
+++ b/src/azurerelay/attachment/_entry_host_table.py
@@ -1,33 +1,59 @@
 """The control host's side of the synchronization with entry hosts."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Final
 
 from azurerelay.attachment._messages import (
     ControlHost,
     DirectoryMark,
     DirectoryUpdate,
-    PrimarySuspicion,
     ProvenLeader,
     SyncReply,
     SyncRequest,
 )
+from azurerelay.attachment._packed_update import UpdateContents, pack_update
+from azurerelay.attachment._suspected_primary_report import (
+    SuspectedPrimaryReport,
+    merge_suspicions,
+)
 from azurerelay.discovery import EndpointDirectory
 from azurerelay.messages import Link
 from azurerelay.routes import Configuration, ConfigurationChange, change_between
 from azurerelay.timing import TimerService
 
 ATTACHMENT_TIMEOUT_MS: Final = 2_000.0  # four regular request intervals
+SUSPICION_TIMEOUT_MS: Final = 1_000.0  # two regular request intervals
 MAX_KEPT_VERSIONS: Final = 16  # hosts at older versions get the whole configuration
+# What was sent to a host less than this long ago is not sent again, although the host
+# does not report it yet: a large reply takes some time on the link of a small host, and
+# copies of it would delay everything behind them.
+RESEND_AFTER_MS: Final = 400.0
+# More requests than this are not lost in a row; a larger step in the sequence means
+# that the process has restarted.
+MAX_SEQUENCE_STEP: Final = 1_000
+# Replies with more changed routes or endpoints than this are compressed.
+MAX_PLAIN_CHANGES: Final = 16
 
 
 @dataclass(slots=True)
 class _AttachedHost:
-    """The last request of an entry host, updated by what was sent to it since."""
+    """The last request of an entry host, and what it has once all replies arrive."""
 
     request: SyncRequest
     last_request_ms: float
+    sent_version: int
+    sent_directory: DirectoryMark
+    sent_ms: float = float("-inf")
+
+    def has_in_flight(self, request: SyncRequest, now_ms: float) -> bool:
+        """Return whether replies to earlier requests are probably under way."""
+        step = request.sequence - self.request.sequence
+        return (
+            0 < step < MAX_SEQUENCE_STEP
+            and not request.has_missed_update
+            and now_ms - self.sent_ms < RESEND_AFTER_MS
+        )
 
 
 class EntryHostTable:
@@ -53,6 +79,7 @@
         self._versions: dict[int, Configuration] = {}
         self._current: Configuration | None = None
         self._changes: dict[int, ConfigurationChange] = {}
+        self._packed: dict[tuple[object, object], bytes] = {}
         self._is_push_due = False
         self._leader_silence_ms: Callable[[], float] = lambda: float("inf")
         self._count_entry_hosts: Callable[[], int] = lambda: self.count
@@ -69,13 +96,17 @@
         )
 
     @property
-    def suspicions(self) -> tuple[tuple[str, PrimarySuspicion], ...]:
-        """The suspicions of attached entry hosts, each with the address of the host."""
-        oldest_ms = self._timers.now_ms() - ATTACHMENT_TIMEOUT_MS
-        return tuple(
-            (name, suspicion)
-            for name, host in self._hosts.items()
-            if host.last_request_ms >= oldest_ms
+    def suspected_primaries(self) -> tuple[SuspectedPrimaryReport, ...]:
+        """The primaries that attached entry hosts suspect.
+
+        A host that has sent no request for `SUSPICION_TIMEOUT_MS` may follow another
+        control host by now, which counts its suspicions.
+        """
+        now_ms = self._timers.now_ms()
+        return merge_suspicions(
+            SuspectedPrimaryReport.of(suspicion, now_ms - host.last_request_ms)
+            for host in self._hosts.values()
+            if now_ms - host.last_request_ms <= SUSPICION_TIMEOUT_MS
             for suspicion in host.request.suspicions
         )
 
@@ -100,11 +131,18 @@
         """
         known = self._hosts.get(sender)
         now_ms = self._timers.now_ms()
-        self._hosts[sender] = _AttachedHost(request, now_ms)
+        host = _AttachedHost(
+            request, now_ms, request.configuration_version, request.directory
+        )
+        if known is not None and known.has_in_flight(request, now_ms):
+            host.sent_version = max(known.sent_version, host.sent_version)
+            host.sent_directory = known.sent_directory
+            host.sent_ms = known.sent_ms
+        self._hosts[sender] = host
         is_new_or_changed = (
             known is None or known.request.is_draining != request.is_draining
         )
-        self._reply(sender, request, is_new_or_changed or request.sequence % 10 == 1)
+        self._reply(sender, host, is_new_or_changed or request.sequence % 10 == 1)
 
     def detach(self, sender: str) -> None:
         """Stop counting an entry host, which follows another control host now."""
@@ -135,7 +173,7 @@
         oldest_ms = self._timers.now_ms() - ATTACHMENT_TIMEOUT_MS
         for name, host in list(self._hosts.items()):
             if host.last_request_ms >= oldest_ms:
-                self._reply(name, host.request, False)
+                self._reply(name, host, False)
 
     def _push(self) -> None:
         self._is_push_due = False
@@ -143,52 +181,72 @@
         for name, host in list(self._hosts.items()):
             if host.last_request_ms < oldest_ms:
                 del self._hosts[name]
-            elif self._is_behind(host.request):
-                self._reply(name, host.request, False)
+            elif self._is_behind(host):
+                self._reply(name, host, False)
 
-    def _is_behind(self, request: SyncRequest) -> bool:
+    def _is_behind(self, host: _AttachedHost) -> bool:
         has_old_configuration = (
-            self._current and request.configuration_version < self._current.version
+            self._current and host.sent_version < self._current.version
+        )
+        return bool(has_old_configuration) or (
+            host.sent_directory != self._directory_mark
         )
-        return bool(has_old_configuration) or request.directory != self._directory_mark
 
     @property
     def _directory_mark(self) -> DirectoryMark:
         return DirectoryMark(self._incarnation, self._directory.revision)
 
-    def _reply(self, name: str, request: SyncRequest, with_control_hosts: bool) -> None:
-        mark = self._directory_mark
-        directory = self._directory_update_for(request)
-        change = self._configuration_change_from(request.configuration_version)
+    def _reply(self, name: str, host: _AttachedHost, with_control_hosts: bool) -> None:
+        is_compact = host.request.accepts_compact_replies
+        directory = self._directory_update_from(host.sent_directory, is_compact)
+        change = self._configuration_change_from(host.sent_version)
+        if change is not None or directory is not None:
+            host.sent_ms = self._timers.now_ms()
+            host.sent_version = change.version if change else host.sent_version
+            host.sent_directory = self._directory_mark
+        packed = None
+        if is_compact and _is_large(change, directory):
+            packed = self._pack(UpdateContents(change, directory))
+            change = directory = None
         self._link.send(
             name,
             SyncReply(
-                request.sequence,
+                host.request.sequence,
                 min(1e9, self._leader_silence_ms()),
                 self._count_entry_hosts(),
                 change,
                 directory,
                 self._control_hosts() if with_control_hosts else (),
                 self._proven_primaries(),
+                packed,
             ),
         )
-        # The next change is based on what was just sent. A host that did not receive it
-        # reports its actual version with its next request.
-        version = change.version if change else request.configuration_version
-        sent = replace(request, configuration_version=version, directory=mark)
-        self._hosts[name].request = sent
 
-    def _directory_update_for(self, request: SyncRequest) -> DirectoryUpdate | None:
-        """Return what a host lacks according to its request; None if it has all.
+    def _pack(self, contents: UpdateContents) -> bytes:
+        """Return the compressed contents; hosts in the same state share them."""
+        change, directory = contents.configuration, contents.directory
+        key = (
+            (change.base_version, change.version) if change else None,
+            (directory.base_revision, directory.mark.revision) if directory else None,
+        )
+        if key not in self._packed:
+            while len(self._packed) >= MAX_KEPT_VERSIONS:
+                del self._packed[next(iter(self._packed))]
+            self._packed[key] = pack_update(contents)
+        return self._packed[key]
+
+    def _directory_update_from(
+        self, known: DirectoryMark, is_compact: bool
+    ) -> DirectoryUpdate | None:
+        """Return what a host lacks that knows this revision; None if it has all.
 
         A host that has followed another control host, or that has missed too many
         changes, gets the whole directory.
         """
-        known, mark = request.directory, self._directory_mark
+        mark = self._directory_mark
         if known == mark:
             return None
-        is_same_process = known.incarnation == mark.incarnation
-        if is_same_process and request.accepts_directory_changes:
+        if known.incarnation == mark.incarnation and is_compact:
             changes = self._directory.changes_since(known.revision)
             if changes is not None:
                 return DirectoryUpdate(
@@ -212,3 +270,12 @@
             change = change_between(base, self._current)
             self._changes[key] = change
         return change
+
+
+def _is_large(
+    change: ConfigurationChange | None, directory: DirectoryUpdate | None
+) -> bool:
+    routes = len(change.routes) if change else 0
+    return routes + (len(directory.announcements) if directory else 0) > (
+        MAX_PLAIN_CHANGES
+    )
--- a/src/azurerelay/attachment/_messages.py
+++ b/src/azurerelay/attachment/_messages.py
@@ -39,8 +39,10 @@
     """The state of an entry host, sent regularly; also serves as its heartbeat.
 
     `configuration_version` and `directory` tell what the host has, so that the reply
-    contains only what it lacks. A host of a build that does not know directory changes
-    leaves `accepts_directory_changes` out, and gets whole directories.
+    contains only what it lacks. `has_missed_update` is set if the host got a change
+    that does not follow what it has, so that earlier replies must have been lost. A
+    host of a build that knows neither directory changes nor packed replies leaves
+    `accepts_compact_replies` out.
     """
 
     sequence: int
@@ -49,7 +51,8 @@
     directory: DirectoryMark
     is_draining: bool
     suspicions: tuple[PrimarySuspicion, ...]
-    accepts_directory_changes: bool = False
+    accepts_compact_replies: bool = False
+    has_missed_update: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +107,8 @@
     leader, so its state may be that old. `entry_hosts` is the number of hosts that
     share the connections of endpoints. `control_hosts` is empty if the list is left
     out. `leaders` holds the verified primaries of groups that have fewer connections
-    than there are hosts.
+    than there are hosts. A large configuration or directory is compressed in
+    `packed_update`, and its own field is then None.
     """
 
     sequence: int
@@ -114,6 +118,7 @@
     directory: DirectoryUpdate | None
     control_hosts: tuple[ControlHost, ...]
     leaders: tuple[ProvenLeader, ...]
+    packed_update: bytes | None = None
 
 
 ATTACHMENT_MESSAGES = (SyncRequest, SyncReply, Detach)
--- a/src/azurerelay/cli/_local_commands.py
+++ b/src/azurerelay/cli/_local_commands.py
@@ -6,10 +6,10 @@
 import typer
 from result import Err
 
-from azurerelay.cluster import decompress, is_compressed
 from azurerelay.consensus import Journal
 from azurerelay.daemons import new_link_keys
 from azurerelay.membership import ClusterState
+from azurerelay.messages import decompress, is_compressed
 from azurerelay.storage import FolderDisk
 
 EXIT_DAMAGED = 3
--- a/src/azurerelay/cluster/__init__.py
+++ b/src/azurerelay/cluster/__init__.py
@@ -7,7 +7,6 @@
     ClusterNode,
     OrderOutcome,
 )
-from azurerelay.cluster._compression import compress, decompress, is_compressed
 from azurerelay.cluster._messages import CLUSTER_MESSAGES
 from azurerelay.cluster._primary_contact import PrimaryContact
 from azurerelay.cluster._promotion_controller import PromotionController
@@ -35,10 +34,7 @@
     "Suspicions",
     "VoterSetController",
     "candidates",
-    "compress",
-    "decompress",
     "host_address",
-    "is_compressed",
     "most_advanced",
     "next_voters",
     "promotion_reason",
--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -12,11 +12,11 @@
     ControlHost,
     Detach,
     EntryHostTable,
-    PrimarySuspicion,
+    SuspectedPrimaryReport,
     SyncRequest,
+    merge_suspicions,
 )
 from azurerelay.cluster._cluster_config import ClusterConfig
-from azurerelay.cluster._compression import compress, decompress
 from azurerelay.cluster._messages import (
     CLUSTER_MESSAGES,
     AnnouncementRelay,
@@ -48,7 +48,7 @@
 from azurerelay.events import EventLog, RoleChanged
 from azurerelay.groups import Topology
 from azurerelay.membership import COMMAND_CODEC, ClusterState, ReplaceConfiguration
-from azurerelay.messages import Link, Requester, TaggedCodec
+from azurerelay.messages import Link, Requester, TaggedCodec, compress, decompress
 from azurerelay.promotions import PromotionPort
 from azurerelay.routes import Configuration
 from azurerelay.statements import EndpointConnector
@@ -72,6 +72,8 @@
 JOIN_INTERVAL_MS: Final = 300.0
 DIGEST_INTERVAL_MS: Final = 2_000.0
 REPORT_INTERVAL_MS: Final = 400.0
+# Suspicions that entry hosts report within this time share one report to the leader.
+SUSPICION_REPORT_DELAY_MS: Final = 20.0
 REPORT_MAX_AGE_MS: Final = 1_500.0
 # Operators and endpoints wait one second for an answer.
 REQUEST_TIMEOUT_MS: Final = 850.0
@@ -168,6 +170,7 @@
         self._total_entry_hosts = 1
         self._known_voters: frozenset[str] = frozenset()
         self._directory_source: str | None = None
+        self._is_report_due = False
         state_machine.on_applied = self._on_applied
         self._on_applied()
         self._entry_hosts.set_sources(
@@ -529,11 +532,13 @@
 
     def _on_sync_request(self, sender: str, request: SyncRequest) -> None:
         self._entry_hosts.on_request(sender, request)
-        if request.suspicions:
-            self._send_report()
+        if request.suspicions and not self._is_report_due:
+            self._is_report_due = True
+            self._timers.call_later(SUSPICION_REPORT_DELAY_MS, self._send_report)
 
     def _send_report(self) -> None:
         """Send the leader the number of attached entry hosts and their suspicions."""
+        self._is_report_due = False
         leader = self._raft.leader
         if leader is None or leader == self._config.name:
             return
@@ -542,7 +547,7 @@
             AttachmentReport(
                 self._config.failure_domain,
                 self._entry_hosts.count,
-                self._entry_hosts.suspicions,
+                self._entry_hosts.suspected_primaries,
             ),
         )
 
@@ -560,9 +565,9 @@
         others = sum(report.entry_hosts for report in self._recent_reports())
         return self._entry_hosts.count + others
 
-    def _collect_suspicions(self) -> tuple[tuple[str, PrimarySuspicion], ...]:
-        others = (report.suspicions for report in self._recent_reports())
-        return sum(others, self._entry_hosts.suspicions)
+    def _collect_suspicions(self) -> tuple[SuspectedPrimaryReport, ...]:
+        others = (report.suspected_primaries for report in self._recent_reports())
+        return merge_suspicions(sum(others, self._entry_hosts.suspected_primaries))
 
     def _control_hosts(self) -> tuple[ControlHost, ...]:
         addresses = sorted({host_address(name) for name in self._raft.voters})
--- a/src/azurerelay/cluster/_messages.py
+++ b/src/azurerelay/cluster/_messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from azurerelay.attachment import ControlHost, PrimarySuspicion
+from azurerelay.attachment import ControlHost, SuspectedPrimaryReport
 from azurerelay.discovery import Announcement, Departure
 
 
@@ -80,13 +80,13 @@
 class AttachmentReport:
     """The entry hosts attached to a control host, sent to the leader.
 
-    `entry_hosts` is their number, without those that are draining; `suspicions` holds
-    the primaries that they suspect, each with the link address of the entry host.
+    `entry_hosts` is their number, without those that are draining, and
+    `suspected_primaries` the primaries that they suspect.
     """
 
     failure_domain: str
     entry_hosts: int
-    suspicions: tuple[tuple[str, PrimarySuspicion], ...]
+    suspected_primaries: tuple[SuspectedPrimaryReport, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurerelay/cluster/_promotion_controller.py
+++ b/src/azurerelay/cluster/_promotion_controller.py
@@ -1,10 +1,9 @@
 """Failover of the primaries of all groups by the control leader."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Final
 
-from azurerelay.attachment import PrimarySuspicion
-from azurerelay.cluster._compression import compress
+from azurerelay.attachment import SuspectedPrimaryReport
 from azurerelay.cluster._endpoint_status_client import (
     MAINTENANCE_INTERVAL_MS,
     EndpointStatusClient,
@@ -22,6 +21,7 @@
 from azurerelay.discovery import EndpointDirectory
 from azurerelay.events import EventLog, PromotionAnswered, PromotionDecided
 from azurerelay.membership import COMMAND_CODEC, ClusterState, RecordPromotion
+from azurerelay.messages import compress
 from azurerelay.pooling import connected_hosts
 from azurerelay.promotions import PromotionOrder, PromotionPort
 from azurerelay.routes import DatabaseGroup
@@ -42,12 +42,7 @@
 TOKENS_PER_TERM: Final = 1_000_000
 MAX_ATTEMPTS: Final = 10
 
-SuspicionSource = Callable[[], tuple[tuple[str, PrimarySuspicion], ...]]
-
-
-def _summarize(suspicions: Iterable[PrimarySuspicion]) -> Suspicions:
-    silences_ms = [suspicion.silent_ms for suspicion in suspicions]
-    return Suspicions(len(silences_ms), max(silences_ms, default=0.0))
+SuspicionSource = Callable[[], tuple[SuspectedPrimaryReport, ...]]
 
 
 class PromotionController:
@@ -100,10 +95,7 @@
     def set_sources(
         self, suspicions: SuspicionSource, count_entry_hosts: Callable[[], int]
     ) -> None:
-        """Set the callables that return suspicions and the number of entry hosts.
-
-        Each suspicion comes with the address of the entry host that reported it.
-        """
+        """Set the callables that return suspicions and the number of entry hosts."""
         self._suspicions = suspicions
         self._count_entry_hosts = count_entry_hosts
 
@@ -139,17 +131,25 @@
             nobody = Suspicions()
             return GroupHealth(None, 0.0, nobody, nobody, unknown, observing_hosts)
         # Suspicions of an earlier primary say nothing about this one.
-        suspicions = {
-            host: suspicion
-            for host, suspicion in self._suspicions()
-            if suspicion.group == group.name and suspicion.endpoint == primary.endpoint
-        }
+        report = next(
+            (
+                report
+                for report in self._suspicions()
+                if report.group == group.name and report.endpoint == primary.endpoint
+            ),
+            None,
+        )
+        if report is None:
+            suspicions = certain = Suspicions()
+        else:
+            suspicions = Suspicions(report.hosts, report.longest_ms)
+            certain = Suspicions(report.certain_hosts, report.longest_certain_ms)
         return GroupHealth(
             primary,
             self._directory.silence_ms(primary.endpoint, self._timers.now_ms()),
-            _summarize(suspicions.values()),
-            _summarize(s for s in suspicions.values() if s.is_certain),
-            self._contacts.recent(primary) if suspicions else unknown,
+            suspicions,
+            certain,
+            self._contacts.recent(primary) if report is not None else unknown,
             observing_hosts,
         )
 
--- a/src/azurerelay/cluster/_compression.py
+++ b/src/azurerelay/messages/_compression.py
@@ -1,7 +1,8 @@
-"""Compression of log commands and snapshots.
+"""Compression of log commands, snapshots and large messages.
 
-Each change sends the whole configuration to every control host, and to most of them
-across regions. The text of one with hundreds of routes shrinks to an eighth.
+A configuration of hundreds of routes shrinks to an eighth. Each change sends one to
+every control host, mostly across regions, and after a loss of power every entry host
+gets one over a slow link.
 """
 
 import zlib
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -66,6 +66,7 @@
         self._groups: dict[str, GroupConnections] = {}
         self._routes: dict[str, Route] = {}
         self._entry_host_count = 1
+        self._reported_suspects: frozenset[tuple[str, bool]] = frozenset()
         self._is_ramping = True
         self._configured: Promise[None] = Promise()
         self._control_follower = ControlFollower(
@@ -272,14 +273,14 @@
         )
 
     def _check_groups(self) -> None:
-        """Close idle connections, and report primaries that do not answer."""
-        has_suspect = False
+        """Close idle connections, and report changes of the suspected primaries."""
         for group in self._groups.values():
             group.close_idle_connections()
             if group.suspected_primary() is not None:
                 group.prove_primary()
-                has_suspect = True
-        if has_suspect and self._suspicions():
+        suspects = frozenset((s.endpoint, s.is_certain) for s in self._suspicions())
+        if suspects != self._reported_suspects:
+            self._reported_suspects = suspects
             self._control_follower.sync_now()
 
     def _record_directory_change(self, update: DirectoryUpdate) -> None:
--- a/src/azurerelay/runtime/_zmq_link.py
+++ b/src/azurerelay/runtime/_zmq_link.py
@@ -13,6 +13,9 @@
 from azurerelay.runtime._key_set import KeySet
 
 HIGH_WATER_MARK_MESSAGES: Final = 2_000
+# All hosts of a fleet may connect at once, after a loss of power; the kernel resends a
+# packet that a full backlog has dropped only after a second.
+LISTEN_BACKLOG: Final = 1_024
 MAX_FRAME_BYTES: Final = 64 * 1024 * 1024
 RECONNECT_INTERVAL_MS: Final = 50
 RECONNECT_MAX_INTERVAL_MS: Final = 500
@@ -151,6 +154,7 @@
         """Bind the receiving socket and start to receive."""
         receiver = self._context.socket(zmq.PULL)
         receiver.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK_MESSAGES)
+        receiver.setsockopt(zmq.BACKLOG, LISTEN_BACKLOG)
         receiver.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
         receiver.setsockopt(zmq.HEARTBEAT_IVL, PING_INTERVAL_MS)
         receiver.setsockopt(zmq.HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS)
