Hand-overs: no order after a successor, no departed endpoint after a restart

A majority now confirms the leadership before each attempt. - An unexpected error in a failover left the group marked as being in failover for good. The mark is now removed in any case. - An endpoint that deregistered was listed again when all control hosts lost power within a second: the saved directory had no departures, and a new leader asked nobody. Departures and drains are saved before they are acknowledged (200 ms at most), and hosts tell a new leader those they know. - An operator whose change got no confirmation was told `not_run`; it is `unknown`, and sending it again with the same id is safe. - COMMIT after an idle abort left the next failed transaction the text of the first. COMMIT also reports its attempts now. Ruled out: waiting for a majority before a departure is acknowledged (the endpoint waits a second at most, and leaves anyway).

--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -276,8 +276,7 @@
             case DepartureRelay():
                 self._merge_departure(message.departure)
             case DirectoryRequest():
-                if self._raft.is_leader:
-                    self._link.send(sender, self._digest())
+                self._on_directory_request(sender, message)
             case DirectoryDigest():
                 self._on_digest(sender, message)
             case AttachmentReport():
@@ -450,13 +449,17 @@
             self._send_digest()
         self._link.send(sender, LeaveReply(request.request_id, is_noted))
 
-    def restore_directory(self, announcements: Iterable[Announcement]) -> None:
+    def restore_directory(
+        self, announcements: Iterable[Announcement], departures: Iterable[Departure]
+    ) -> None:
         """Load the directory that was saved before a restart.
 
         All control hosts may restart at the same time, and an endpoint announces itself
         only with its next heartbeat. Endpoints that have gone meanwhile expire as
         usual.
         """
+        for departure in departures:
+            self._merge_departure(departure)
         for announcement in announcements:
             self._merge_announcement(announcement)
 
@@ -505,14 +508,26 @@
         """Ask a new leader for its directory, without waiting for its next digest.
 
         A host that has lost its disk knows no endpoint, and neither do the entry hosts
-        that attach to it.
+        that attach to it. The leader, in turn, may have restarted without the newest
+        departures, which were saved where they were reported.
         """
         leader = self._raft.leader
         if leader == self._directory_source:
             return
         self._directory_source = leader
         if leader is not None and leader != self._config.name:
-            self._link.send(leader, DirectoryRequest())
+            self._link.send(leader, DirectoryRequest(self._directory.departures))
+
+    def _on_directory_request(self, sender: str, request: DirectoryRequest) -> None:
+        if not self._raft.is_leader:
+            return
+        revision = self._directory.revision
+        for departure in request.departures:
+            self._merge_departure(departure)
+        if self._directory.revision != revision:
+            self._send_digest()
+        else:
+            self._link.send(sender, self._digest())
 
     def _on_digest(self, sender: str, digest: DirectoryDigest) -> None:
         if sender != self._raft.leader:
--- a/src/azurerelay/cluster/_messages.py
+++ b/src/azurerelay/cluster/_messages.py
@@ -38,7 +38,12 @@
 
 @dataclass(frozen=True, slots=True)
 class DirectoryRequest:
-    """Asks the leader for a `DirectoryDigest`; sent when a host learns of a leader."""
+    """Asks the leader for a `DirectoryDigest`; sent when a host learns of a leader.
+
+    `departures` are those that the sender knows.
+    """
+
+    departures: tuple[Departure, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurerelay/cluster/_promotion_controller.py
+++ b/src/azurerelay/cluster/_promotion_controller.py
@@ -154,14 +154,17 @@
         )
 
     async def _replace_primary(self, group: str, reason: str) -> None:
-        failed = tuple(p.endpoint for p in self._directory.primaries(group))
-        chosen = await self._choose_endpoint(group, failed)
-        if chosen is not None and await self._raft.confirm_leadership():
-            endpoint, reported = chosen
-            await self._send_order(group, endpoint, reason, reported)
-        else:
-            await sleep(self._timers, RETRY_DELAY_MS)
-        self._groups_in_failover.discard(group)
+        try:
+            failed = tuple(p.endpoint for p in self._directory.primaries(group))
+            chosen = await self._choose_endpoint(group, failed)
+            if chosen is not None:
+                endpoint, reported = chosen
+                await self._send_order(group, endpoint, reason, reported)
+            else:
+                await sleep(self._timers, RETRY_DELAY_MS)
+        finally:
+            # The next check decides again, also after an unexpected error.
+            self._groups_in_failover.discard(group)
 
     async def _choose_endpoint(
         self, group: str, failed: tuple[str, ...]
@@ -202,9 +205,13 @@
         """Send the order until the platform answers, then wait for the switch.
 
         Each attempt uses a new fencing token. Gives up after `MAX_ATTEMPTS`, if this
-        host stops leading, or if the platform reports a conflict.
+        host no longer leads, or if the platform reports a conflict. A majority confirms
+        the leadership before each attempt: a leader that was cut off meanwhile may
+        have a successor that has sent orders of its own.
         """
         for attempt in range(MAX_ATTEMPTS):
+            if not await self._raft.confirm_leadership():
+                return
             if not self._raft.is_ready_leader:
                 return
             token = self._next_token()
--- a/src/azurerelay/daemons/_operator_api.py
+++ b/src/azurerelay/daemons/_operator_api.py
@@ -2,7 +2,7 @@
 
 import hashlib
 import hmac
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from http import HTTPStatus
 from typing import Annotated, ClassVar, Final
 
@@ -15,6 +15,7 @@
 from azurerelay.daemons._problem import problem_response, request_problem
 from azurerelay.daemons._process_settings import TokenSettings, validation_findings
 from azurerelay.membership import ChangeOutcome, ChangeSettings, ChangeStatus
+from azurerelay.requests import Outcome
 from azurerelay.runtime import as_future
 from azurerelay.settings import Assignment, Finding, check_path
 from azurerelay.timing import TimerService
@@ -220,7 +221,14 @@
 
 def _unknown_outcome_response() -> web.Response:
     title = "the change may or may not be accepted: send it again with the same id"
-    return problem_response(request_problem(HTTPStatus.GATEWAY_TIMEOUT, title))
+    return problem_response(
+        replace(
+            request_problem(HTTPStatus.GATEWAY_TIMEOUT, title),
+            type="urn:azurerelay:error:unconfirmed",
+            outcome=Outcome.UNKNOWN.value,
+            is_retry_safe=True,  # a change id that is known gets the same answer
+        )
+    )
 
 
 def _change_response(outcome: ChangeOutcome) -> web.Response:
--- a/src/azurerelay/hosts/_control_host.py
+++ b/src/azurerelay/hosts/_control_host.py
@@ -112,7 +112,8 @@
         """Bind all sockets and start the cluster node with the cached directory."""
         self._link.set_handler(self._on_message)
         await self._link.start()
-        self._node.restore_directory(self._cache.load())
+        saved = self._cache.load()
+        self._node.restore_directory(saved.announcements, saved.departures)
         self._node.start()
         self._cache.start()
         await self._service.start()
@@ -204,11 +205,15 @@
         if isinstance(decoded, Err):
             self._events.record(AnnouncementRefused(endpoint[:64], decoded.err_value))
             return HttpServerResponse(400)
-        is_confirmed = await as_future(self._node.receive_heartbeat(decoded.ok_value))
+        announcement = decoded.ok_value
+        is_confirmed = await as_future(self._node.receive_heartbeat(announcement))
+        if announcement.is_draining:
+            await self._cache.save_soon()
         return HttpServerResponse(200, b"{}") if is_confirmed else _UNAVAILABLE
 
     async def _handle_deregistration(self, request: HttpRequest) -> HttpServerResponse:
         endpoint = request.path[len(DEREGISTER_PATH_PREFIX) :]
         incarnation = decode_departure(request.body)
         is_confirmed = await as_future(self._node.deregister(endpoint, incarnation))
+        await self._cache.save_soon()
         return HttpServerResponse(200, b"{}") if is_confirmed else _UNAVAILABLE
--- a/src/azurerelay/hosts/_directory_cache.py
+++ b/src/azurerelay/hosts/_directory_cache.py
@@ -1,17 +1,32 @@
 """Cache file of the endpoint directory, read at the next start."""
 
 import asyncio
+from dataclasses import dataclass
 from typing import Final
 
 import msgspec
 from absl import logging
 
-from azurerelay.discovery import Announcement, EndpointDirectory
+from azurerelay.discovery import Announcement, Departure, EndpointDirectory
 from azurerelay.storage import Disk, DiskError
 
 CACHE_FILE: Final = "directory.cache"
 SAVE_INTERVAL_S: Final = 1.0
-_DECODER: Final = msgspec.msgpack.Decoder(tuple[Announcement, ...])
+# An endpoint that leaves waits a second for its answer; a disk that hangs must not cost
+# it that answer.
+SAVE_TIMEOUT_S: Final = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class SavedDirectory:
+    """The endpoints of a directory, and those that departed recently."""
+
+    announcements: tuple[Announcement, ...] = ()
+    departures: tuple[Departure, ...] = ()
+
+
+# Earlier builds saved the announcements alone.
+_DECODER: Final = msgspec.msgpack.Decoder(SavedDirectory | tuple[Announcement, ...])
 
 
 class DirectoryCache:
@@ -25,37 +40,55 @@
         self._disk = disk
         self._directory = directory
         self._task: asyncio.Task[None] | None = None
+        self._saved_revision = -1
+        self._lock = asyncio.Lock()
 
-    def load(self) -> tuple[Announcement, ...]:
-        """Return the saved announcements; none if the file is missing or corrupt."""
+    def load(self) -> SavedDirectory:
+        """Return the saved directory; empty if the file is missing or corrupt."""
         data = self._disk.read(CACHE_FILE)
         if not data:
-            return ()
+            return SavedDirectory()
         try:
-            return _DECODER.decode(data)
+            saved = _DECODER.decode(data)
         except msgspec.MsgspecError as error:
             logging.warning("ignoring corrupt file %s: %s", CACHE_FILE, error)
-            return ()
+            return SavedDirectory()
+        return saved if isinstance(saved, SavedDirectory) else SavedDirectory(saved)
 
     def start(self) -> None:
         """Start saving changes in the background."""
-        self._task = asyncio.get_running_loop().create_task(self._save_changes())
+        self._task = asyncio.get_running_loop().create_task(self._save_periodically())
 
     def stop(self) -> None:
         """Stop saving changes."""
         if self._task is not None:
             self._task.cancel()
 
-    async def _save_changes(self) -> None:
-        saved_revision = -1
+    async def save_soon(self) -> None:
+        """Save a change now; return once it is durable or `SAVE_TIMEOUT_S` is over.
+
+        Called before an endpoint is told that its departure is known: all control hosts
+        may lose power right after that, and must not list the endpoint again.
+        """
+        save = asyncio.ensure_future(self._save())
+        await asyncio.wait((save,), timeout=SAVE_TIMEOUT_S)
+
+    async def _save_periodically(self) -> None:
         while True:
             await asyncio.sleep(SAVE_INTERVAL_S)
+            await self._save()
+
+    async def _save(self) -> None:
+        async with self._lock:
             revision = self._directory.revision
-            if revision == saved_revision:
-                continue
-            data = msgspec.msgpack.encode(self._directory.announcements)
+            if revision == self._saved_revision:
+                return
+            saved = SavedDirectory(
+                self._directory.announcements, self._directory.departures
+            )
+            data = msgspec.msgpack.encode(saved)
             try:
                 await asyncio.to_thread(self._disk.replace, CACHE_FILE, data)
-                saved_revision = revision
+                self._saved_revision = revision
             except DiskError as error:
                 logging.warning("could not save the endpoint directory: %s", error)
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -230,6 +230,7 @@
         transaction = self._transaction
         if transaction is None:
             was_failed, self._is_transaction_failed = self._is_transaction_failed, False
+            self._has_unreported_idle_abort = False
             text = "it was rolled back" if was_failed else "no transaction is open"
             error = CallerError.ABORTED if was_failed else CallerError.MALFORMED
             return CallerReply(self.state, error=error, error_text=text)
@@ -237,6 +238,7 @@
         progress.endpoint = transaction.session.endpoint
         while True:
             sent_ms = self._timers.now_ms()
+            progress.attempt_count += 1
             outcome = await with_timeout(
                 self._timers,
                 transaction.session.send(
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -9,10 +9,11 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 from typer.testing import CliRunner
 
 from azurerelay.cli._app import app
-from azurerelay.discovery import EndpointDirectory
+from azurerelay.discovery import Departure, EndpointDirectory
 from azurerelay.events import (
     SessionRefused,
     StatementRefused,
@@ -20,7 +21,7 @@
     parse_log_line,
 )
 from azurerelay.hosts._caller_server import CallerServer
-from azurerelay.hosts._directory_cache import DirectoryCache
+from azurerelay.hosts._directory_cache import DirectoryCache, SavedDirectory
 from azurerelay.hosts._disk_identity import ensure_disk_identity
 from azurerelay.hosts._endpoint_client import TcpEndpointConnector
 from azurerelay.hosts._http_service import HttpRequest, HttpServerResponse, HttpService
@@ -233,6 +234,7 @@
     ) -> None:
         disk, directory = MemoryDisk(), EndpointDirectory()
         directory.merge(announcement(), 0.0)
+        directory.merge_departure(Departure("e2", 7), 0.0)
 
         async def save() -> None:
             cache = DirectoryCache(disk, directory)
@@ -245,9 +247,27 @@
 
         asyncio.run(save())
         cache = DirectoryCache(disk, EndpointDirectory())
-        self.assertEqual(cache.load(), (announcement(),))
+        saved = SavedDirectory((announcement(),), (Departure("e2", 7),))
+        self.assertEqual(cache.load(), saved)
         disk.replace("directory.cache", b"\xc1broken")
-        self.assertEqual(cache.load(), ())
+        self.assertEqual(cache.load(), SavedDirectory())
+        # An earlier build saved the announcements alone.
+        earlier = msgspec.msgpack.encode((announcement(),))
+        disk.replace("directory.cache", earlier)
+        self.assertEqual(cache.load(), SavedDirectory((announcement(),)))
+
+    def test_a_departure_is_saved_before_it_is_acknowledged(self) -> None:
+        disk, directory = MemoryDisk(), EndpointDirectory()
+        directory.merge(announcement(), 0.0)
+
+        async def depart() -> None:
+            cache = DirectoryCache(disk, directory)
+            directory.merge_departure(Departure("e1", 1), 0.0)
+            await cache.save_soon()
+
+        asyncio.run(depart())
+        saved = DirectoryCache(disk, EndpointDirectory()).load()
+        self.assertEqual(saved, SavedDirectory((), (Departure("e1", 1),)))
 
 
 class SocketsTest(unittest.TestCase):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -119,6 +119,18 @@
         self.assertIs(session.state, SessionState.IDLE)
         self.assertEqual(self.rig.committed, [])
 
+    def test_an_idle_abort_is_reported_only_to_its_own_transaction(self) -> None:
+        session = self.rig.open("strict")
+        self.rig.run(session, "BEGIN")
+        self.rig.timers.advance(3_500.0)
+        self.assertIs(self.rig.run(session, "COMMIT").error, CallerError.ABORTED)
+        self.rig.run(session, "BEGIN")
+        self.rig.primary().crash(silent=False)
+        self.assertIs(self.rig.run(session, "READ a").error, CallerError.ABORTED)
+        # This transaction has failed as well, but was not idle.
+        reply = self.rig.run(session, "READ a")
+        self.assertIs(reply.error, CallerError.MALFORMED)
+
     def test_a_lost_connection_aborts_and_a_lost_commit_is_in_doubt(self) -> None:
         session = self.rig.open("strict")
         self.rig.run(session, "BEGIN")
