Requests for a connection that timed out no longer count as pending

Cause: the placement of reads adds an endpoint's pending statements to its cost, and counted requests that had timed out in the queue until a connection was released. Change: only requests that still wait count.

--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -112,7 +112,8 @@
     @property
     def pending_statements(self) -> int:
         """The number of connections in use and of requests waiting for one."""
-        return len(self._checked_out) + len(self._waiters)
+        waiting = sum(not waiter.promise.is_done for waiter in self._waiters)
+        return len(self._checked_out) + waiting
 
     @property
     def open_connection_count(self) -> int:
--- a/tests/test_pooling.py
+++ b/tests/test_pooling.py
@@ -91,6 +91,16 @@
         self.timers.advance(600.0)
         self.assertTrue(promises[2].value.is_err())
 
+    def test_requests_that_timed_out_are_not_pending(self) -> None:
+        """Reads avoid endpoints with pending statements."""
+        pool = self._pool(1, [])
+        pool.acquire(1, SessionProfile(), 500.0)
+        for _ in range(5):
+            pool.acquire(1, SessionProfile(), 100.0)
+        self.assertEqual(pool.pending_statements, 6)
+        self.timers.advance(200.0)
+        self.assertEqual(pool.pending_statements, 1)
+
     def test_an_endpoint_at_its_connection_limit_does_not_count_as_lost(
         self,
     ) -> None:
