Hosts keep a connection to a replica that only their region reads from

But a replica is read by the hosts of its own region only. Ruled out: counting the hosts of each region (control would have to send the counts; the part of the failure domains with a margin of a quarter is near enough); the same for primaries, which all hosts write to. Change: a replica's connections are divided among the expected hosts of its region; where they suffice, each keeps one. The limit of a host does not shrink. A promoted endpoint falls under the rule for primaries with the next announcement.

--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -141,19 +141,19 @@
     def update(
         self,
         endpoints: Iterable[Announcement],
-        share_of: Callable[[str], ConnectionShare],
+        share_of: Callable[[Announcement], ConnectionShare],
     ) -> None:
         """Apply the newest announcements and this host's connection shares.
 
-        `share_of` returns the share for the name of an endpoint. Endpoints that are
-        no longer listed are removed after `UNLISTED_RETENTION_MS`.
+        `share_of` returns the share of an endpoint. Endpoints that are no longer listed
+        are removed after `UNLISTED_RETENTION_MS`.
         """
         now_ms = self._timers.now_ms()
         listed = {endpoint.endpoint: endpoint for endpoint in endpoints}
-        for endpoint in listed.values():
-            share = share_of(endpoint.endpoint)
-            self._are_connections_scarce = share.is_scarce
-            self._update_member(endpoint, share, now_ms)
+        shares = {name: share_of(endpoint) for name, endpoint in listed.items()}
+        self._are_connections_scarce = any(s.is_scarce for s in shares.values())
+        for name, endpoint in listed.items():
+            self._update_member(endpoint, shares[name], now_ms)
         for name, member in list(self._members.items()):
             if name in listed:
                 member.unlisted_since_ms = None
--- a/src/azurerelay/groups/_topology.py
+++ b/src/azurerelay/groups/_topology.py
@@ -26,13 +26,22 @@
         if failure_domain == self.failure_domain:
             return SAME_DOMAIN_MS
         return (
-            SAME_REGION_MS if self._is_same_region(failure_domain) else OTHER_REGION_MS
+            SAME_REGION_MS if self.is_same_region(failure_domain) else OTHER_REGION_MS
         )
 
     def cross_region_penalty_ms(self, failure_domain: str) -> float:
         """Return the time that a read must save to be sent to a failure domain."""
-        return 0.0 if self._is_same_region(failure_domain) else OTHER_REGION_PENALTY_MS
-
-    def _is_same_region(self, failure_domain: str) -> bool:
+        return 0.0 if self.is_same_region(failure_domain) else OTHER_REGION_PENALTY_MS
+
+    @property
+    def region_fraction(self) -> float:
+        """The fraction of the known failure domains that are in this host's region."""
+        if not self.regions:
+            return 1.0
+        local = sum(self.is_same_region(domain) for domain in self.regions)
+        return max(1, local) / len(self.regions)
+
+    def is_same_region(self, failure_domain: str) -> bool:
+        """Return whether a failure domain is in the region of this host."""
         region = self.regions.get(failure_domain)
         return region is not None and region == self.regions.get(self.failure_domain)
--- a/src/azurerelay/pooling/__init__.py
+++ b/src/azurerelay/pooling/__init__.py
@@ -5,6 +5,7 @@
     connected_hosts,
     connection_share,
     idle_timeout_ms,
+    regional_connection_share,
 )
 from azurerelay.pooling._endpoint_pool import EndpointPool
 from azurerelay.pooling._lag_estimate import LagEstimate
@@ -33,6 +34,7 @@
     "choose_endpoint",
     "connected_hosts",
     "connection_share",
+    "regional_connection_share",
     "idle_timeout_ms",
     "read_cost_ms",
 ]
--- a/src/azurerelay/pooling/_connection_share.py
+++ b/src/azurerelay/pooling/_connection_share.py
@@ -16,6 +16,8 @@
 # host holds idle on average. The rest is for connections in use and for hosts that
 # reconnect after a failure.
 HELD_FRACTION: Final = 0.7
+# How much larger than its part of the fleet a region is expected to be at most.
+REGION_SIZE_MARGIN: Final = 1.25
 MIN_IDLE_TIMEOUT_MS: Final = 100.0  # a few times the cost of opening a connection
 MAX_IDLE_TIMEOUT_MS: Final = 60_000.0
 _HASH_SPACE: Final = 2**32
@@ -59,6 +61,22 @@
     )
 
 
+def regional_connection_share(
+    share: ConnectionShare, region_fraction: float
+) -> ConnectionShare:
+    """Return a host's share of a replica that only hosts of its region read from.
+
+    `share` is the host's share if all hosts used the endpoint, and `region_fraction`
+    the expected part of the fleet in the region. Where connections are scarce for all
+    hosts, they may suffice for those of the region, which then need not take turns. The
+    limit does not shrink.
+    """
+    if not share.is_scarce:
+        return share
+    regional = share.fair_share / min(1.0, region_fraction * REGION_SIZE_MARGIN)
+    return ConnectionShare(max(share.limit, int(regional)), regional)
+
+
 def idle_timeout_ms(share: ConnectionShare, use_gap_ms: float) -> float:
     """Return how long a host keeps its last connection open while it is idle.
 
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -12,11 +12,15 @@
     PrimarySuspicion,
     SyncReply,
 )
-from azurerelay.discovery import EndpointDirectory
+from azurerelay.discovery import Announcement, EndpointDirectory
 from azurerelay.events import DirectoryChanged, EventLog, SessionRefused
 from azurerelay.groups import GroupConnections, Topology
 from azurerelay.messages import Link
-from azurerelay.pooling import ConnectionShare, connection_share
+from azurerelay.pooling import (
+    ConnectionShare,
+    connection_share,
+    regional_connection_share,
+)
 from azurerelay.relay._caller_session import CallerSession
 from azurerelay.routes import Configuration, Route
 from azurerelay.statements import CallerError, EndpointConnector
@@ -246,13 +250,16 @@
                 partial(self._endpoint_share, group.connection_limit),
             )
 
-    def _endpoint_share(self, limit: int, endpoint: str) -> ConnectionShare:
+    def _endpoint_share(self, limit: int, endpoint: Announcement) -> ConnectionShare:
         """Return this host's share of an endpoint's connections.
 
         The share is limited to one connection during the start ramp.
         """
         hosts = self._control_follower.entry_hosts
-        share = connection_share(limit, hosts, self._name, endpoint)
+        share = connection_share(limit, hosts, self._name, endpoint.endpoint)
+        is_local = self._topology.is_same_region(endpoint.failure_domain)
+        if is_local and not endpoint.is_primary:
+            share = regional_connection_share(share, self._topology.region_fraction)
         return replace(share, limit=1) if self._is_ramping else share
 
     def _prove_primaries(self) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -468,6 +468,32 @@
         refused = sum(s.refused_connections for s in self.rig.servers.values())
         self.assertLess(refused, 0.05 * len(served))
 
+    def test_hosts_keep_a_connection_to_a_replica_of_their_region(self) -> None:
+        """Reads that open a connection each would take a slot of the endpoint twice.
+
+        Only hosts of its region read from a replica, so there are enough for them.
+        """
+        self._read_everywhere(2)
+        opened_before = self.rig.opened_connections
+        reads = 0
+        for _ in range(10):
+            self.rig.timers.advance(3_000.0)
+            reads += self._read_everywhere(1)
+        opened = self.rig.opened_connections - opened_before
+        # Hosts of the primary's domain, a third, still take turns.
+        self.assertLess(opened, 0.4 * reads)
+        for server in self.rig.servers.values():
+            self.assertEqual(server.refused_connections, 0)
+
+    def _read_everywhere(self, rounds: int) -> int:
+        for _ in range(rounds):
+            for number in range(1, self.HOSTS + 1):
+                session = self.rig.open("bounded", number)
+                self.rig.send(session, "READ a", 1_500.0)
+                self.rig.timers.advance(10.0)
+        self.rig.timers.advance(500.0)
+        return rounds * self.HOSTS
+
     def test_statements_succeed_again_after_a_failover(self) -> None:
         """All hosts look for the new primary after a failover.
 
