A draining host answers callers that are in the middle of an operation

Cause: 2.3 s after SIGTERM an entry host closed each connection without a statement under way, also those whose caller had just got the reply to START, SET or PREPARE and was about to send its statement, which was then cut off. A caller of a write that is cut off cannot send it again. Ruled out: a half-closed connection (the statement could not be answered any more); closing only after replies (idle sessions would be cut by the end of the process). Change: a draining host closes a connection after the reply that ends an operation, or once it has been quiet for 250 ms. Before: tests.test_hosts, the connection is closed and the WRITE gets no answer. After: it is answered; both connections are closed then.

--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -25,15 +25,23 @@
 from azurerelay.statements import (
     CallerError,
     CallerReply,
+    Deallocate,
+    Prepare,
     SessionState,
+    SetValue,
     Statement,
 )
-from azurerelay.timing import spawn
+from azurerelay.timing import TimerService, spawn
 
 LISTEN_BACKLOG: Final = 512
 # A caller with more queued messages than this sends without reading its replies; its
 # connection is closed.
 MAX_PIPELINED_MESSAGES: Final = 64
+# A draining host closes an idle connection once it has been quiet for this long, which
+# is several round trips. A caller that has just got a reply may be about to send its
+# next statement, and a statement that crosses the close is lost.
+QUIET_BEFORE_CLOSE_MS: Final = 250.0
+MIN_QUIET_CHECK_MS: Final = 20.0  # between two looks at a connection that is in use
 
 
 class CallerProtocol(asyncio.Protocol):
@@ -42,10 +50,13 @@
     def __init__(
         self,
         node: RelayNode,
+        timers: TimerService,
         on_closed: Callable[["CallerProtocol"], object],
         closes_when_idle: bool,
     ) -> None:
         self._node = node
+        self._timers = timers
+        self._last_message_ms = timers.now_ms()
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._splitter = LineSplitter()
@@ -63,10 +74,21 @@
         return not (self._is_busy or self._queued_messages or is_in_transaction)
 
     def close_when_idle(self) -> None:
-        """Close the connection now, or after the reply that leaves it idle."""
+        """Close the connection once it is idle and quiet, or an operation ends."""
         self._closes_when_idle = True
-        if self.is_idle:
+        self._close_if_quiet()
+
+    def _close_if_quiet(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        quiet_ms = self._timers.now_ms() - self._last_message_ms
+        if self.is_idle and quiet_ms >= QUIET_BEFORE_CLOSE_MS:
             self.close()
+            return
+        remaining_ms = QUIET_BEFORE_CLOSE_MS - quiet_ms if self.is_idle else 0.0
+        self._timers.call_later(
+            max(MIN_QUIET_CHECK_MS, remaining_ms), self._close_if_quiet
+        )
 
     def close(self) -> None:
         """Close the connection after the buffered data has been sent."""
@@ -78,9 +100,12 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         set_socket_options(transport.get_extra_info("socket"))
+        if self._closes_when_idle:
+            self._close_if_quiet()
 
     def data_received(self, data: bytes) -> None:
         """Queue complete messages; close the connection on invalid input."""
+        self._last_message_ms = self._timers.now_ms()
         lines = self._splitter.feed(data)
         if isinstance(lines, Err):
             self._write(LINE_TOO_LONG_ERROR)
@@ -159,7 +184,7 @@
         reply = await session.handle(statement)
         self._is_busy = False
         self._write(encode_caller_reply(reply))
-        if self._closes_when_idle and self.is_idle:
+        if self._closes_when_idle and self.is_idle and _ends_operation(statement):
             self.close()
             return
         self._process_queue()
@@ -173,16 +198,26 @@
         self._write(encode_caller_reply(reply))
 
     def _write(self, text: str) -> None:
+        self._last_message_ms = self._timers.now_ms()
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(text.encode())
 
 
+def _ends_operation(statement: Statement) -> bool:
+    """Return whether a caller outside a transaction has what it came for.
+
+    Callers set session values and prepare statements to use them right after.
+    """
+    return not isinstance(statement, (SetValue, Prepare, Deallocate))
+
+
 class CallerServer:
     """Accept caller connections on one address."""
 
-    def __init__(self, address: str, node: RelayNode) -> None:
+    def __init__(self, address: str, node: RelayNode, timers: TimerService) -> None:
         self._address = address
         self._node = node
+        self._timers = timers
         self._callers: set[CallerProtocol] = set()
         self._server: asyncio.Server | None = None
         self._closes_when_idle = False
@@ -213,9 +248,9 @@
         """Do nothing; the host calls `close_idle_sessions` later in its drain."""
 
     def close_idle_sessions(self) -> None:
-        """Close idle connections now and all others when a reply leaves them idle.
+        """Close quiet connections now, and all others once they become idle.
 
-        New connections are accepted, and closed after a reply in the same way.
+        New connections are accepted, and closed in the same way.
         """
         self._closes_when_idle = True
         for caller in list(self._callers):
@@ -234,7 +269,7 @@
 
     def _create_protocol(self) -> CallerProtocol:
         caller = CallerProtocol(
-            self._node, self._callers.discard, self._closes_when_idle
+            self._node, self._timers, self._callers.discard, self._closes_when_idle
         )
         self._callers.add(caller)
         return caller
--- a/src/azurerelay/hosts/_entry_host.py
+++ b/src/azurerelay/hosts/_entry_host.py
@@ -61,7 +61,7 @@
             events,
             meters,
         )
-        self._callers = CallerServer(settings.caller_address, self._node)
+        self._callers = CallerServer(settings.caller_address, self._node, self._timers)
         self._readiness = HttpService(
             "readiness", settings.readiness_address, self._handle_readiness
         )
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -282,7 +282,7 @@
         rig = PlatformRig()
         rig.start()
         node = rig.entries["10.1.0.1:7440"]
-        server = CallerServer(f"{LOCAL}:0", node)
+        server = CallerServer(f"{LOCAL}:0", node, rig.timers)
         await server.start()
         assert server._server is not None
         port = server._server.sockets[0].getsockname()[1]
@@ -314,6 +314,48 @@
         writer.close()
         await server.stop()
 
+    def test_a_caller_in_the_middle_of_an_operation_is_answered_in_a_drain(
+        self,
+    ) -> None:
+        """A caller sends its statement right after the reply to its SET.
+
+        A connection closed in between cuts the statement off, and the caller of a write
+        cannot know whether it has run.
+        """
+        asyncio.run(self._drain_callers())
+
+    async def _drain_callers(self) -> None:
+        rig = PlatformRig()
+        rig.start()
+        node = rig.entries["10.1.0.1:7440"]
+        server = CallerServer(f"{LOCAL}:0", node, rig.timers)
+        await server.start()
+        assert server._server is not None
+        port = server._server.sockets[0].getsockname()[1]
+        readers = []
+        for _ in range(2):
+            reader, writer = await asyncio.open_connection(LOCAL, port)
+            writer.write(b"START strict u1\r\nQUERY q1 SET a b\r\n")
+            for expected in (b"READY I -\r\n", b"COMPLETE -\r\n", b"READY I -\r\n"):
+                self.assertEqual(await reader.readline(), expected)
+            readers.append((reader, writer))
+        server.close_idle_sessions()
+        reader, writer = readers[0]
+        writer.write(b"QUERY q2 WRITE a x\r\n")
+        while all(caller.is_idle for caller in server._callers):
+            self.assertEqual(server.connection_count, 2)
+            await asyncio.sleep(0.001)
+        rig.timers.advance(1_000.0)
+        self.assertEqual(await reader.readline(), b"DATAROW row of q2\r\n")
+        self.assertEqual(await reader.readline(), b"COMPLETE signed q2\r\n")
+        self.assertTrue((await reader.readline()).startswith(b"READY I 3."))
+        # Both connections are closed: one after its reply, the other one as it is quiet.
+        for other, _ in readers:
+            self.assertEqual(await other.read(), b"")
+        for _, other_writer in readers:
+            other_writer.close()
+        await server.stop()
+
     def test_an_endpoint_connection_is_closed_on_an_invalid_reply(self) -> None:
         asyncio.run(self._receive_invalid_reply())
 
