Link connections that are no longer used are closed

Cause: an entry host that has tried three control hosts keeps its connections to them, and they theirs to it; each sends pings every 0.7 s for ever, most of them between regions. Ruled out: longer ping intervals (a silent link must be noticed). Before: no way to close one (tests.test_links). After: closed and opened again.

--- a/src/azurerelay/hosts/_control_host.py
+++ b/src/azurerelay/hosts/_control_host.py
@@ -21,6 +21,7 @@
 from azurerelay.hosts._disk_identity import INITIAL_IDENTITY, ensure_disk_identity
 from azurerelay.hosts._endpoint_client import TcpEndpointConnector
 from azurerelay.hosts._http_service import HttpRequest, HttpServerResponse, HttpService
+from azurerelay.hosts._link_sweep import LINK_SWEEP_INTERVAL_MS
 from azurerelay.hosts._metrics_service import MetricsService
 from azurerelay.hosts._promotion_client import HttpPromotionClient
 from azurerelay.platform import (
@@ -112,6 +113,9 @@
         """Bind all sockets and start the cluster node with the cached directory."""
         self._link.set_handler(self._on_message)
         await self._link.start()
+        self._timers.call_every(
+            LINK_SWEEP_INTERVAL_MS, self._link.close_unused_connections
+        )
         saved = self._cache.load()
         self._node.restore_directory(saved.announcements, saved.departures)
         self._node.start()
--- a/src/azurerelay/hosts/_entry_host.py
+++ b/src/azurerelay/hosts/_entry_host.py
@@ -10,6 +10,7 @@
 from azurerelay.hosts._caller_server import CallerServer
 from azurerelay.hosts._endpoint_client import TcpEndpointConnector
 from azurerelay.hosts._http_service import HttpRequest, HttpServerResponse, HttpService
+from azurerelay.hosts._link_sweep import LINK_SWEEP_INTERVAL_MS
 from azurerelay.hosts._metrics_service import MetricsService
 from azurerelay.messages import TaggedCodec
 from azurerelay.platform import READINESS_PATH, HostSettings
@@ -77,6 +78,9 @@
         """Bind all sockets and start following the control hosts."""
         self._link.set_handler(self._on_message)
         await self._link.start()
+        self._timers.call_every(
+            LINK_SWEEP_INTERVAL_MS, self._link.close_unused_connections
+        )
         self._node.start()
         await self._callers.start()
         await self._readiness.start()
--- a/src/azurerelay/runtime/_zmq_link.py
+++ b/src/azurerelay/runtime/_zmq_link.py
@@ -65,6 +65,7 @@
         self._peer_addresses: dict[str, str] = {}
         self._sockets: dict[str, zmq.Socket[bytes]] = {}
         self._receiver: zmq.Socket[bytes] | None = None
+        self._used_peers: set[str] = set()
         self._handler: Callable[[str, Any], None] | None = None
         self._sent_bytes = 0
         self._received_bytes = 0
@@ -81,6 +82,11 @@
         """The address that the receiving socket is bound to."""
         return self._address
 
+    @property
+    def connection_count(self) -> int:
+        """The number of connections to peers that are open or being opened."""
+        return len(self._sockets)
+
     @property
     def sent_bytes(self) -> int:
         """Payload bytes queued for sending so far."""
@@ -124,6 +130,15 @@
         if socket is not None:
             socket.close(linger=0)
 
+    def close_unused_connections(self) -> None:
+        """Close the connections over which nothing was sent since the last call.
+
+        Call this at regular intervals. Both ends of an open connection send pings.
+        """
+        for peer in self._sockets.keys() - self._used_peers:
+            self._sockets.pop(peer).close(linger=0)
+        self._used_peers.clear()
+
     def send(self, peer: str, message: Any) -> None:
         """Queue a message for a peer, or drop it; do nothing once stopped."""
         if self._context.closed:
@@ -132,6 +147,7 @@
         if socket is None:
             self._dropped += 1
             return
+        self._used_peers.add(peer)
         frame = self._codec.encode(message)
         delay_s = self._delays_s.get(peer)
         if delay_s:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -73,6 +73,25 @@
                 sender_link.send("receiver", GroupPosition(term, 1, "g"))
             await self._wait(lambda: received == [4])
 
+    async def test_connections_without_messages_are_closed_and_opened_again(
+        self,
+    ) -> None:
+        """Each open connection costs pings, also to hosts that are no longer used."""
+        received: list[object] = []
+        sender_link, receiver_link = await self._link("sender"), await self._link(
+            "receiver"
+        )
+        receiver_link.set_handler(lambda sender, message: received.append(message))
+        sender_link.set_peer_address("receiver", receiver_link.address)
+        sender_link.send("receiver", MESSAGE)
+        await self._wait(lambda: len(received) == 1)
+        sender_link.close_unused_connections()
+        self.assertEqual(sender_link.connection_count, 1)
+        sender_link.close_unused_connections()
+        self.assertEqual(sender_link.connection_count, 0)
+        sender_link.send("receiver", MESSAGE)
+        await self._wait(lambda: len(received) == 2)
+
     async def test_only_messages_with_the_trusted_key_of_their_sender_are_delivered(
         self,
     ) -> None:
