Only a refusal because of limits shows that an endpoint is alive

Cause: read in the diff: an endpoint that answers at the address of a lost primary refuses the connection as meant for another, and this counted as a sign of life of the primary. And a failed connect reached those who waited for it without its cause, so that "nothing listens" never made a suspicion certain. Change: limits alone end a suspicion; another endpoint at the address makes it certain, and is DENIED to control. Waiting requests get the failure itself.

--- a/src/azurerelay/cluster/_endpoint_status_client.py
+++ b/src/azurerelay/cluster/_endpoint_status_client.py
@@ -117,8 +117,10 @@
         if isinstance(outcome, Err) or outcome.ok_value is None:
             return PrimaryContact.UNKNOWN
         failure = outcome.ok_value
-        if failure.error is not None:
+        if failure.is_at_limit:
             return PrimaryContact.ANSWERED
+        if failure.error is not None:
+            return PrimaryContact.DENIED
         return (
             PrimaryContact.SILENT if failure.is_unreachable else PrimaryContact.UNKNOWN
         )
--- a/src/azurerelay/cluster/_primary_contact.py
+++ b/src/azurerelay/cluster/_primary_contact.py
@@ -7,9 +7,10 @@
     """The outcome of a control leader's own attempt to reach a primary.
 
     `ANSWERED` means that the endpoint refused a connection because of its limits, so it
-    is alive. `DENIED` means that it says that it is not the primary. `SILENT` means
-    that it did not answer over an open connection, or that nothing listens at its
-    address. `UNKNOWN` means that there was no connection to ask over.
+    is alive. `DENIED` means that it says that it is not the primary, or that another
+    endpoint answers at its address. `SILENT` means that it did not answer over an open
+    connection, or that nothing listens at its address. `UNKNOWN` means that there was
+    no connection to ask over.
     """
 
     PROVEN = "proven"
--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -362,11 +362,12 @@
         granted = await pool.acquire(PROOF_PRIORITY, SessionProfile(), wait_ms)
         if isinstance(granted, Err):
             failure = granted.err_value
-            if failure.error is not None:
-                # An endpoint that refuses a connection is alive and reachable.
+            if failure.is_at_limit:
                 self._clear_suspicion(endpoint)
             elif not pool.open_connection_count:
-                self._record_failed_proof(endpoint, failure.is_unreachable)
+                # Another endpoint may answer at the address of one that is gone.
+                is_certain = failure.is_unreachable or failure.error is not None
+                self._record_failed_proof(endpoint, is_certain)
             return None
         session = granted.ok_value
         sent_ms = self._timers.now_ms()
--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -13,7 +13,7 @@
 from azurerelay.pooling._connection_share import ConnectionShare, idle_timeout_ms
 from azurerelay.pooling._pooled_session import PooledSession
 from azurerelay.pooling._session_profile import SessionProfile
-from azurerelay.statements import ConnectFailed, EndpointConnector, EndpointError
+from azurerelay.statements import ConnectFailed, EndpointConnector
 from azurerelay.timing import Promise, TimerService, spawn
 
 # Delay before a lost endpoint is tried again; it doubles with each failure up to the
@@ -46,6 +46,7 @@
 # Statements without an answer in a row after which the endpoint counts as lost; single
 # answers are also missed while the endpoint is healthy.
 MISSED_ANSWER_THRESHOLD: Final = 3
+NO_ANSWER: Final = ConnectFailed("the endpoint does not answer")
 
 
 @dataclass(slots=True)
@@ -229,7 +230,7 @@
         if self._missed_answers >= MISSED_ANSWER_THRESHOLD:
             self.mark_lost()
 
-    def mark_lost(self) -> None:
+    def mark_lost(self, failure: ConnectFailed = NO_ANSWER) -> None:
         """Record that the endpoint is lost, and fail all waiting requests."""
         now_ms = self._timers.now_ms()
         if self._failing_since_ms is None:
@@ -238,7 +239,7 @@
         self._retry_delay_ms = min(MAX_RETRY_DELAY_MS, 2 * self._retry_delay_ms)
         waiters, self._waiters = self._waiters, deque()
         for waiter in waiters:
-            waiter.promise.resolve(Err(ConnectFailed("the endpoint does not answer")))
+            waiter.promise.resolve(Err(failure))
 
     def close(self) -> None:
         """Close idle connections now, and those in use when they are released."""
@@ -315,10 +316,7 @@
             self._serve_waiters()
             return
         self._on_refused(outcome.err_value, self._timers.now_ms() - started_ms)
-        if outcome.err_value.error in (
-            EndpointError.BUSY,
-            EndpointError.TOO_MANY_CONNECTIONS,
-        ):
+        if outcome.err_value.is_at_limit:
             # The endpoint is healthy; for some seconds it still counts the connections
             # of hosts that lost power.
             jitter = self._random.uniform(1.0 - REOPEN_JITTER, 1.0 + REOPEN_JITTER)
@@ -329,7 +327,7 @@
             self._reopen_at_ms = self._timers.now_ms() + delay_ms
             self._timers.call_later(delay_ms, self._serve_waiters)
         else:
-            self.mark_lost()
+            self.mark_lost(outcome.err_value)
         self._fail_waiters(outcome.err_value)
 
     def _fail_waiters(self, failure: ConnectFailed) -> None:
--- a/src/azurerelay/statements/_endpoint_session.py
+++ b/src/azurerelay/statements/_endpoint_session.py
@@ -32,6 +32,11 @@
     error: EndpointError | None = None
     is_unreachable: bool = False
 
+    @property
+    def is_at_limit(self) -> bool:
+        """Whether the endpoint refused because of its limits, and so is alive."""
+        return self.error in (EndpointError.BUSY, EndpointError.TOO_MANY_CONNECTIONS)
+
 
 class EndpointSession(Protocol):
     """A connection to an endpoint that runs commands in order, one at a time."""
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -78,7 +78,8 @@
     `lost_answers` is how many successful replies are still to be dropped,
     `refuse_next` holds the errors for the next statements, `unreachable_from` the link
     addresses of hosts that cannot reach the endpoint, and `lingering` is how many
-    connections of hosts without power it still counts.
+    connections of hosts without power it still counts. With `is_replaced_by_another`,
+    another endpoint answers at its address once it is down.
     """
 
     rig: "PlatformRig"
@@ -96,6 +97,7 @@
     is_up: bool = True
     is_silent: bool = False
     is_draining: bool = False
+    is_replaced_by_another: bool = False
     lost_answers: int = 0
     unreachable_from: set[str] = field(default_factory=set)
     refuse_next: list[EndpointError] = field(default_factory=list)
@@ -396,6 +398,10 @@
         rig = self._rig
 
         def finish() -> None:
+            if server is not None and server.is_replaced_by_another:
+                error = EndpointError.WRONG_ENDPOINT
+                promise.resolve(Err(ConnectFailed("misrouted", error)))
+                return
             if server is None or not server.is_up:
                 if server is None or not server.is_silent:
                     promise.resolve(Err(ConnectFailed("connection refused")))
--- a/tests/test_pooling.py
+++ b/tests/test_pooling.py
@@ -91,6 +91,14 @@
         self.timers.advance(600.0)
         self.assertTrue(promises[2].value.is_err())
 
+    def test_a_failed_connect_tells_why_to_those_that_wait(self) -> None:
+        """Whether nothing listens decides how much a suspicion counts."""
+        pool = self._pool(2, [])
+        failure = ConnectFailed("connection refused", is_unreachable=True)
+        self.connector.connect = lambda _: Promise.of(Err(failure))  # type: ignore
+        waiting = pool.acquire(1, SessionProfile(), 500.0)
+        self.assertEqual(waiting.value.err_value, failure)
+
     def test_requests_that_timed_out_are_not_pending(self) -> None:
         """Reads avoid endpoints with pending statements."""
         pool = self._pool(1, [])
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -227,6 +227,17 @@
                 break
         self.assertLess(self.rig.timers.now_ms() - lost_ms, 2_000.0)
 
+    def test_a_lost_primary_whose_address_another_endpoint_has_is_replaced(
+        self,
+    ) -> None:
+        """The endpoint at that address answers, but it is not the primary."""
+        self.rig.run(self.rig.open("strict"), "WRITE a x")
+        before = self.rig.primary()
+        before.is_replaced_by_another = True
+        outage_ms = self._crash_primary(silent=False)
+        self.assertIsNot(self.rig.primary(), before)
+        self.assertLess(outage_ms, 7_000.0)
+
     def test_the_most_advanced_replica_is_promoted(self) -> None:
         behind, ahead = self.rig.replicas()
         self.rig.run(self.rig.open("strict"), "WRITE a x")
