Late replies of a control host that was left list no endpoints

Cause: an entry host applied the directory in a late reply of a control host that it had left, which may be one that was cut off: endpoints that had come since were no longer listed, until the current one sent all again. Change: only the current control host's directory counts, but for the very first. Before: tests.test_attachment LateReplyTest, no endpoint listed.

--- a/src/azurerelay/attachment/_control_follower.py
+++ b/src/azurerelay/attachment/_control_follower.py
@@ -31,6 +31,7 @@
 REPLY_TIMEOUT_MS: Final = 900.0
 # Ten round trips between regions; applies until there is a first configuration.
 FIRST_REPLY_TIMEOUT_MS: Final = 250.0
+NO_DIRECTORY: Final = DirectoryMark(0, 0)
 INITIAL_SEQUENCE_SPACE: Final = 2**48
 MAX_REMEMBERED_REQUESTS: Final = 32  # the requests of several seconds
 # A control host that has not heard from the leader for this long is considered cut off.
@@ -80,7 +81,7 @@
         self._sent_requests: deque[tuple[int, float]] = deque(
             maxlen=MAX_REMEMBERED_REQUESTS
         )
-        self._directory_mark = DirectoryMark(0, 0)
+        self._directory_mark = NO_DIRECTORY
         self._configuration: Configuration | None = None
         self._entry_hosts = 1
         self._is_draining = False
@@ -195,6 +196,10 @@
                 self._events.record(
                     ConfigurationInForce(changed.version, len(changed.routes), address)
                 )
+        is_first = self._directory_mark == NO_DIRECTORY
+        if address != self._current_control_host and not is_first:
+            # A control host that this host has left may not know the newest endpoints.
+            directory = None
         if directory is not None and not self._follows(directory):
             if self._is_ahead_of_this_host(directory):
                 self._request_missed_update()
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -98,6 +98,11 @@
         """The endpoints that control has listed so far."""
         return self._directory
 
+    @property
+    def listed_endpoints(self) -> frozenset[str]:
+        """The names of the endpoints that control lists now."""
+        return frozenset(self._listed_endpoints)
+
     @property
     def transaction_idle_ms(self) -> int:
         """How long a transaction may stay idle, in milliseconds.
--- a/tests/test_attachment.py
+++ b/tests/test_attachment.py
@@ -2,12 +2,13 @@
 
 import random
 import unittest
+from dataclasses import replace
 from typing import Any
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from azurerelay.attachment import SyncReply
+from azurerelay.attachment import DirectoryMark, DirectoryUpdate, SyncReply
 from azurerelay.discovery import Announcement, Departure, EndpointDirectory
 from tests.platform_rig import DOMAIN_REGIONS, GROUP, PlatformRig
 
@@ -113,6 +114,35 @@
         self.assertEqual(draining, {f"{GROUP}-{n}-2" for n in (3, 4, 5)})
 
 
+class LateReplyTest(unittest.TestCase):
+    def test_a_late_reply_of_a_previous_control_host_removes_no_endpoint(self) -> None:
+        """It may have been cut off and not know the newest endpoints."""
+        rig = PlatformRig(entry_hosts=1)
+        rig.start()
+        entry = rig.entries["10.1.0.1:7440"]
+        previous = str(entry.control_follower.current_control_host)
+        late: list[SyncReply] = []
+        deliver = rig.deliver
+
+        def hold_back(sender: str, peer: str, message: Any) -> None:
+            if isinstance(message, SyncReply) and sender.startswith(previous):
+                late.append(message)
+            else:
+                deliver(sender, peer, message)
+
+        rig.deliver = hold_back  # type: ignore[method-assign]
+        # The host asks another control host, which sends all endpoints.
+        rig.wait_for(
+            lambda: entry.control_follower.current_control_host != previous, 5_000.0
+        )
+        rig.timers.advance(500.0)
+        listed = {a.endpoint for a in entry.directory.announcements}
+        self.assertEqual(entry.listed_endpoints, listed)
+        old = DirectoryUpdate(DirectoryMark(7, 1), (), ())
+        entry.on_message(previous, replace(late[-1], directory=old))
+        self.assertEqual(entry.listed_endpoints, listed)
+
+
 class _Follower:
     """Apply the changes of a directory as an entry host does."""
 
