An unreadable reply of a control host is logged, and asked for again with the next request

Cause: read in the diff: a reply that cannot be unpacked was asked for again at once, which between builds that do not fit would repeat without end, and no line said so. Change: event ControlReplyRefused; the next regular request states what is missing. Test: tests.test_attachment UnreadableReplyTest.

--- a/src/azurerelay/attachment/_control_follower.py
+++ b/src/azurerelay/attachment/_control_follower.py
@@ -17,7 +17,12 @@
     SyncRequest,
 )
 from azurerelay.attachment._packed_update import unpack_update
-from azurerelay.events import ConfigurationInForce, ControlHostChosen, EventLog
+from azurerelay.events import (
+    ConfigurationInForce,
+    ControlHostChosen,
+    ControlReplyRefused,
+    EventLog,
+)
 from azurerelay.messages import Link
 from azurerelay.routes import Configuration, apply_change
 from azurerelay.timing import TimerService
@@ -182,7 +187,11 @@
         if reply.packed_update is not None:
             unpacked = unpack_update(reply.packed_update)
             if isinstance(unpacked, Err):
-                self._request_missed_update()
+                # The next regular request asks again: at once, a build that does not
+                # fit would be asked without end.
+                self._has_missed_update = True
+                reason = unpacked.err_value.reason
+                self._events.record(ControlReplyRefused(address, reason))
                 return
             change = unpacked.ok_value.configuration
             directory = unpacked.ok_value.directory
--- a/src/azurerelay/events/_events.py
+++ b/src/azurerelay/events/_events.py
@@ -183,6 +183,14 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class ControlReplyRefused(Event):
+    """A reply of a control host could not be read; the next request asks again."""
+
+    control_host: str
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class ProcessChanged(Event):
     """A start, drain or stop of the process, or a reload of its settings."""
--- a/tests/test_attachment.py
+++ b/tests/test_attachment.py
@@ -8,8 +8,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from azurerelay.attachment import DirectoryMark, DirectoryUpdate, SyncReply
+from azurerelay.attachment import (
+    DirectoryMark,
+    DirectoryUpdate,
+    SyncReply,
+    SyncRequest,
+)
 from azurerelay.discovery import Announcement, Departure, EndpointDirectory
+from azurerelay.events import ControlReplyRefused
 from tests.platform_rig import DOMAIN_REGIONS, GROUP, PlatformRig
 
 
@@ -143,6 +149,35 @@
         self.assertEqual(entry.listed_endpoints, listed)
 
 
+class UnreadableReplyTest(unittest.TestCase):
+    def test_an_unreadable_reply_is_logged_and_asked_for_with_the_next_request(
+        self,
+    ) -> None:
+        rig = PlatformRig(entry_hosts=1)
+        rig.start()
+        entry = rig.entries["10.1.0.1:7440"]
+        current = str(entry.control_follower.current_control_host)
+        requests: list[SyncRequest] = []
+        deliver = rig.deliver
+
+        def count(sender: str, peer: str, message: Any) -> None:
+            if isinstance(message, SyncRequest):
+                requests.append(message)
+            deliver(sender, peer, message)
+
+        rig.deliver = count  # type: ignore[method-assign]
+        version = entry.version
+        for _ in range(5):
+            reply = SyncReply(1, 0.0, 1, None, None, (), (), b"not compressed")
+            entry.on_message(current, reply)
+        self.assertEqual(requests, [])
+        self.assertEqual(len(rig.events.of(ControlReplyRefused)), 5)
+        rig.timers.advance(1_000.0)
+        self.assertTrue(requests[0].has_missed_update)
+        self.assertFalse(requests[1].has_missed_update)
+        self.assertEqual(entry.version, version)
+
+
 class _Follower:
     """Apply the changes of a directory as an entry host does."""
 
