The endpoint directory of control hosts is replicated by a class of its own

Change: moved to cluster/_directory_replicator.py with names for the calls from outside; no behaviour changes. The node keeps the fleet's part of a digest.

--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -17,6 +17,7 @@
     merge_suspicions,
 )
 from azurerelay.cluster._cluster_config import ClusterConfig
+from azurerelay.cluster._directory_replicator import DirectoryReplicator, Fleet
 from azurerelay.cluster._messages import (
     CLUSTER_MESSAGES,
     AnnouncementRelay,
@@ -70,20 +71,13 @@
     announces_commits=True,
 )
 JOIN_INTERVAL_MS: Final = 300.0
-DIGEST_INTERVAL_MS: Final = 2_000.0
 REPORT_INTERVAL_MS: Final = 400.0
 # Suspicions that entry hosts report within this time share one report to the leader.
 SUSPICION_REPORT_DELAY_MS: Final = 20.0
 REPORT_MAX_AGE_MS: Final = 1_500.0
-# Operators and endpoints wait one second for an answer.
+# Operators wait one second for an answer.
 REQUEST_TIMEOUT_MS: Final = 850.0
 BARRIER_POLL_MS: Final = 5.0
-# A leader that has not heard from a majority for this long acknowledges no departures
-# and no draining endpoints. Any other host that has not heard from the leader for this
-# long asks it again before it acknowledges the heartbeat of a draining endpoint.
-LEADER_SILENCE_LIMIT_MS: Final = 800.0
-# Endpoints without a heartbeat for this many heartbeat intervals are removed.
-EXPIRY_HEARTBEATS: Final = 10.0
 INCARNATION_SPACE: Final = 2**32
 
 CONTROL_LINK_CODEC: Final = TaggedCodec(
@@ -169,10 +163,21 @@
         self._attachment_reports: dict[str, tuple[AttachmentReport, float]] = {}
         self._total_entry_hosts = 1
         self._known_voters: frozenset[str] = frozenset()
-        self._directory_source: str | None = None
         self._is_report_due = False
         state_machine.on_applied = self._on_applied
         self._on_applied()
+        self._replicator = DirectoryReplicator(
+            config.name,
+            config.heartbeat_interval_ms,
+            self._raft,
+            self._directory,
+            link,
+            self._requester,
+            timers,
+            self._peers,
+            lambda: Fleet(self._count_entry_hosts(), self._control_hosts()),
+            self._entry_hosts.push,
+        )
         self._entry_hosts.set_sources(
             lambda: self._raft.leader_silence_ms,
             self._count_entry_hosts,
@@ -247,7 +252,7 @@
         """Start the Raft node and the periodic tasks; ask to join if not a voter."""
         self._raft.start()
         self._timers.call_every(JOIN_INTERVAL_MS, self._send_join_requests)
-        self._timers.call_every(DIGEST_INTERVAL_MS, self._send_digest)
+        self._replicator.start()
         self._timers.call_every(REPORT_INTERVAL_MS, self._send_report)
         self._primary_prober.start(
             lambda: self._state.configuration,
@@ -260,7 +265,7 @@
         """Handle a message from a control host or an entry host."""
         if isinstance(message, CONSENSUS_MESSAGES):
             self._raft.on_message(sender, message)
-            self._request_directory()
+            self._replicator.follow_leader()
             return
         match message:
             case SyncRequest():
@@ -272,18 +277,18 @@
             case JoinReply():
                 self._known_voters |= frozenset(message.voters)
             case AnnouncementRelay():
-                self._merge_announcement(message.announcement)
+                self._replicator.merge_announcement(message.announcement)
             case DepartureRelay():
-                self._merge_departure(message.departure)
+                self._replicator.merge_departure(message.departure)
             case DirectoryRequest():
-                self._on_directory_request(sender, message)
+                self._replicator.on_request(sender, message)
             case DirectoryDigest():
                 self._on_digest(sender, message)
             case AttachmentReport():
                 self._failure_domains[host_address(sender)] = message.failure_domain
                 self._attachment_reports[sender] = (message, self._timers.now_ms())
             case LeaveRequest():
-                self._on_leave_request(sender, message)
+                self._replicator.on_leave_request(sender, message)
             case ProposalRequest():
                 spawn(self._answer_proposal(sender, message))
             case BarrierRequest():
@@ -387,147 +392,18 @@
     # Endpoints
 
     def receive_heartbeat(self, announcement: Announcement) -> Promise[bool]:
-        """Process a heartbeat of an endpoint; True if it may be acknowledged.
-
-        A heartbeat that reports a change of a draining endpoint is acknowledged only
-        once the leader has recorded it, because this host may be cut off from the
-        control hosts that entry hosts are attached to. Repeated ones need this only
-        while the leader is silent.
-        """
-        known = self._directory.get(announcement.endpoint)
-        is_change = known is None or not announcement.is_equivalent_to(known)
-        self._merge_announcement(announcement)
-        self._relay_to_peers(AnnouncementRelay(announcement), is_change)
-        if announcement.is_draining and is_change:
-            return spawn(self._report_leave_to_leader(announcement, None))
-        if (
-            announcement.is_draining
-            and self._raft.leader_silence_ms > LEADER_SILENCE_LIMIT_MS
-        ):
-            return spawn(self._report_leave_to_leader(announcement, None))
-        return Promise.of(True)
+        """Process a heartbeat of an endpoint; True if it may be acknowledged."""
+        return self._replicator.receive_heartbeat(announcement)
 
     def deregister(self, endpoint: str, incarnation: int | None) -> Promise[bool]:
-        """Record that an endpoint has departed; True once the leader has recorded it.
-
-        Without an incarnation, that of its newest announcement is used, or the current
-        time if the endpoint is unknown.
-        """
-        known = self._directory.get(endpoint)
-        if incarnation is None:
-            incarnation = known.incarnation if known else self._timers.wall_clock_ms()
-        departure = Departure(endpoint, incarnation)
-        self._merge_departure(departure)
-        self._relay_to_peers(DepartureRelay(departure), True)
-        return spawn(self._report_leave_to_leader(None, departure))
-
-    async def _report_leave_to_leader(
-        self, announcement: Announcement | None, departure: Departure | None
-    ) -> bool:
-        if self._raft.is_leader:
-            return self._raft.leader_silence_ms < LEADER_SILENCE_LIMIT_MS
-        leader = self._raft.leader
-        if leader is None:
-            return False
-        answer = await self._requester.call(
-            leader,
-            lambda request_id: LeaveRequest(request_id, announcement, departure),
-            REQUEST_TIMEOUT_MS,
-        )
-        return isinstance(answer, Ok) and answer.ok_value.is_noted
-
-    def _on_leave_request(self, sender: str, request: LeaveRequest) -> None:
-        if request.announcement is not None:
-            self._merge_announcement(request.announcement)
-        if request.departure is not None:
-            self._merge_departure(request.departure)
-        is_noted = (
-            self._raft.is_leader
-            and self._raft.leader_silence_ms < LEADER_SILENCE_LIMIT_MS
-        )
-        if is_noted:
-            self._send_digest()
-        self._link.send(sender, LeaveReply(request.request_id, is_noted))
+        """Record that an endpoint has departed; True if it may be acknowledged."""
+        return self._replicator.deregister(endpoint, incarnation)
 
     def restore_directory(
         self, announcements: Iterable[Announcement], departures: Iterable[Departure]
     ) -> None:
-        """Load the directory that was saved before a restart.
-
-        All control hosts may restart at the same time, and an endpoint announces itself
-        only with its next heartbeat. Endpoints that have gone meanwhile expire as
-        usual.
-        """
-        for departure in departures:
-            self._merge_departure(departure)
-        for announcement in announcements:
-            self._merge_announcement(announcement)
-
-    def _merge_announcement(self, announcement: Announcement) -> None:
-        before = self._directory.revision
-        self._directory.merge(announcement, self._timers.now_ms())
-        if self._directory.revision != before:
-            self._entry_hosts.push()
-
-    def _merge_departure(self, departure: Departure) -> None:
-        before = self._directory.revision
-        self._directory.merge_departure(departure, self._timers.now_ms())
-        if self._directory.revision != before:
-            self._entry_hosts.push()
-
-    def _relay_to_peers(self, message: Any, is_change: bool) -> None:
-        """Forward changes to all control hosts, and other heartbeats to the leader."""
-        leader = self._raft.leader
-        if is_change or leader is None:
-            for peer in self._peers():
-                self._link.send(peer, message)
-        elif leader != self._config.name:
-            self._link.send(leader, message)
-
-    def _send_digest(self) -> None:
-        """Remove expired endpoints; as the leader, send the directory to all peers."""
-        now_ms = self._timers.now_ms()
-        limit_ms = EXPIRY_HEARTBEATS * self._config.heartbeat_interval_ms
-        if self._directory.expire(limit_ms, now_ms):
-            self._entry_hosts.push()
-        if not self._raft.is_leader:
-            return
-        digest = self._digest()
-        for peer in self._peers():
-            self._link.send(peer, digest)
-
-    def _digest(self) -> DirectoryDigest:
-        return DirectoryDigest(
-            self._directory.announcements,
-            self._directory.departures,
-            self._count_entry_hosts(),
-            self._control_hosts(),
-        )
-
-    def _request_directory(self) -> None:
-        """Ask a new leader for its directory, without waiting for its next digest.
-
-        A host that has lost its disk knows no endpoint, and neither do the entry hosts
-        that attach to it. The leader, in turn, may have restarted without the newest
-        departures, which were saved where they were reported.
-        """
-        leader = self._raft.leader
-        if leader == self._directory_source:
-            return
-        self._directory_source = leader
-        if leader is not None and leader != self._config.name:
-            self._link.send(leader, DirectoryRequest(self._directory.departures))
-
-    def _on_directory_request(self, sender: str, request: DirectoryRequest) -> None:
-        if not self._raft.is_leader:
-            return
-        revision = self._directory.revision
-        for departure in request.departures:
-            self._merge_departure(departure)
-        if self._directory.revision != revision:
-            self._send_digest()
-        else:
-            self._link.send(sender, self._digest())
+        """Load the directory that was saved before a restart."""
+        self._replicator.restore(announcements, departures)
 
     def _on_digest(self, sender: str, digest: DirectoryDigest) -> None:
         if sender != self._raft.leader:
@@ -536,12 +412,7 @@
         for host in digest.control_hosts:
             if host.failure_domain:
                 self._failure_domains[host.address] = host.failure_domain
-        before = self._directory.revision
-        self._directory.merge_all(
-            digest.announcements, digest.departures, self._timers.now_ms()
-        )
-        if self._directory.revision != before:
-            self._entry_hosts.push()
+        self._replicator.on_digest(digest)
 
     # Entry hosts
 
