No early refusals right after a host's start

Change: a host refuses early only 3.5 s after it has started. Before: tests.test_relay ScarceConnectionsTest, the write of a host that has just restarted is refused after 125 ms.

--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -54,6 +54,9 @@
 DRAINING_WORK_MS: Final = 5_000.0
 # How long an endpoint is kept after control has stopped listing it.
 UNLISTED_RETENTION_MS: Final = 20_000.0
+# After a loss of power endpoints count the connections of the dead for three more
+# seconds. All hosts are crowded out then, and connections are about to come free.
+SETTLING_MS: Final = 3_500.0
 PROOF_PRIORITY: Final = -1  # before all callers
 
 CommandPromise = Promise[Result[EndpointReply, ConnectionLost]]
@@ -98,6 +101,7 @@
         self._members: dict[str, _Member] = {}
         self._tracker = PrimaryTracker()
         self._samples = PositionSamples()
+        self._created_ms = timers.now_ms()
         self._is_proving = False
         self._next_proof: Promise[Position | None] | None = None
         self._changed: Promise[None] = Promise()
@@ -250,9 +254,11 @@
         """Return whether other hosts hold the connections that this host needs.
 
         Without an endpoint, this is asked of the primary. False where every host can
-        have a connection, and where the endpoint is lost or there is no primary.
+        have a connection, where the endpoint is lost or there is no primary, and for
+        `SETTLING_MS` after the start of this host.
         """
-        if not self._are_connections_scarce:
+        age_ms = self._timers.now_ms() - self._created_ms
+        if not self._are_connections_scarce or age_ms < SETTLING_MS:
             return False
         if endpoint is None:
             ranked = self._tracker.ranked(self._timers.now_ms())
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -523,6 +523,19 @@
                 self.assertTrue(promise.is_done)
                 self.assertIs(promise.value.error, CallerError.BUSY)
 
+    def test_statements_wait_while_connections_of_the_dead_are_counted(self) -> None:
+        """All hosts have restarted, so no other host is better off."""
+        self._fill_primary()
+        for address in list(self.rig.entries):
+            self.rig.cut_power(address)
+        self.rig.timers.advance(1_000.0)
+        for number in range(1, self.HOSTS + 1):
+            self.rig.start_entry(number)
+        self.rig.wait_for(lambda: all(e.is_ready for e in self.rig.entries.values()))
+        promise = self.rig.send(self.rig.open("own", 3), "WRITE a x")
+        self.rig.timers.advance(400.0)
+        self.assertFalse(promise.is_done)
+
     def test_statements_wait_for_a_new_primary_in_a_failover(self) -> None:
         self._read_everywhere(1)
         self.rig.primary().crash(silent=True)
