Entry hosts know and log how old their configuration is

The logs could not tell why a host was behind: a reply was not logged with its delay, nor with the version that control has, and azurerelay_control_age_seconds started anew with any reply, however old.

Change: a reply states the newest version that the control host has. A class of its own (ConfigurationFreshness) works out the time at which the version in force was known to be the newest: when the answered request was sent, less the leader's silence, unless control states a newer version. Nothing that callers see changes.

The field is left out by control hosts of earlier builds, whose replies confirm as before.

--- a/src/azurerelay/attachment/_control_follower.py
+++ b/src/azurerelay/attachment/_control_follower.py
@@ -7,6 +7,7 @@
 
 from result import Err
 
+from azurerelay.attachment._configuration_freshness import ConfigurationFreshness
 from azurerelay.attachment._messages import (
     ControlHost,
     Detach,
@@ -88,6 +89,7 @@
         )
         self._directory_mark = NO_DIRECTORY
         self._configuration: Configuration | None = None
+        self._freshness = ConfigurationFreshness(timers, events)
         self._entry_hosts = 1
         self._is_draining = False
         self._has_missed_update = False
@@ -104,6 +106,11 @@
         """The version in force on this host; -1 before the first configuration."""
         return self._configuration.version if self._configuration else -1
 
+    @property
+    def freshness(self) -> ConfigurationFreshness:
+        """How long ago the configuration in force was known to be the newest."""
+        return self._freshness
+
     @property
     def entry_hosts(self) -> int:
         """The number of entry hosts, as counted by the control hosts; at least 1."""
@@ -128,6 +135,11 @@
             (at_ms for sent, at_ms in self._sent_requests if sent == sequence), None
         )
 
+    def _reply_delay_ms(self, reply: SyncReply) -> float:
+        """Return the time since the request of a reply; -1 if that is unknown."""
+        sent_ms = self.request_sent_ms(reply.sequence)
+        return -1.0 if sent_ms is None else self._timers.now_ms() - sent_ms
+
     def start(
         self,
         suspicions: Callable[[], tuple[PrimarySuspicion, ...]],
@@ -180,6 +192,13 @@
             self._control_hosts = list(reply.control_hosts)
         self._entry_hosts = max(1, reply.entry_hosts)
         self._apply_reply(address, reply)
+        sent_ms = self.request_sent_ms(reply.sequence)
+        self._freshness.record_reply(reply, sent_ms, self.version)
+        self._record_freshness()
+
+    def _record_freshness(self) -> None:
+        if self._configuration is not None:
+            self._freshness.record_changes(self.version, self._current_control_host)
 
     def _apply_reply(self, address: str, reply: SyncReply) -> None:
         change, directory = reply.configuration, reply.directory
@@ -203,7 +222,12 @@
                 self._configuration = changed
                 has_changed = True
                 self._events.record(
-                    ConfigurationInForce(changed.version, len(changed.routes), address)
+                    ConfigurationInForce(
+                        changed.version,
+                        len(changed.routes),
+                        address,
+                        self._reply_delay_ms(reply),
+                    )
                 )
         is_first = self._directory_mark == NO_DIRECTORY
         if address != self._current_control_host and not is_first:
@@ -253,6 +277,7 @@
             and now_ms - self._unanswered_since_ms > timeout_ms
         ):
             self._switch_control_host("the previous one did not answer in time")
+        self._record_freshness()
         self._send_request()
         if self._configuration is not None and now_ms >= self._try_nearer_at_ms:
             self._try_nearer_host()
--- a/src/azurerelay/attachment/_entry_host_table.py
+++ b/src/azurerelay/attachment/_entry_host_table.py
@@ -219,6 +219,7 @@
                 self._control_hosts() if with_control_hosts else (),
                 self._proven_primaries(),
                 packed,
+                self._current.version if self._current else -1,
             ),
         )
 
--- a/src/azurerelay/attachment/_messages.py
+++ b/src/azurerelay/attachment/_messages.py
@@ -108,7 +108,9 @@
     share the connections of endpoints. `control_hosts` is empty if the list is left
     out. `leaders` holds the verified primaries of groups that have fewer connections
     than there are hosts. A large configuration or directory is compressed in
-    `packed_update`, and its own field is then None.
+    `packed_update`, and its own field is then None. `configuration_version` is the
+    newest version that the control host has, -1 if it has none; control hosts of
+    earlier builds leave it out.
     """
 
     sequence: int
@@ -119,6 +121,7 @@
     control_hosts: tuple[ControlHost, ...]
     leaders: tuple[ProvenLeader, ...]
     packed_update: bytes | None = None
+    configuration_version: int | None = None
 
 
 ATTACHMENT_MESSAGES = (SyncRequest, SyncReply, Detach)
--- a/src/azurerelay/events/__init__.py
+++ b/src/azurerelay/events/__init__.py
@@ -3,8 +3,10 @@
 from azurerelay.events._event_log import EventLog, NullEventLog
 from azurerelay.events._events import (
     AnnouncementRefused,
+    ConfigurationConfirmed,
     ConfigurationInForce,
     ConfigurationOrdered,
+    ConfigurationUnconfirmed,
     ConnectionRefused,
     ControlHostChosen,
     ControlReplyRefused,
@@ -34,8 +36,10 @@
     "explain_request",
     "parse_log_line",
     "AnnouncementRefused",
+    "ConfigurationConfirmed",
     "ConfigurationInForce",
     "ConfigurationOrdered",
+    "ConfigurationUnconfirmed",
     "ConnectionRefused",
     "ControlHostChosen",
     "ControlReplyRefused",
--- a/src/azurerelay/events/_events.py
+++ b/src/azurerelay/events/_events.py
@@ -55,12 +55,14 @@
 class SessionRefused(Event):
     """A caller's session was refused.
 
-    `configuration_version` is -1 while the host has no configuration.
+    `configuration_version` is -1 while the host has no configuration. That version was
+    known to be the newest `configuration_age_ms` ago.
     """
 
     database: str
     reason: str
     configuration_version: int
+    configuration_age_ms: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,11 +104,39 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationInForce(Event):
-    """An entry host applies a new configuration, received from `source`."""
+    """An entry host applies a new configuration, received from `source`.
+
+    `reply_delay_ms` is the time since the last request that the sender had received;
+    -1 if the host no longer remembers that request.
+    """
 
     version: int
     routes: int
     source: str
+    reply_delay_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationUnconfirmed(Event):
+    """An entry host no longer knows whether its configuration is the newest.
+
+    It was so `age_ms` ago. `control_version` is the newest version that a control host
+    has stated, -1 if none has, and `reply_delay_ms` the time that the last reply took.
+    """
+
+    version: int
+    age_ms: float
+    control_host: str
+    control_version: int
+    reply_delay_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationConfirmed(Event):
+    """An entry host knows again that its configuration is the newest."""
+
+    version: int
+    unconfirmed_ms: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurerelay/events/_explanation.py
+++ b/src/azurerelay/events/_explanation.py
@@ -11,6 +11,8 @@
 CONTEXT_WINDOW_MS: Final = 6_000
 _CONTEXT_EVENTS: Final = frozenset(
     {
+        "ConfigurationConfirmed",
+        "ConfigurationUnconfirmed",
         "ConnectionRefused",
         "EndpointLost",
         "EndpointRegained",
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -166,15 +166,17 @@
                 self._timers, self._configured, FIRST_CONFIGURATION_TIMEOUT_MS
             )
         if self.version < 0:
-            self._events.record(SessionRefused(database, "no configuration", -1))
+            self._record_refused_session(database, "no configuration")
             return CallerError.BUSY
         if database not in self._routes:
-            self._events.record(
-                SessionRefused(database, "no route has this name", self.version)
-            )
+            self._record_refused_session(database, "no route has this name")
             return CallerError.UNKNOWN_DATABASE
         return CallerSession(database, self, self._timers, self._events, self._meters)
 
+    def _record_refused_session(self, database: str, reason: str) -> None:
+        age_ms = min(1e9, self._control_follower.freshness.age_ms)
+        self._events.record(SessionRefused(database, reason, self.version, age_ms))
+
     def find_route(self, database: str) -> tuple[Route, GroupConnections] | None:
         """Return the route of a database name and its group, None if unknown."""
         route = self._routes.get(database)
@@ -183,8 +185,11 @@
 
     def gauges(self) -> dict[str, float]:
         """Return the current values of the gauges on the metrics page."""
+        freshness = self._control_follower.freshness
         return {
             "configuration_version": float(self.version),
+            "configuration_age_seconds": min(1e9, freshness.age_ms) / 1_000.0,
+            "control_reply_delay_seconds": freshness.reply_delay_ms / 1_000.0,
             "control_age_seconds": min(1e9, self._control_follower.control_silence_ms)
             / 1_000.0,
             "entry_hosts": float(self._control_follower.entry_hosts),
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -62,7 +62,7 @@
     def test_events_beyond_the_rate_limit_are_counted_but_not_written(self) -> None:
         for number in range(2_000):
             self.log.record(refused_statement(number))
-            self.log.record(SessionRefused("db", "no route", 7))
+            self.log.record(SessionRefused("db", "no route", 7, 0.0))
         self.timers.advance(1_001.0)
         self.log.record(refused_statement(0))
         lines = os.read(self.reader, 1_000_000).decode().splitlines()
