A lost configuration is sent again while the endpoints keep changing

What callers would see: an added database refused, a removed one served, by a host that is in contact with control.

A control host does not repeat what it sent less than 400 ms ago. It kept one time for the configuration and the directory, and each push of a changed endpoint renewed it, so that a configuration whose only reply was lost counted as under way for as long as endpoints changed. The next directory change followed what the host had, so the host noticed nothing.

Change: each of the two has its own time.

--- a/src/azurerelay/attachment/_entry_host_table.py
+++ b/src/azurerelay/attachment/_entry_host_table.py
@@ -38,22 +38,31 @@
 
 @dataclass(slots=True)
 class _AttachedHost:
-    """The last request of an entry host, and what it has once all replies arrive."""
+    """The last request of an entry host, and what it has once all replies arrive.
+
+    The times at which configuration and directory were last sent are kept apart, so
+    that a lost configuration is sent again while the directory keeps changing.
+    """
 
     request: SyncRequest
     last_request_ms: float
     sent_version: int
     sent_directory: DirectoryMark
-    sent_ms: float = float("-inf")
-
-    def has_in_flight(self, request: SyncRequest, now_ms: float) -> bool:
-        """Return whether replies to earlier requests are probably under way."""
-        step = request.sequence - self.request.sequence
-        return (
-            0 < step < MAX_SEQUENCE_STEP
-            and not request.has_missed_update
-            and now_ms - self.sent_ms < RESEND_AFTER_MS
-        )
+    version_sent_ms: float = float("-inf")
+    directory_sent_ms: float = float("-inf")
+
+    def keep_in_flight(self, previous: "_AttachedHost") -> None:
+        """Take over what was sent before this request and is probably under way."""
+        step = self.request.sequence - previous.request.sequence
+        if not 0 < step < MAX_SEQUENCE_STEP or self.request.has_missed_update:
+            return
+        oldest_ms = self.last_request_ms - RESEND_AFTER_MS
+        if previous.version_sent_ms > oldest_ms:
+            self.sent_version = max(previous.sent_version, self.sent_version)
+            self.version_sent_ms = previous.version_sent_ms
+        if previous.directory_sent_ms > oldest_ms:
+            self.sent_directory = previous.sent_directory
+            self.directory_sent_ms = previous.directory_sent_ms
 
 
 class EntryHostTable:
@@ -134,10 +143,8 @@
         host = _AttachedHost(
             request, now_ms, request.configuration_version, request.directory
         )
-        if known is not None and known.has_in_flight(request, now_ms):
-            host.sent_version = max(known.sent_version, host.sent_version)
-            host.sent_directory = known.sent_directory
-            host.sent_ms = known.sent_ms
+        if known is not None:
+            host.keep_in_flight(known)
         self._hosts[sender] = host
         is_new_or_changed = (
             known is None or known.request.is_draining != request.is_draining
@@ -200,10 +207,12 @@
         is_compact = host.request.accepts_compact_replies
         directory = self._directory_update_from(host.sent_directory, is_compact)
         change = self._configuration_change_from(host.sent_version)
-        if change is not None or directory is not None:
-            host.sent_ms = self._timers.now_ms()
-            host.sent_version = change.version if change else host.sent_version
-            host.sent_directory = self._directory_mark
+        if change is not None:
+            host.sent_version = change.version
+            host.version_sent_ms = self._timers.now_ms()
+        if directory is not None:
+            host.sent_directory = directory.mark
+            host.directory_sent_ms = self._timers.now_ms()
         packed = None
         if is_compact and _is_large(change, directory):
             packed = self._pack(UpdateContents(change, directory))
