A host that may have missed a change does not deny a database

Two tests failed before: a cut-off host denied an added database (3 s after the acknowledgement), and a session was told that its database was gone by a version that had been replaced.

Change: RelayNode.refuse_database answers BUSY, a promise that nothing has run, while ConfigurationFreshness is not confirmed; sessions use the same decision, and such refusals of statements are logged now. Known databases are served on as before: a host that is cut off from control must not stop serving.

--- a/src/azurerelay/events/_events.py
+++ b/src/azurerelay/events/_events.py
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SessionRefused(Event):
-    """A caller's session was refused.
+    """A caller's session, or a statement of one, was refused because of its database.
 
     `configuration_version` is -1 while the host has no configuration. That version was
     known to be the newest `configuration_age_ms` ago.
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -746,7 +746,7 @@
     def _unknown_database_reply(self) -> CallerReply:
         return CallerReply(
             self.state,
-            error=CallerError.UNKNOWN_DATABASE,
+            error=self._route_table.refuse_database(self._database),
             error_text=self._database,
         )
 
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -169,10 +169,23 @@
             self._record_refused_session(database, "no configuration")
             return CallerError.BUSY
         if database not in self._routes:
-            self._record_refused_session(database, "no route has this name")
-            return CallerError.UNKNOWN_DATABASE
+            return self.refuse_database(database)
         return CallerSession(database, self, self._timers, self._events, self._meters)
 
+    def refuse_database(self, database: str) -> CallerError:
+        """Record that a database has no route; return the error for the caller.
+
+        While the configuration may be out of date, the caller is asked to retry: a
+        newer one may have added the database, and other hosts may have that one.
+        """
+        if not self._control_follower.freshness.is_confirmed:
+            self._record_refused_session(
+                database, "no route has this name, but a newer version may have one"
+            )
+            return CallerError.BUSY
+        self._record_refused_session(database, "no route has this name")
+        return CallerError.UNKNOWN_DATABASE
+
     def _record_refused_session(self, database: str, reason: str) -> None:
         age_ms = min(1e9, self._control_follower.freshness.age_ms)
         self._events.record(SessionRefused(database, reason, self.version, age_ms))
--- a/src/azurerelay/relay/_route_table.py
+++ b/src/azurerelay/relay/_route_table.py
@@ -4,6 +4,7 @@
 
 from azurerelay.groups import GroupConnections
 from azurerelay.routes import Route
+from azurerelay.statements import CallerError
 
 
 class RouteTable(Protocol):
@@ -19,3 +20,6 @@
 
     def find_route(self, database: str) -> tuple[Route, GroupConnections] | None:
         """Return the route of a database name and its group, None if unknown."""
+
+    def refuse_database(self, database: str) -> CallerError:
+        """Record that a database has no route; return the error for the caller."""
