--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -15,6 +15,10 @@
 CONNECTION_LIMIT = 144
 # Link of an entry host: 2 Mbit/s.
 LINK_BYTES_PER_MS = 250.0
+GROWN_ENTRY_HOSTS = 145
+GROWN_LINK_BYTES_PER_MS = 175.0  # 1.4 Mbit/s
+# The platform's shortest limit from the acknowledgement of a version to its use.
+APPLY_LIMIT_MS = 3_000.0
 KINDS = {"strict": Consistency.PRIMARY, "bounded": Consistency.BOUNDED}
 
 
@@ -48,8 +52,11 @@
 class HostLinks:
     """Delay messages by the bandwidth of the links of entry hosts."""
 
-    def __init__(self, rig: PlatformRig) -> None:
+    def __init__(
+        self, rig: PlatformRig, bytes_per_ms: float = LINK_BYTES_PER_MS
+    ) -> None:
         self._rig = rig
+        self._bytes_per_ms = bytes_per_ms
         self._deliver = rig.deliver
         self._free_at_ms: dict[str, float] = {}
         self.received_bytes: dict[str, int] = {}
@@ -65,7 +72,7 @@
         now_ms = self._rig.timers.now_ms()
         self.received_bytes[peer] = self.received_bytes.get(peer, 0) + size
         free_at_ms = max(now_ms, self._free_at_ms.get(peer, 0.0))
-        free_at_ms += size / LINK_BYTES_PER_MS
+        free_at_ms += size / self._bytes_per_ms
         self._free_at_ms[peer] = free_at_ms
         self._rig.timers.call_later(
             free_at_ms - now_ms, lambda: self._deliver(sender, peer, message)
@@ -113,3 +120,33 @@
         self.rig.timers.advance(10_000.0)
         promotions = self.rig.events.of(PromotionDecided)
         self.assertEqual([p.reason for p in promotions], [])
+
+
+class ChangeAfterReturnTest(unittest.TestCase):
+    """Changes that are acknowledged while a crowd of hosts has just returned."""
+
+    def test_changes_are_in_force_in_time_while_hosts_load_their_configuration(
+        self,
+    ) -> None:
+        rig = PlatformRig(entry_hosts=GROWN_ENTRY_HOSTS)
+        for number in range(GROUPS):
+            rig.add_group(f"ledger-{number}")
+        current = large_configuration(1)
+        rig.start(initial_configuration=current)
+        HostLinks(rig, GROWN_LINK_BYTES_PER_MS)
+        returning = list(range(1, GROWN_ENTRY_HOSTS - 13))
+        for number in returning:
+            rig.cut_power(f"10.1.0.{number}:7440")
+        rig.timers.advance(1_000.0)
+        for number in returning:
+            rig.start_entry(number)
+        for version in range(2, 6):
+            rig.timers.advance(500.0)
+            added = replace(
+                current.routes[0], name=f"r{version}", database=f"d{version}"
+            )
+            current = replace(current, version=version, routes=(*current.routes, added))
+            self.assertTrue(rig.replace(current))
+            rig.timers.advance(APPLY_LIMIT_MS)
+            late = sum(entry.version < version for entry in rig.entries.values())
+            self.assertEqual(late, 0, f"hosts without version {version}")
