Entry hosts leave a control host that hears its leader but lacks entries

What callers would see: an acknowledged change that a failure domain never follows.

A control host reported the time since it had heard its leader, also while entries of the log did not reach it, and a new leader reported contact before it had applied what earlier terms had committed.

Evidence: tests/test_configuration_in_force.py drops the messages with entries to one control host and passes its heartbeats: before, its entry hosts stay at version 1 for as long as that lasts (3 s in the test).

Change: RaftNode.state_age_ms is the time since the host had applied all that its leader had announced as committed; replies carry it in the field that carried the leader's silence, so earlier builds read it as before.

--- a/src/azurerelay/attachment/_configuration_freshness.py
+++ b/src/azurerelay/attachment/_configuration_freshness.py
@@ -20,8 +20,8 @@
     """Tell whether the configuration in force on this host is known to be recent.
 
     A reply confirms the configuration as of the time at which its request was sent,
-    less the time for which the control host had not heard from its leader, if it
-    states no newer version than the one in force. The arrival of a reply says little:
+    less the age of the control host's state, if it states no newer version than the
+    one in force. The arrival of a reply says little:
     it may have waited on a crowded link, and the change that it lacks behind it.
     """
 
--- a/src/azurerelay/attachment/_control_follower.py
+++ b/src/azurerelay/attachment/_control_follower.py
@@ -40,8 +40,9 @@
 NO_DIRECTORY: Final = DirectoryMark(0, 0)
 INITIAL_SEQUENCE_SPACE: Final = 2**48
 MAX_REMEMBERED_REQUESTS: Final = 32  # the requests of several seconds
-# A control host that has not heard from the leader for this long is considered cut off.
-LEADER_SILENCE_LIMIT_MS: Final = 1_500.0
+# A control host that may lack changes of this long is left. A leader hears from the
+# majority at least that often.
+STATE_AGE_LIMIT_MS: Final = 1_500.0
 # While a nearer control host is known, it is tried at random intervals of this mean, so
 # that the hosts of a failure domain do not all return to it together.
 NEARER_HOST_INTERVAL_MS: Final = 4_000.0
@@ -50,11 +51,11 @@
 class ControlFollower:
     """Keeps this host attached to one control host and applies its replies.
 
-    Switches to another control host if the current one does not answer, or if it is cut
-    off from the leader while this host can still reach it: each reply states for how
-    long the control host has not heard from the leader. The failure domains of the
-    seeds are not known, so a host may start with a distant one; it moves to a nearer
-    one once that has answered, because traffic between regions is expensive.
+    Switches to another control host if the current one does not answer, or if it may
+    lack changes, as when it is cut off from the leader while this host can still reach
+    it: each reply states how old the control host's state may be. The failure domains
+    of the seeds are not known, so a host may start with a distant one; it moves to a
+    nearer one once that has answered, because traffic between regions is expensive.
 
     `round_trip_ms` returns the expected round-trip time to a failure domain.
     """
@@ -175,10 +176,8 @@
         if address == self._current_control_host:
             self._unanswered_since_ms = None
             self._replied_ms = now_ms
-            if reply.leader_silence_ms > LEADER_SILENCE_LIMIT_MS:
-                self._switch_control_host(
-                    "the previous one has not heard from the leader for too long"
-                )
+            if reply.leader_silence_ms > STATE_AGE_LIMIT_MS:
+                self._switch_control_host("the previous one may lack changes")
                 if self._tried_addresses:
                     # Some control hosts have not been tried yet: ask the next at once.
                     self._send_request()
@@ -186,7 +185,7 @@
                 self._tried_addresses.clear()
         elif address == self._nearer_host:
             self._nearer_host = None
-            if reply.leader_silence_ms <= LEADER_SILENCE_LIMIT_MS:
+            if reply.leader_silence_ms <= STATE_AGE_LIMIT_MS:
                 self._move_to_nearer_host(address)
         if reply.control_hosts:
             self._control_hosts = list(reply.control_hosts)
--- a/src/azurerelay/attachment/_entry_host_table.py
+++ b/src/azurerelay/attachment/_entry_host_table.py
@@ -90,7 +90,7 @@
         self._changes: dict[int, ConfigurationChange] = {}
         self._packed: dict[tuple[object, object], bytes] = {}
         self._is_push_due = False
-        self._leader_silence_ms: Callable[[], float] = lambda: float("inf")
+        self._state_age_ms: Callable[[], float] = lambda: float("inf")
         self._count_entry_hosts: Callable[[], int] = lambda: self.count
         self._control_hosts: Callable[[], tuple[ControlHost, ...]] = tuple
         self._proven_primaries: Callable[[], tuple[ProvenLeader, ...]] = tuple
@@ -121,14 +121,14 @@
 
     def set_sources(
         self,
-        leader_silence_ms: Callable[[], float],
+        state_age_ms: Callable[[], float],
         count_entry_hosts: Callable[[], int],
         control_hosts: Callable[[], tuple[ControlHost, ...]],
         proven_primaries: Callable[[], tuple[ProvenLeader, ...]],
     ) -> None:
         """Set the callables that supply the values of a reply."""
         self._proven_primaries = proven_primaries
-        self._leader_silence_ms = leader_silence_ms
+        self._state_age_ms = state_age_ms
         self._count_entry_hosts = count_entry_hosts
         self._control_hosts = control_hosts
 
@@ -221,7 +221,7 @@
             name,
             SyncReply(
                 host.request.sequence,
-                min(1e9, self._leader_silence_ms()),
+                min(1e9, self._state_age_ms()),
                 self._count_entry_hosts(),
                 change,
                 directory,
--- a/src/azurerelay/attachment/_messages.py
+++ b/src/azurerelay/attachment/_messages.py
@@ -103,14 +103,14 @@
 class SyncReply:
     """What an entry host lacks; sent in reply to a request and after each change.
 
-    `leader_silence_ms` is the time since the control host last heard from the control
-    leader, so its state may be that old. `entry_hosts` is the number of hosts that
-    share the connections of endpoints. `control_hosts` is empty if the list is left
-    out. `leaders` holds the verified primaries of groups that have fewer connections
-    than there are hosts. A large configuration or directory is compressed in
-    `packed_update`, and its own field is then None. `configuration_version` is the
-    newest version that the control host has, -1 if it has none; control hosts of
-    earlier builds leave it out.
+    `leader_silence_ms`, named after what it meant in the first builds, is the time
+    since the control host is known to have had all changes that control had committed.
+    `entry_hosts` is the number of hosts that share the connections of endpoints.
+    `control_hosts` is empty if the list is left out. `leaders` holds the verified
+    primaries of groups that have fewer connections than there are hosts. A large
+    configuration or directory is compressed in `packed_update`, and its own field is
+    then None. `configuration_version` is the newest version that the control host has,
+    -1 if it has none; control hosts of earlier builds leave it out.
     """
 
     sequence: int
--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -179,7 +179,7 @@
             self._entry_hosts.push,
         )
         self._entry_hosts.set_sources(
-            lambda: self._raft.leader_silence_ms,
+            lambda: self._raft.state_age_ms,
             self._count_entry_hosts,
             self._control_hosts,
             lambda: self._primary_prober.proven_primaries,
@@ -244,6 +244,7 @@
             "log_leader": float(self._raft.is_leader),
             "log_voters": float(len(self._raft.voters)),
             "leader_silence_seconds": min(1e9, self._raft.leader_silence_ms) / 1_000.0,
+            "state_age_seconds": min(1e9, self._raft.state_age_ms) / 1_000.0,
             "followed_by_entry_hosts": float(self._entry_hosts.count),
             "endpoints": float(len(self._directory.announcements)),
         }
--- a/src/azurerelay/consensus/_raft_node.py
+++ b/src/azurerelay/consensus/_raft_node.py
@@ -93,6 +93,8 @@
         self._quorum_round = 0
         self._term_start_index = 0
         self._leader_contact_ms = float("-inf")
+        # When this host last had applied all that its leader had committed.
+        self._caught_up_ms = float("-inf")
         # Upper bound of the election timeout: doubles with each timeout after a start,
         # and no longer applies once there has been a leader.
         self._startup_election_max_ms = self._config.first_election_max_ms
@@ -141,6 +143,18 @@
             return now_ms - self._followers.quorum_contact_ms(now_ms)
         return now_ms - self._leader_contact_ms
 
+    @property
+    def state_age_ms(self) -> float:
+        """Time since this host is known to have applied all that was committed.
+
+        A follower may hear its leader and still lack entries, and a new leader has not
+        applied all entries of earlier terms before one of its own is committed. A
+        commit counts from the moment at which the leader announces it.
+        """
+        if self.is_ready_leader:
+            return self.leader_silence_ms
+        return self._timers.now_ms() - self._caught_up_ms
+
     @property
     def role(self) -> Role:
         """The current Raft role."""
@@ -743,6 +757,8 @@
         if commit_index > self._commit_index:
             self._commit_index = commit_index
             self._apply()
+        if self._applied_index >= request.commit_index:
+            self._caught_up_ms = self._timers.now_ms()
         return AppendReply(self._term, request.round, True, match_index)
 
     def _append_new(self, entries: tuple[Entry, ...]) -> None:
--- a/tests/test_configuration_in_force.py
+++ b/tests/test_configuration_in_force.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from azurerelay.attachment import SyncReply
+from azurerelay.consensus import AppendRequest
 from azurerelay.relay import CallerSession
 from azurerelay.routes import Consistency
 from azurerelay.statements import CallerError
@@ -46,6 +47,34 @@
         self.assertEqual(entry.version, 2)
 
 
+class IncompleteControlHostTest(unittest.TestCase):
+    def test_entry_hosts_leave_a_control_host_that_hears_its_leader_but_lacks_entries(
+        self,
+    ) -> None:
+        rig = PlatformRig(entry_hosts=6)
+        rig.start()
+        rig.timers.advance(10_000.0)
+        leader = rig.leader
+        assert leader is not None
+        followed = {
+            str(entry.control_follower.current_control_host)
+            for entry in rig.entries.values()
+        }
+        behind = min(a for a in followed if rig.controls[a] is not leader)
+        deliver = rig.deliver
+
+        def lose_entries(sender: str, peer: str, message: Any) -> None:
+            if isinstance(message, AppendRequest) and message.entries:
+                if peer.startswith(behind):
+                    return
+            deliver(sender, peer, message)
+
+        rig.deliver = lose_entries  # type: ignore[method-assign]
+        self.assertTrue(rig.replace(configuration(2)))
+        rig.timers.advance(APPLY_LIMIT_MS)
+        self.assertEqual([e.version for e in rig.entries.values()], [2] * 6)
+
+
 class UnconfirmedRefusalTest(unittest.TestCase):
     """A host that may have missed a change knows of no database that it is missing."""
 
