--- a/src/azurerelay/consensus/_followers.py
+++ b/src/azurerelay/consensus/_followers.py
@@ -73,7 +73,9 @@
     def reset_snapshot_offsets(self) -> None:
         """Restart snapshot transfers, because a new snapshot replaces the old one."""
         for peer in self._peers.values():
-            peer.snapshot_offset = None
+            if peer.snapshot_offset is not None:
+                peer.snapshot_offset = None
+                peer.in_flight_since_ms = None
 
     def has_quorum_contact_since(self, since_ms: float) -> bool:
         """Return whether a majority, with the leader, has replied since a time."""
--- a/src/azurerelay/consensus/_peer.py
+++ b/src/azurerelay/consensus/_peer.py
@@ -11,7 +11,8 @@
     the next one to send. `acked_round` is the newest broadcast it has answered,
     `last_contact_ms` the time of its last reply, or at first of its addition.
     `in_flight_since_ms` is when entries that it has not acknowledged yet were sent,
-    `snapshot_offset` how many bytes of the snapshot it has received.
+    `snapshot_offset` how many bytes of the snapshot it has received; the chunk from
+    there on was sent in broadcast `chunk_round`.
 
     `learner_round` is the round of the first reply after the follower lost its disk;
     replies to earlier rounds are ignored, because they report entries that it no
@@ -25,6 +26,7 @@
     last_contact_ms: float = 0.0
     in_flight_since_ms: float | None = None
     snapshot_offset: int | None = None
+    chunk_round: int = 0
     is_learner: bool = False
     is_promotion_pending: bool = False
     learner_round: int = 0
--- a/src/azurerelay/consensus/_raft_node.py
+++ b/src/azurerelay/consensus/_raft_node.py
@@ -608,18 +608,13 @@
         if peer.next_index <= self._log.base_index:
             self._send_snapshot(follower, peer)
             return
-        now_ms = self._timers.now_ms()
-        is_waiting = (
-            peer.in_flight_since_ms is not None
-            and now_ms - peer.in_flight_since_ms < self._config.resend_ms
-        )
         previous = peer.next_index - 1
         entries: tuple[Entry, ...] = ()
-        if not is_waiting:
+        if not self._is_waiting_for(peer):
             available = max(0, self._durable_index - previous)
             count = min(self._config.batch_entries, available)
             entries = self._log.slice(peer.next_index, count)
-            peer.in_flight_since_ms = now_ms if entries else None
+            peer.in_flight_since_ms = self._timers.now_ms() if entries else None
         previous_term = self._log.term_at(previous) or 0
         peer.sent_commit_index = min(self._commit_index, previous + len(entries))
         self._link.send(
@@ -634,10 +629,27 @@
             ),
         )
 
+    def _is_waiting_for(self, peer: Peer) -> bool:
+        """Return whether what was last sent to a follower is probably under way."""
+        if peer.in_flight_since_ms is None:
+            return False
+        waited_ms = self._timers.now_ms() - peer.in_flight_since_ms
+        return waited_ms < self._config.resend_ms
+
     def _send_snapshot(self, follower: str, peer: Peer) -> None:
+        """Send the next chunk, or an empty one while another is under way.
+
+        Each broadcast calls this. An empty chunk serves as its heartbeat; copies of a
+        chunk would fill the link and delay the transfer.
+        """
         assert self._snapshot_mark is not None
         offset = min(peer.snapshot_offset or 0, len(self._snapshot_data))
-        data = self._snapshot_data[offset : offset + self._config.chunk_bytes]
+        data = b""
+        if not self._is_waiting_for(peer):
+            data = self._snapshot_data[offset : offset + self._config.chunk_bytes]
+            peer.snapshot_offset = offset
+            peer.chunk_round = self._round
+            peer.in_flight_since_ms = self._timers.now_ms()
         self._link.send(
             follower,
             SnapshotChunk(self._term, self._round, self._snapshot_mark, offset, data),
@@ -822,13 +834,20 @@
             return
         peer = self._followers[sender]
         if self._snapshot_mark is None or reply.index != self._snapshot_mark.index:
-            peer.snapshot_offset = 0
             return
         if reply.received >= self._snapshot_mark.length:
             peer.snapshot_offset = None
             peer.match_index = max(peer.match_index, reply.index)
             peer.next_index = peer.match_index + 1
         else:
+            sent_offset = peer.snapshot_offset or 0
+            # Only a reply to a later broadcast shows that chunks were lost again, as by
+            # a restart of the follower.
+            has_lost_chunks = reply.round > peer.chunk_round
+            if reply.received == sent_offset or (
+                reply.received < sent_offset and not has_lost_chunks
+            ):
+                return
             peer.snapshot_offset = reply.received
         peer.in_flight_since_ms = None
         self._send_append(sender, peer)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -1,6 +1,7 @@
 import unittest
+from typing import Any
 
-from azurerelay.consensus import Journal
+from azurerelay.consensus import Journal, SnapshotChunk
 from azurerelay.storage import MemoryDisk
 from tests.consensus_rig import ConsensusRig
 
@@ -69,6 +70,32 @@
         rig.timers.advance(3_000)
         self.assertEqual(len(rig.applied(lagging)), 95)
 
+    def test_reads_during_a_snapshot_transfer_do_not_repeat_its_chunks(self) -> None:
+        """Each read starts a broadcast, and copies of chunks would fill the link."""
+        rig = ConsensusRig(snapshot_entries=20)
+        leader = rig.wait_for_leader()
+        lagging = next(n for n in rig.names if n != rig.name_of(leader))
+        rig.isolated.add(lagging)
+        for number in range(200):
+            self.assertTrue(rig.propose(b"payload %06d" % number))
+        rig.isolated.clear()
+        received = 0
+        deliver = rig.deliver
+
+        def count(sender: str, receiver: str, message: Any) -> None:
+            nonlocal received
+            if isinstance(message, SnapshotChunk):
+                received += len(message.data)
+            deliver(sender, receiver, message)
+
+        rig.deliver = count  # type: ignore[method-assign]
+        while len(rig.applied(lagging)) < 200:
+            leader.confirm_leadership()
+            rig.timers.advance(1.0)
+        # Nothing is lost here, so one copy of the snapshot is enough.
+        snapshot_bytes = len(rig.machines[lagging].snapshot())
+        self.assertLess(received, 1.5 * snapshot_bytes)
+
     def test_a_restart_restores_the_snapshot_and_the_entries_after_it(self) -> None:
         rig = ConsensusRig(snapshot_entries=10)
         for number in range(37):
