--- a/src/azurerelay/attachment/_configuration_freshness.py
+++ b/src/azurerelay/attachment/_configuration_freshness.py
@@ -21,8 +21,8 @@
 
     A reply confirms the configuration as of the time at which its request was sent,
     less the age of the control host's state, if it states no newer version than the
-    one in force. The arrival of a reply says little:
-    it may have waited on a crowded link, and the change that it lacks behind it.
+    one in force. The arrival of a reply says little: the reply may have waited on a
+    crowded link, and a newer change may wait behind it.
     """
 
     def __init__(self, timers: TimerService, events: EventLog) -> None:
