--- a/tests/test_cluster_properties.py
+++ b/tests/test_cluster_properties.py
@@ -5,17 +5,15 @@
 configuration at any host.
 """
 
-import os
 import unittest
 from typing import Any
 
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from hypothesis.strategies import integers, sampled_from
 
 from tests.platform_rig import PlatformRig, configuration
+from tests.property_settings import property_settings
 
-EXAMPLES = int(os.environ.get("AZURERELAY_EXAMPLES", "25"))
 HOSTS = integers(0, 4)
 MAX_LOST_DISKS = 2
 
@@ -144,15 +142,7 @@
         assert self.rig.voters == current, (self.rig.voters, current)
 
 
-ClusterMachine.TestCase.settings = settings(
-    max_examples=EXAMPLES,
-    stateful_step_count=40,
-    derandomize=True,
-    deadline=None,
-    database=None,
-    phases=(Phase.generate, Phase.shrink),
-    suppress_health_check=list(HealthCheck),
-)
+ClusterMachine.TestCase.settings = property_settings(25)
 ClusterPropertiesTest = ClusterMachine.TestCase
 
 if __name__ == "__main__":
--- a/tests/test_configuration_properties.py
+++ b/tests/test_configuration_properties.py
@@ -4,11 +4,9 @@
 operators add databases and endpoints change.
 """
 
-import os
 import unittest
 from typing import Any
 
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from hypothesis.strategies import integers, sampled_from
 
@@ -16,8 +14,8 @@
 from azurerelay.statements import CallerError
 from azurerelay.timing import spawn
 from tests.platform_rig import GROUP, PlatformRig, configuration, route
+from tests.property_settings import property_settings
 
-EXAMPLES = int(os.environ.get("AZURERELAY_EXAMPLES", "25"))
 CONTROL_HOSTS = integers(0, 4)
 ENTRY_HOSTS = integers(1, 3)
 WAITS_MS = sampled_from((50, 500, 2_000, 4_000))
@@ -155,15 +153,7 @@
         assert min(versions) >= self.newest.version, versions
 
 
-ConfigurationMachine.TestCase.settings = settings(
-    max_examples=EXAMPLES,
-    stateful_step_count=40,
-    derandomize=True,
-    deadline=None,
-    database=None,
-    phases=(Phase.generate, Phase.shrink),
-    suppress_health_check=list(HealthCheck),
-)
+ConfigurationMachine.TestCase.settings = property_settings(25)
 ConfigurationTest = ConfigurationMachine.TestCase
 
 if __name__ == "__main__":
--- a/tests/test_consensus_properties.py
+++ b/tests/test_consensus_properties.py
@@ -7,17 +7,15 @@
 order, and no confirmed entry may be lost.
 """
 
-import os
 import unittest
 
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from hypothesis.strategies import integers, sampled_from
 
 from tests.consensus_rig import ConsensusRig
+from tests.property_settings import property_settings
 
 NAMES = ("v1", "v2", "v3")
-EXAMPLES = int(os.environ.get("AZURERELAY_EXAMPLES", "40"))
 
 
 class ConsensusMachine(RuleBasedStateMachine):
@@ -107,15 +105,7 @@
         self.applied_entries_agree()
 
 
-ConsensusMachine.TestCase.settings = settings(
-    max_examples=EXAMPLES,
-    stateful_step_count=40,
-    derandomize=True,
-    deadline=None,
-    database=None,
-    phases=(Phase.generate, Phase.shrink),
-    suppress_health_check=list(HealthCheck),
-)
+ConsensusMachine.TestCase.settings = property_settings(40)
 ConsensusPropertiesTest = ConsensusMachine.TestCase
 
 if __name__ == "__main__":
