--- a/src/azurerelay/control/_attached_hosts.py
+++ b/src/azurerelay/control/_attached_hosts.py
@@ -15,18 +15,48 @@
 
 DETACH_TIMEOUT_MS: Final = 2_000.0
 MAX_DELTA_ENTRIES: Final = 512
+# What was sent to a host counts as lost if the host reports no progress for this long.
+# The time doubles with each repetition up to the maximum: on a crowded link, copies
+# would delay the transfer that they repeat.
+RESEND_AFTER_MS: Final = 400.0
+MAX_RESEND_AFTER_MS: Final = 3_200.0
 
 
 @dataclass(slots=True)
 class _Attachment:
-    """A host's last heartbeat and the last log index sent to it.
+    """What a host has applied according to its heartbeats, and what was sent to it.
 
-    `sent_index` is reset to the applied index that each heartbeat reports, so
-    entries lost on the way are sent again.
+    `waiting_since_ms` is when the host last reported progress, or when the oldest
+    entry was sent that it has not applied yet, if that was later.
     """
 
+    incarnation: int
     last_heartbeat_ms: float
+    applied_index: int
     sent_index: int
+    waiting_since_ms: float
+    resend_after_ms: float = RESEND_AFTER_MS
+
+    def record_heartbeat(self, applied_index: int, now_ms: float) -> None:
+        """Record the applied index of a heartbeat, and what counts as lost by now."""
+        self.last_heartbeat_ms = now_ms
+        if applied_index > self.applied_index:
+            self.applied_index = applied_index
+            self.sent_index = max(self.sent_index, applied_index)
+            self.waiting_since_ms = now_ms
+            self.resend_after_ms = RESEND_AFTER_MS
+        elif (
+            self.sent_index > self.applied_index
+            and now_ms - self.waiting_since_ms >= self.resend_after_ms
+        ):
+            self.sent_index = self.applied_index
+            self.resend_after_ms = min(MAX_RESEND_AFTER_MS, 2 * self.resend_after_ms)
+
+    def record_sent(self, index: int, now_ms: float) -> None:
+        """Record that all entries up to an index have been sent."""
+        if self.sent_index == self.applied_index:
+            self.waiting_since_ms = now_ms
+        self.sent_index = index
 
 
 class AttachedHosts:
@@ -54,12 +84,18 @@
         return tuple(self._attachments)
 
     def on_heartbeat(self, heartbeat: HostHeartbeat) -> None:
-        """Attach a host or reset its progress, and send what it lacks."""
+        """Attach a host or record its progress, and send what it lacks."""
         now_ms = self._timers.now_ms()
-        attachment = _Attachment(now_ms, heartbeat.applied_index)
-        self._attachments[heartbeat.host] = attachment
-        if heartbeat.applied_index < self._raft.applied_index:
-            self._push(heartbeat.host, attachment)
+        applied_index = heartbeat.applied_index
+        attachment = self._attachments.get(heartbeat.host)
+        if attachment is None or attachment.incarnation != heartbeat.incarnation:
+            attachment = _Attachment(
+                heartbeat.incarnation, now_ms, applied_index, applied_index, now_ms
+            )
+            self._attachments[heartbeat.host] = attachment
+        else:
+            attachment.record_heartbeat(applied_index, now_ms)
+        self._push(heartbeat.host, attachment)
 
     def on_applied(self) -> None:
         """Schedule a push of new entries to all attached hosts.
@@ -84,14 +120,15 @@
         log = self._raft.log
         if attachment.sent_index < log.base_index:
             self._link.send(host, self._current_snapshot())
-            attachment.sent_index = applied_index
+            attachment.record_sent(applied_index, self._timers.now_ms())
             return
         entry_count = min(MAX_DELTA_ENTRIES, applied_index - attachment.sent_index)
         if entry_count <= 0:
             return
         entries = log.slice(attachment.sent_index + 1, entry_count)
         self._link.send(host, StateDelta(entries))
-        attachment.sent_index += len(entries)
+        sent_index = attachment.sent_index + len(entries)
+        attachment.record_sent(sent_index, self._timers.now_ms())
 
     def _current_snapshot(self) -> StateSnapshot:
         applied_index = self._raft.applied_index
