Hosts of the HTTP interface leave a control host that lacks entries

What operators would see: a change of settings that some hosts never follow, while status shows them in contact.

Change: a heartbeat reply states the index that the leader has applied. The field is left out by earlier builds, whose replies count as before. The hosts of the users' platform do not use this class.

--- a/src/azurerelay/control/_lease_grants.py
+++ b/src/azurerelay/control/_lease_grants.py
@@ -58,4 +58,6 @@
         if is_admitted and is_current:
             lease_ms = self._state.settings.root_number("leases.duration_ms")
             self._table.extend_lease(heartbeat.host, received_ms + lease_ms)
-        return HeartbeatReply(heartbeat.host, heartbeat.sequence, lease_ms)
+        return HeartbeatReply(
+            heartbeat.host, heartbeat.sequence, lease_ms, self._raft.applied_index
+        )
--- a/src/azurerelay/membership/_control_session.py
+++ b/src/azurerelay/membership/_control_session.py
@@ -41,7 +41,10 @@
 
     `control_hosts` is the order in which control hosts are tried; those in the own
     failure domain come first. When none has answered for `CONTROL_HOST_TIMEOUT_MS`,
-    each periodic heartbeat goes to the next one until one answers. `on_state_change` is
+    each periodic heartbeat goes to the next one until one answers. The next one is also
+    tried if for that time no entry has arrived of those that the leader has applied: a
+    control host passes the leader's replies on without having the entries itself.
+    `on_state_change` is
     called after a change of the state, `on_lease_change` when the lease is gained or
     lost.
     """
@@ -72,6 +75,9 @@
         self._sequence = 0
         self._sent_ms_by_sequence: dict[int, float] = {}
         self._last_contact_ms = timers.now_ms()
+        self._leader_index = 0
+        # When the last entry arrived, or the leader first stated that one is missing.
+        self._last_progress_ms = timers.now_ms()
         self._lease_until_ms = float("-inf")
         self._had_lease = False
         self._announcements: dict[str, tuple[float, EndpointAnnouncement]] = {}
@@ -143,8 +149,16 @@
             case StateSnapshot():
                 self._on_snapshot(message)
 
+    def _is_stuck_behind(self) -> bool:
+        """Return whether entries are missing and none has arrived for too long."""
+        stuck_ms = self._timers.now_ms() - self._last_progress_ms
+        is_behind = self._applied_index < self._leader_index
+        return is_behind and stuck_ms > CONTROL_HOST_TIMEOUT_MS
+
     def _on_tick(self) -> None:
-        if self.silence_ms > CONTROL_HOST_TIMEOUT_MS and len(self._control_hosts) > 1:
+        is_lost = self.silence_ms > CONTROL_HOST_TIMEOUT_MS or self._is_stuck_behind()
+        if is_lost and len(self._control_hosts) > 1:
+            self._last_progress_ms = self._timers.now_ms()
             self._control_host_index = (self._control_host_index + 1) % len(
                 self._control_hosts
             )
@@ -192,6 +206,9 @@
         if reply.host != self._identity.name or sent_ms is None:
             return
         self._last_contact_ms = self._timers.now_ms()
+        if self._applied_index >= self._leader_index:
+            self._last_progress_ms = self._timers.now_ms()
+        self._leader_index = reply.applied_index
         if reply.lease_ms:
             usable_ms = reply.lease_ms - reply.lease_ms // LEASE_DRIFT_DIVISOR
             self._lease_until_ms = max(self._lease_until_ms, sent_ms + usable_ms)
@@ -220,6 +237,7 @@
         if entry.payload:
             self._state.apply(entry.index, entry.payload)
         self._applied_index = entry.index
+        self._last_progress_ms = self._timers.now_ms()
         return True
 
     def _on_snapshot(self, snapshot: StateSnapshot) -> None:
@@ -228,5 +246,6 @@
             return
         self._state.restore(snapshot.data)
         self._applied_index = snapshot.index
+        self._last_progress_ms = self._timers.now_ms()
         self._on_state_change()
         self.schedule_heartbeat()
--- a/src/azurerelay/membership/_link_messages.py
+++ b/src/azurerelay/membership/_link_messages.py
@@ -56,12 +56,14 @@
     """Answer to a heartbeat.
 
     `lease_ms` counts from the time at which the heartbeat was sent; zero means that no
-    lease is granted.
+    lease is granted. `applied_index` is the log index that the leader has applied;
+    leaders of earlier builds leave it out.
     """
 
     host: str
     sequence: int
     lease_ms: int
+    applied_index: int = 0
 
 
 @dataclass(frozen=True, slots=True)
