Simulated callers learn that their entry host was killed

Change: a host's unanswered requests are resolved to None when it is killed, after the way back to the caller.

--- a/src/azurerelay/embedded/_embedded_system.py
+++ b/src/azurerelay/embedded/_embedded_system.py
@@ -1,7 +1,8 @@
 """Entry hosts, control hosts and simulated endpoints in one process."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from functools import partial
 from typing import Any, Final
 
 from azurerelay.control import ControlConfig, ControlNode
@@ -34,11 +35,15 @@
 
 @dataclass(slots=True)
 class _EntryProcess:
-    """A running entry host with its own link and timers."""
+    """A running entry host with its own link and timers.
+
+    The keys of `unanswered` are the requests received from callers, in their order.
+    """
 
     node: EntryNode
     link: MemoryLink
     timers: ScopedTimerService
+    unanswered: dict[Promise[CallerAnswer | None], None] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -145,11 +150,12 @@
     def call(self, entry: str, request: CallerRequest) -> Promise[CallerAnswer | None]:
         """Send a caller's request to an entry host.
 
-        The answer is None if the host is down when the request arrives. If the host is
-        killed before it answers, the promise is resolved to None or, if the request
-        waits for a timer of the host, never.
+        The answer is None if the host is down when the request arrives, or if it is
+        killed before it has answered.
         """
-        return spawn(self._call(entry, request))
+        promise: Promise[CallerAnswer | None] = Promise()
+        spawn(self._call(entry, request, promise))
+        return promise
 
     def change_settings(
         self,
@@ -231,6 +237,10 @@
         self._network.detach(name)
         process.link.close()
         process.timers.close()
+        for promise in process.unanswered:
+            self._timers.call_later(
+                self._shape.to_callers_ms, partial(promise.resolve, None)
+            )
         for server in process.node.group_servers.by_group.values():
             server.stop()
 
@@ -275,18 +285,26 @@
     def _find_process(self, name: str) -> "_EntryProcess | _ControlProcess | None":
         return self._entries.get(name) or self._controls.get(name)
 
-    async def _call(self, entry: str, request: CallerRequest) -> CallerAnswer | None:
+    async def _call(
+        self,
+        entry: str,
+        request: CallerRequest,
+        promise: Promise[CallerAnswer | None],
+    ) -> None:
         await sleep(self._timers, self._shape.to_callers_ms)
         process = self._entries.get(entry)
         if process is None:
-            return None
+            promise.resolve(None)
+            return
+        process.unanswered[promise] = None
         # Holds the request back while the host is frozen.
         await sleep(process.timers, 0.0)
         answer = await process.node.handle(request)
         if process.timers.is_closed:
-            return None
+            return
+        del process.unanswered[promise]
         await sleep(self._timers, self._shape.to_callers_ms)
-        return answer
+        promise.resolve(answer)
 
     def _assign_places(self) -> None:
         for number, name in enumerate(self._control_names):
