The stand-in endpoint counts neither connections nor slots of before a restart

Test side: connections that were open at a crash were subtracted when their hosts closed them, and statements in slots freed slots of the restarted endpoint, so that it took more connections and ran more at once than its limits allow. It was more generous after a crash than real endpoints, which hid what their limits cost.

Change: a connection belongs to the run in which it was opened; a statement that was running at the restart frees its own slot and is answered as lost.

--- a/src/azurerelay/standin/_standin_endpoint.py
+++ b/src/azurerelay/standin/_standin_endpoint.py
@@ -100,6 +100,7 @@
         self._transactions: dict[int, _Transaction] = {}
         self._next_transaction = 1
         self._connections = 0
+        self._restarts = 0
         self._peak_connections = 0
         self._executed_statements = 0
         self._primary_answered_ms = timers.now_ms()
@@ -158,6 +159,7 @@
         self._synced_term = 0
         self._received.clear()
         self._transactions.clear()
+        self._restarts += 1
         self._connections = 0
         self._slots = Slots(self._config.slots)
         self._knobs = _Knobs(self._config.lag_ms, self._config.service_ms)
@@ -192,8 +194,19 @@
             connection.transaction = None
         return Promise.of(outcome)
 
-    def end_connection(self, transaction: int | None) -> None:
-        """Stop counting a closed connection and roll its transaction back."""
+    @property
+    def restarts(self) -> int:
+        """How many times the endpoint has restarted."""
+        return self._restarts
+
+    def end_connection(self, restarts: int, transaction: int | None) -> None:
+        """Stop counting a closed connection and roll its transaction back.
+
+        A connection that was opened before the last restart is no longer counted;
+        `restarts` is the number of restarts before it was opened.
+        """
+        if restarts != self._restarts:
+            return
         self._connections -= 1
         if transaction is not None:
             self._transactions.pop(transaction, None)
@@ -201,8 +214,9 @@
     async def _open_connection(
         self,
     ) -> Result["StandinConnection", EndpointFailure]:
+        connection = StandinConnection(self)
         await sleep(self._timers, self._config.connect_ms)
-        return Ok(StandinConnection(self))
+        return Ok(connection)
 
     def _answer(
         self, rows: tuple[Row, ...] = (), transaction: int | None = None
@@ -333,12 +347,15 @@
         log_growth.resolve(None)
 
     async def _run_in_slot(self, call: StatementCall) -> CallResult:
-        await self._slots.acquire()
+        slots, restarts = self._slots, self._restarts
+        await slots.acquire()
         try:
             await sleep(self._timers, self._knobs.service_ms)
+            if restarts != self._restarts:
+                return Err(self._failure(FailureKind.LOST, "it has restarted"))
             return self._execute(call)
         finally:
-            self._slots.release()
+            slots.release()
 
     def _execute(self, call: StatementCall) -> CallResult:
         refusal = self._refusal(call.term, call.is_write)
@@ -470,17 +487,21 @@
 
 
 class StandinConnection:
-    """A connection to a stand-in endpoint, with at most one transaction."""
+    """A connection to a stand-in endpoint, with at most one transaction.
+
+    It ends when the endpoint restarts.
+    """
 
     def __init__(self, endpoint: StandinEndpoint) -> None:
         self._endpoint = endpoint
+        self._restarts = endpoint.restarts
         self._is_open = True
         self._transaction: int | None = None
 
     @property
     def is_open(self) -> bool:
-        """Whether the connection has not been closed."""
-        return self._is_open
+        """Whether the connection has neither been closed nor lost."""
+        return self._is_open and self._restarts == self._endpoint.restarts
 
     @property
     def transaction(self) -> int | None:
@@ -499,7 +520,7 @@
         """Close the connection and roll an open transaction back."""
         if self._is_open:
             self._is_open = False
-            self._endpoint.end_connection(self._transaction)
+            self._endpoint.end_connection(self._restarts, self._transaction)
 
 
 def _with_entries(
