Experiments: a fault lasts until the last of its kind on the same target ends

Test side: where two faults of one kind overlapped on one target, the end of the first ended both, so long faults were cut short by short ones and the runs were milder than their plans.

Evidence: tests/test_fault_plan.py, before: an isolated host reachable 0.5 s after the end of the first of two isolations, a frozen host answering inside a longer freeze.

Change: a plan keeps what is in effect by kind and target and counts who asks for it; the last undoes it once.

--- a/src/azurerelay/experiments/_fault_plan.py
+++ b/src/azurerelay/experiments/_fault_plan.py
@@ -47,8 +47,19 @@
     target_index: int = 0
 
 
+@dataclass(slots=True)
+class _ActiveFault:
+    """A fault that is in effect, and how many faults of the plan ask for it."""
+
+    undo: Callable[[], object]
+    holders: int = 0
+
+
 class FaultPlan:
-    """Inject faults into an embedded system and undo each after its duration."""
+    """Inject faults into an embedded system and undo each after its duration.
+
+    Of faults of one kind on one target that overlap, the last to end is undone.
+    """
 
     def __init__(
         self, system: EmbeddedSystem, timers: TimerService, faults: tuple[Fault, ...]
@@ -58,7 +69,7 @@
         self._faults = faults
         self._log: list[tuple[float, str]] = []
         self._freeze_intervals: list[FreezeInterval] = []
-        self._pending_undos: list[Callable[[], object]] = []
+        self._active: dict[tuple[FaultKind, str], _ActiveFault] = {}
 
     @property
     def log(self) -> tuple[tuple[float, str], ...]:
@@ -80,10 +91,10 @@
 
     def end_all(self) -> None:
         """Undo all faults that are still active."""
-        undos = self._pending_undos
-        self._pending_undos = []
-        for undo in undos:
-            undo()
+        active = list(self._active.values())
+        self._active.clear()
+        for fault in active:
+            fault.undo()
 
     def _start_fault(self, fault: Fault) -> None:
         applied = self._apply(fault)
@@ -91,15 +102,19 @@
             return
         target, undo = applied
         self._log.append((self._timers.now_ms(), f"{fault.kind.value}: {target}"))
-        self._pending_undos.append(undo)
-
-        def end() -> None:
-            if undo in self._pending_undos:
-                self._pending_undos.remove(undo)
-                undo()
-                self._log.append((self._timers.now_ms(), f"end of {target}"))
-
-        self._timers.call_later(fault.duration_ms, end)
+        key = (fault.kind, target)
+        active = self._active.setdefault(key, _ActiveFault(undo))
+        active.holders += 1
+        self._timers.call_later(fault.duration_ms, partial(self._release, key, active))
+
+    def _release(self, key: tuple[FaultKind, str], active: _ActiveFault) -> None:
+        """End one fault of the plan; undo it unless others still ask for it."""
+        active.holders -= 1
+        if active.holders or self._active.get(key) is not active:
+            return
+        del self._active[key]
+        active.undo()
+        self._log.append((self._timers.now_ms(), f"end of {key[1]}"))
 
     def _apply(self, fault: Fault) -> tuple[str, Callable[[], object]] | None:
         match fault.kind:
