A leader that has committed nothing in its term confirms no state

What callers could see: a database denied, or a removed one served, by a host whose control host lacks a change that an earlier leader had acknowledged.

Cause: found in reading again. A follower counted as up to date once it had applied what its leader announced as committed. A new leader announces too little until an entry of its own term is committed.

Change: only an announced index that holds an entry of the leader's own term counts.

--- a/src/azurerelay/consensus/_raft_node.py
+++ b/src/azurerelay/consensus/_raft_node.py
@@ -147,9 +147,9 @@
     def state_age_ms(self) -> float:
         """Time since this host is known to have applied all that was committed.
 
-        A follower may hear its leader and still lack entries, and a new leader has not
-        applied all entries of earlier terms before one of its own is committed. A
-        commit counts from the moment at which the leader announces it.
+        A follower may hear its leader and still lack entries, and a new leader does not
+        know all that was committed before an entry of its own term is. A commit counts
+        from the moment at which the leader announces it.
         """
         if self.is_ready_leader:
             return self.leader_silence_ms
@@ -769,7 +769,10 @@
         if commit_index > self._commit_index:
             self._commit_index = commit_index
             self._apply()
-        if self._applied_index >= request.commit_index:
+        # Before a leader has committed an entry of its own term, it does not know all
+        # that was committed.
+        is_all_known = self._log.term_at(request.commit_index) == request.term
+        if is_all_known and self._applied_index >= request.commit_index:
             self._caught_up_ms = self._timers.now_ms()
         return AppendReply(self._term, request.round, True, match_index)
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -1,7 +1,7 @@
 import unittest
 from typing import Any
 
-from azurerelay.consensus import Journal, SnapshotChunk
+from azurerelay.consensus import AppendReply, Journal, SnapshotChunk
 from azurerelay.storage import MemoryDisk
 from tests.consensus_rig import ConsensusRig
 
@@ -96,6 +96,35 @@
         snapshot_bytes = len(rig.machines[lagging].snapshot())
         self.assertLess(received, 1.5 * snapshot_bytes)
 
+    def test_a_leader_that_has_committed_nothing_yet_confirms_no_state(self) -> None:
+        """It does not know yet what earlier leaders have committed."""
+        rig = ConsensusRig()
+        first = rig.name_of(rig.wait_for_leader())
+        behind, other = (name for name in rig.names if name != first)
+        rig.isolated.add(behind)
+        self.assertTrue(rig.propose(b"committed without the third"))
+        rig.crash(first)
+        deliver = rig.deliver
+
+        def lose_replies(sender: str, receiver: str, message: Any) -> None:
+            if not (isinstance(message, AppendReply) and message.is_success):
+                deliver(sender, receiver, message)
+
+        rig.deliver = lose_replies  # type: ignore[method-assign]
+        rig.isolated.clear()
+        node = rig.nodes[behind]
+        is_led = rig.timers.advance_until(lambda: node.leader == other, 5_000)
+        self.assertTrue(is_led)
+        rig.timers.advance(100.0)
+        self.assertEqual(rig.applied(behind), [])
+        self.assertLess(node.leader_silence_ms, 100.0)
+        self.assertGreater(node.state_age_ms, 100.0)
+        rig.deliver = deliver  # type: ignore[method-assign]
+        rig.wait_for_leader()
+        rig.timers.advance(500.0)
+        self.assertEqual(len(rig.applied(behind)), 1)
+        self.assertLess(node.state_age_ms, 300.0)
+
     def test_a_restart_restores_the_snapshot_and_the_entries_after_it(self) -> None:
         rig = ConsensusRig(snapshot_entries=10)
         for number in range(37):
