--- a/review/standin/harness.py
+++ b/review/standin/harness.py
@@ -43,7 +43,7 @@
     """The file `record.txt`: what was sent, answered and run."""
 
     def __init__(self, folder):
-        self._file = (Path(folder) / "record.txt").open("w")
+        self._file = (Path(folder) / "record.txt").open("w", buffering=1 << 16)
         self._start = time.monotonic()
 
     def now(self):
@@ -51,7 +51,9 @@
 
     def __call__(self, text):
         self._file.write(f"{self.now():8.3f} {text}\n")
-        self._file.flush()
+
+    def close(self):
+        self._file.close()
 
 
 def free_network():
@@ -247,6 +249,15 @@
         await asyncio.sleep(down_s)
         await self.start(name)
 
+    def followed_control(self, entry):
+        """Return the control host that an entry host follows, by its log."""
+        chosen = None
+        for line in (self.folder / entry / "log.txt").read_text().splitlines():
+            if '"ControlHostChosen"' in line:
+                ip = json.loads(line)["control_host"].partition(":")[0]
+                chosen = next(n for n, known in self.ips.items() if known == ip)
+        return chosen or "control-1"
+
     async def wait_ready(self, timeout_s=20.0):
         """Wait until every entry host says that it is ready."""
         deadline = time.monotonic() + timeout_s
@@ -373,6 +384,8 @@
         self.term = 1
         self.token = -1
         self.promotions = []
+        self.rolled_back = set()
+        self.commits = {}
         self.on_promoted = lambda server: None
 
     @property
@@ -404,6 +417,7 @@
             f"{server.received_position()}"
         )
         server.role, server.term, server.applied = "primary", self.term, len(server.log)
+        self.rolled_back.update(c.request for c in old.log[len(server.log) :])
         self.promotions.append((self.record.now(), server, list(server.log)))
         for other in self.servers:
             if other is server:
@@ -449,8 +463,9 @@
         self.busy, self.waiting = 0, deque()
         self.connections = set()
         self.work_s = {"READ": 0.024, "WRITE": 0.008, "COMMIT": 0.004, "STATUS": 0.001}
-        self.runs = []
+        self.loses_answers = 0.0  # the share of answers that are lost
         self.on_run = lambda request, text: None
+        self.on_answer_lost = lambda lines: None
         self.last_ack = None
         self.drain_ack_at = None
         self._server = None
@@ -563,6 +578,11 @@
             return False
         return self.log[number - 1].term == int(term)
 
+    def holds(self, request):
+        """Return whether the log, as far as it is applied, has a request's commit."""
+        commit = self.service.commits[request]
+        return commit.number <= self.applied and self.log[commit.number - 1] is commit
+
     async def receive_later(self, service):
         """Receive what the primary has now; wait while nothing arrives."""
         primary = service.primary
@@ -600,6 +620,7 @@
         entry = Commit(self.term, len(self.log) + 1, request)
         self.log.append(entry)
         self.applied = len(self.log)
+        self.service.commits[request] = entry
         receipts = self.service.replicate(entry)
         if self.service.sync:
             pending = set(receipts)
@@ -656,8 +677,12 @@
         self.writes = []
         self.began_term = 0
         self.values, self.prepared = {}, {}
+        self.is_answer_lost = False
 
     def send(self, *lines):
+        if self.is_answer_lost:
+            self.server.on_answer_lost(lines)
+            return
         text = "".join(f"{line}\r\n" for line in lines)
         self.writer.write(text.encode())
 
@@ -693,6 +718,7 @@
             if word == "TERMINATE":
                 return
             request, _, text = rest.partition(" ")
+            self.is_answer_lost = random.random() < server.loses_answers
             await self.query(request, text)
             await self.writer.drain()
 
@@ -786,7 +812,6 @@
             if needs_lead and server.role != "primary":
                 self.fail("READONLY", server.id)
                 return
-            server.runs.append((server.record.now(), request, text))
             server.on_run(request, text)
             await asyncio.sleep(server.work_s[kind])
             if not server.is_up:
@@ -818,6 +843,7 @@
         self.address, self.record = address, record
         self.services = {service.name: service for service in services}
         self.is_silent = False
+        self.last_order_at = None
         self._server = None
 
     async def start(self):
@@ -858,6 +884,7 @@
         service.token = max(service.token, token)
         self.record(f"platform: {holder} token {token} promotes {order}: {status}")
         if status == 200 and server.role != "primary":
+            self.last_order_at = self.record.now()
             loop = asyncio.get_running_loop()
             loop.call_later(service.promote_s, service.promote, server)
         return status
@@ -940,5 +967,6 @@
         result = NOT_RUN
     text = {HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN"}.get(result, "not run")
     record(text)
+    record.close()
     print(text)
     sys.exit(result)
