--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,10 +6,11 @@
 """
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standin"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 import harness as h
 
 FOLDER = Path(__file__).resolve().parent
@@ -84,7 +85,7 @@
             while True:
                 if client is None or client.writer is None:
                     client = h.Client(f"r{number}", fleet, f"entry-{number % 3 + 1}",
-                                      "view", record, is_quiet=True)
+                                      "view", record)
                     if await client.open() is not True:
                         await asyncio.sleep(0.2)
                         continue
@@ -125,7 +126,7 @@
         for server in servers:
             if server.is_up:
                 server.crash()
-        await fleet.stop_all(__import__("os").environ.get("KEEP_LOGS"))
+        await fleet.stop_all(os.environ.get("KEEP_LOGS"))
 
 
 h.run_case(FOLDER, case)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,16 +11,16 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standin"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 import harness as h
 
 FOLDER = Path(__file__).resolve().parent
 LOST_SHARE = 0.2  # of the old primary's answers
 LOST_FOR_S = 6.0
 FREEZE_S = 4.0
-SERVICES, ROUNDS = 3, 8
-WRITERS, READERS = 10, 10  # of each service
-PAUSE_S = 0.04  # between the statements of a session
+SERVICES, ROUNDS = 6, 8
+WRITERS, READERS = 6, 5  # of each service
+PAUSE_S = 0.08  # between the statements of a session
 LAG_S = 0.09  # of the replicas
 DRAIN_S = 7.0  # drain_ms
 RECENT = 300  # acknowledged commits that a read is checked against
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -10,7 +10,7 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standin"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 import harness as h
 
 FOLDER = Path(__file__).resolve().parent
--- a/review/standin/harness.py
+++ b/review/harness.py
@@ -20,7 +20,7 @@
 from collections import deque
 from pathlib import Path
 
-REPOSITORY = Path(__file__).resolve().parents[2]
+REPOSITORY = Path(__file__).resolve().parents[1]
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 HEARTBEAT_MS = 1200
 ZONES = {"east-1": "east", "east-2": "east", "west-1": "west", "south-1": "south"}
@@ -103,11 +103,9 @@
 class Fleet:
     """The processes of the system: control hosts and entry hosts."""
 
-    def __init__(
-        self, record, controls, entries, tolerated=1, bounds=None, network=None
-    ):
+    def __init__(self, record, controls, entries, tolerated=1):
         self.record = record
-        self.network = network or free_network()
+        self.network = free_network()
         self.folder = Path(tempfile.mkdtemp(prefix="azurerelay-review-"))
         self.processes = {}
         self.ips, self.zones, self.roles = {}, {}, {}
@@ -126,7 +124,7 @@
             "recovery_s": 12,
             "enforce_fencing": True,
             "thaw_slack_ms": 300,
-        } | (bounds or {})
+        }
         self.tolerated = tolerated
         deploy = tomllib.loads((REPOSITORY / "deploy" / "system.toml").read_text())
         self.commands = {
@@ -293,12 +291,9 @@
     def __init__(self, fleet, record):
         self.fleet, self.record = fleet, record
 
-    async def replace(self, manifest, timeout_s=20.0, first=None):
+    async def replace(self, manifest, timeout_s=20.0):
         """Send a manifest; return the time of its acknowledgement, or None."""
         controls = list(self.fleet.controls)
-        if first is not None:
-            controls.remove(first)
-            controls.insert(0, first)
         deadline = time.monotonic() + timeout_s
         while time.monotonic() < deadline:
             for name in controls:
@@ -771,6 +766,7 @@
         self.state, self.is_read_only, self.writes = "T", is_read_only, []
         self.began_term = server.term
         if request != "-":
+            server.record(f"server {server.id} runs {request} BEGIN")
             server.on_run(request, "BEGIN")
         self.send("COMPLETE -", self.ready())
 
@@ -812,6 +808,7 @@
             if needs_lead and server.role != "primary":
                 self.fail("READONLY", server.id)
                 return
+            server.record(f"server {server.id} runs {request} {text}")
             server.on_run(request, text)
             await asyncio.sleep(server.work_s[kind])
             if not server.is_up:
@@ -893,15 +890,14 @@
 class Client:
     """One session through an entry host; `query` sends one statement at a time."""
 
-    def __init__(self, name, fleet, entry, database, record, is_quiet=False):
+    def __init__(self, name, fleet, entry, database, record):
         self.name, self.fleet, self.entry = name, fleet, entry
-        self.database, self.record, self.is_quiet = database, record, is_quiet
+        self.database, self.record = database, record
         self.reader = self.writer = None
         self.count = 0
 
     def note(self, text):
-        if not self.is_quiet:
-            self.record(f"client {self.name} {text}")
+        self.record(f"client {self.name} {text}")
 
     async def open(self, timeout=2.0):
         """Open the session; return True, the error line, or None without an answer."""
@@ -956,12 +952,16 @@
     record = Record(folder)
 
     async def guarded():
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         async with asyncio.timeout(115):
             return await case(record)
 
     try:
         result = asyncio.run(guarded())
-    except Exception as error:  # the case could not run to its end
+    except (Exception, asyncio.CancelledError) as error:
         record(f"the case could not run: {error!r}")
         print(f"the case could not run: {error!r}", file=sys.stderr)
         result = NOT_RUN
