Review case 1: a session whose database moves doesn't read its own writes

The position of a session's newest write outlives a change of its route to another service, and later writes aren't recorded.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,8 @@
-"""A replica that has no news is promoted, and acknowledged commits are lost.
+"""A session whose database moves to another service doesn't read its own writes.
 
-The service has `sync_replicas` 1. One replica receives nothing for a while and the
-primary crashes meanwhile; the other replica has every acknowledged commit, but is busy
-with reads when control asks for its position.
+The operator drops the route of a database and adds it again for another service, whose
+log positions are lower. The session keeps its position of the old service for its newest
+write, and the positions of its later writes don't count.
 """
 
 import asyncio
@@ -14,35 +14,88 @@
 import harness as h
 
 FOLDER = Path(__file__).resolve().parent
-DEAF_AT_S, CRASH_AFTER_S, DEAF_FOR_S = 5.0, 4.0, 6.0
-READERS = 26
+SESSIONS = 12  # that write and then read, on the route that moves
+OTHERS = 6  # sessions on the service that the route moves to
+BEFORE_S, AFTER_S = 8.0, 15.0
 
 
 async def case(record):
     fleet = h.Fleet(
         record,
         controls=["east-1", "west-1", "south-1"],
-        entries=["east-1", "east-1", "east-1", "west-1", "south-1"],
+        entries=["east-1", "west-1", "south-1"],
     )
-    service = h.Service("core", record, sync=1, limit=102)
-    platform = h.Platform(fleet.platform_address, [service], record)
-    servers = [
-        h.Server(service, "i-a1", "south-1", f"{fleet.network}.101:8080", fleet, record,
-                 role="primary"),
-        h.Server(service, "i-b2", "east-1", f"{fleet.network}.102:8080", fleet, record),
-        h.Server(service, "i-c3", "west-1", f"{fleet.network}.103:8080", fleet, record),
-    ]
-    primary, busy, deaf = servers
-    for server in servers:
-        server.work_s["READ"] = 0.06
-    tasks, acknowledged, lost = [], {}, []
-    counts = {"reads": 0, "reads refused": 0}
+    services = {name: h.Service(name, record) for name in ("first", "second")}
+    platform = h.Platform(fleet.platform_address, services.values(), record)
+    servers, tasks, stale = [], [], []
+    own_writes, read_by = {}, {}
+    counts = {"writes": 0, "reads": 0, "refused": 0}
 
     def check(server):
-        held = {commit.request for commit in server.log}
-        lost.extend(r for r in acknowledged if r not in held)
+        """Check each read when it runs: its log must hold the session's own commits."""
+
+        def on_run(request, text):
+            session = read_by.get(request)
+            if session is None:
+                return
+            lacks = [
+                write for write, service in own_writes[session]
+                if service is server.service
+                and write not in service.rolled_back
+                and not server.holds(write)
+            ]
+            if lacks:
+                stale.append(request)
+                record(f"STALE: {request} runs at {server.id} of {server.service.name} "
+                       f"({server.role}, {server.position()}), whose log lacks "
+                       f"{lacks[-1]}, acknowledged to the same session before")
+
+        return on_run
+
+    for number, service in enumerate(services.values()):
+        for place, zone in enumerate(["east-1", "west-1", "south-1"]):
+            address = f"{fleet.network}.{100 + 3 * number + place}:8080"
+            server = h.Server(service, f"i-{number}{'abc'[place]}", zone, address, fleet,
+                              record, "replica" if place else "primary")
+            server.on_run = check(server)
+            server.spread = 0.7
+            servers.append(server)
+
+    async def work(database, number, reads):
+        session = 0
+        while True:
+            session += 1
+            client = h.Client(f"{database}{number}s{session}", fleet,
+                              f"entry-{number % 3 + 1}", database, record)
+            own_writes[client.name] = []
+            if await client.open() is not True:
+                await asyncio.sleep(0.1)
+                continue
+            while client.writer is not None:
+                request, outcome, state = await client.query(f"WRITE k{number} v1")
+                if outcome and outcome.startswith("COMPLETE"):
+                    counts["writes"] += 1
+                    service = next(s for s in services.values() if request in s.commits)
+                    own_writes[client.name].append((request, service))
+                else:
+                    counts["refused"] += 1
+                if reads and client.writer is not None:
+                    read_by[f"{client.name}n{client.count + 1:05d}"] = client.name
+                    request, outcome, state = await client.query(f"READ k{number}")
+                    is_served = bool(outcome) and outcome.startswith("COMPLETE")
+                    counts["reads" if is_served else "refused"] += 1
+                await asyncio.sleep(0.05)
+
+    def configuration(version, service):
+        """Return a manifest; without a service, "own" has no route."""
+        routes = [
+            ("book-1", "primary", "first", 1000),
+            ("book-2", "primary", "second", 1000),
+        ]
+        if service is not None:
+            routes.append(("own", "read_own_writes", service, 1000))
+        return h.manifest(version, [(name, 45, 0) for name in services], routes)
 
-    service.on_promoted = check
     try:
         await platform.start()
         for server in servers:
@@ -50,76 +103,31 @@
         await fleet.start_all()
         await asyncio.sleep(1.0)
         operator = h.Operator(fleet, record)
-        first = h.manifest(
-            3,
-            [("core", 102, 1)],
-            [
-                ("book", "primary", "core", 1000),
-                ("view", "bounded_staleness", "core", 2000),
-            ],
-        )
-        if await operator.replace(first) is None or not await fleet.wait_ready():
+        if await operator.replace(configuration(3, "first")) is None:
+            return h.NOT_RUN
+        if not await fleet.wait_ready():
             return h.NOT_RUN
         await asyncio.sleep(4.0)
-
-        async def write(number):
-            entries = fleet.entries
-            attempt = number
-            while True:
-                attempt += 1
-                client = h.Client(f"w{number}a{attempt}", fleet,
-                                  entries[attempt % len(entries)], "book", record)
-                if await client.open() is not True:
-                    await asyncio.sleep(0.1)
-                    continue
-                while client.writer is not None:
-                    request, outcome, state = await client.query(f"WRITE k{number} v1")
-                    if outcome and outcome.startswith("COMPLETE"):
-                        acknowledged[request] = record.now()
-                    elif outcome:
-                        client.close()
-                    await asyncio.sleep(0.1)
-
-        async def read(number):
-            client = None
-            while True:
-                if client is None or client.writer is None:
-                    client = h.Client(f"r{number}", fleet, f"entry-{number % 3 + 1}",
-                                      "view", record)
-                    if await client.open() is not True:
-                        await asyncio.sleep(0.2)
-                        continue
-                _, outcome, state = await client.query(f"READ k{number}")
-                is_served = bool(outcome) and outcome.startswith("COMPLETE")
-                counts["reads" if is_served else "reads refused"] += 1
-                if not is_served:
-                    await asyncio.sleep(0.05)
-
-        tasks += [asyncio.create_task(write(n)) for n in range(4)]
-        tasks += [asyncio.create_task(read(n)) for n in range(READERS)]
-        await asyncio.sleep(DEAF_AT_S)
-        if h.has_trouble():
-            record(f"{deaf.id} receives nothing for {DEAF_FOR_S} s")
-            deaf.is_deaf = True
-        await asyncio.sleep(CRASH_AFTER_S)
+        early = [asyncio.create_task(work("book-1", n, False)) for n in range(20)]
+        tasks += early
+        tasks += [asyncio.create_task(work("own", n, True)) for n in range(SESSIONS)]
+        await asyncio.sleep(BEFORE_S)
+        for task in early:
+            task.cancel()
+        tasks += [asyncio.create_task(work("book-2", n, True)) for n in range(OTHERS)]
+        await asyncio.sleep(1.0)
         if h.has_trouble():
-            primary.crash()
-        await asyncio.sleep(DEAF_FOR_S - CRASH_AFTER_S)
-        deaf.is_deaf = False
-        await asyncio.sleep(6.0)
-        record(f"{len(acknowledged)} writes acknowledged, {counts}")
-        ended = fleet.unexpected_ends()
-        if ended:
-            record(f"processes ended: {ended}")
-        if not acknowledged or not counts["reads"]:
-            return h.NOT_RUN
-        if h.has_trouble() and not service.promotions:
-            record("no server was promoted")
+            if await operator.replace(configuration(8, None)) is None:
+                return h.NOT_RUN
+            await asyncio.sleep(1.0)
+            if await operator.replace(configuration(11, "second")) is None:
+                return h.NOT_RUN
+        await asyncio.sleep(AFTER_S)
+        ends = {name: s.primary.position() for name, s in services.items()}
+        record(f"{counts}; positions {ends}; {len(stale)} stale reads")
+        if not counts["reads"]:
             return h.NOT_RUN
-        for request in lost:
-            record(f"LOST: {request}, acknowledged at {acknowledged[request]:.3f}, "
-                   "is not in the log of the promoted server")
-        return h.BROKEN if lost else h.HELD
+        return h.BROKEN if stale else h.HELD
     finally:
         for task in tasks:
             task.cancel()
--- a/review/harness.py
+++ b/review/harness.py
@@ -458,6 +458,7 @@
         self.busy, self.waiting = 0, deque()
         self.connections = set()
         self.work_s = {"READ": 0.024, "WRITE": 0.008, "COMMIT": 0.004, "STATUS": 0.001}
+        self.spread = 0.0  # of the time that work takes
         self.loses_answers = 0.0  # the share of answers that are lost
         self.on_run = lambda request, text: None
         self.on_answer_lost = lambda lines: None
@@ -642,6 +643,11 @@
         await turn
         return True
 
+    def work_time_s(self, kind):
+        """Return how long a statement works."""
+        factor = random.lognormvariate(0.0, self.spread) if self.spread else 1.0
+        return self.work_s[kind] * min(5.0, factor)
+
     def free_slot(self):
         while self.waiting:
             turn = self.waiting.popleft()
@@ -810,7 +816,7 @@
                 return
             server.record(f"server {server.id} runs {request} {text}")
             server.on_run(request, text)
-            await asyncio.sleep(server.work_s[kind])
+            await asyncio.sleep(server.work_time_s(kind))
             if not server.is_up:
                 return
             if needs_lead and server.role != "primary":
