Log statements whose connection ends without an answer

StatementUnanswered says who ended the connection, and whether the statement was waiting or sent; CallersDrained counts what a stopping host leaves behind. The times at which the host does things, and what it does then, stay as they were.

--- a/src/azurerelay/events/__init__.py
+++ b/src/azurerelay/events/__init__.py
@@ -3,6 +3,7 @@
 from azurerelay.events._event_log import EventLog, NullEventLog
 from azurerelay.events._events import (
     AnnouncementRefused,
+    CallersDrained,
     ConfigurationConfirmed,
     ConfigurationInForce,
     ConfigurationOrdered,
@@ -23,6 +24,7 @@
     StatementRefused,
     StatementRetried,
     StatementServed,
+    StatementUnanswered,
     VotersChanged,
 )
 from azurerelay.events._explanation import (
@@ -36,6 +38,7 @@
     "explain_request",
     "parse_log_line",
     "AnnouncementRefused",
+    "CallersDrained",
     "ConfigurationConfirmed",
     "ConfigurationInForce",
     "ConfigurationOrdered",
@@ -58,5 +61,6 @@
     "StatementRefused",
     "StatementRetried",
     "StatementServed",
+    "StatementUnanswered",
     "VotersChanged",
 ]
--- a/src/azurerelay/events/_events.py
+++ b/src/azurerelay/events/_events.py
@@ -51,6 +51,24 @@
     required_position: str
 
 
+@dataclass(frozen=True, slots=True)
+class StatementUnanswered(Event):
+    """A caller's connection ended before its statement was answered.
+
+    `phase` is "waiting" if no endpoint has the statement, and "sent" if `endpoint` has
+    not answered it. `reason` is why the connection ended.
+    """
+
+    request_id: str
+    database: str
+    phase: str
+    endpoint: str
+    is_in_transaction: bool
+    waited_ms: float
+    attempts: int
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class SessionRefused(Event):
     """A caller's session, or a statement of one, was refused because of its database.
@@ -227,3 +245,17 @@
 
     change: str
     detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class CallersDrained(Event):
+    """A stopping host is about to close the connections of callers that are left.
+
+    The statements without an answer are counted by whether an endpoint has them.
+    """
+
+    duration_ms: float
+    connections: int
+    waiting_statements: int
+    sent_statements: int
+    open_transactions: int
--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -8,6 +8,7 @@
 from absl import logging
 from result import Err
 
+from azurerelay.events import CallersDrained
 from azurerelay.hosts._sockets import set_socket_options, split_address
 from azurerelay.platform import (
     LINE_TOO_LONG_ERROR,
@@ -31,7 +32,7 @@
     SetValue,
     Statement,
 )
-from azurerelay.timing import TimerService, spawn
+from azurerelay.timing import TimerService, sleep, spawn
 
 LISTEN_BACKLOG: Final = 512
 # A caller with more queued messages than this sends without reading its replies; its
@@ -42,6 +43,13 @@
 # next statement, and a statement that crosses the close is lost.
 QUIET_BEFORE_CLOSE_MS: Final = 250.0
 MIN_QUIET_CHECK_MS: Final = 20.0  # between two looks at a connection that is in use
+# The platform routes new callers elsewhere after two failed readiness checks, which
+# are one second apart.
+ACCEPT_WHILE_DRAINING_MS: Final = 2_300.0
+# Part of the grace period that remains after draining, so that the process can exit
+# by itself.
+EXIT_MARGIN_MS: Final = 1_200.0
+DRAIN_POLL_MS: Final = 50.0
 
 
 class CallerProtocol(asyncio.Protocol):
@@ -65,6 +73,11 @@
         self._is_busy = False
         self._closes_when_idle = closes_when_idle
 
+    @property
+    def session(self) -> CallerSession | None:
+        """The session of the caller; None before it is open."""
+        return self._session
+
     @property
     def is_idle(self) -> bool:
         """Whether no message is outstanding and no transaction is open or failed."""
@@ -90,8 +103,13 @@
             max(MIN_QUIET_CHECK_MS, remaining_ms), self._close_if_quiet
         )
 
-    def close(self) -> None:
-        """Close the connection after the buffered data has been sent."""
+    def close(self, reason: str = "the session ended") -> None:
+        """Close the connection after the buffered data has been sent.
+
+        `reason` is recorded for a statement that has not been answered.
+        """
+        if self._session is not None:
+            self._session.close(reason)
         if self._transport is not None:
             self._transport.close()
 
@@ -109,18 +127,18 @@
         lines = self._splitter.feed(data)
         if isinstance(lines, Err):
             self._write(LINE_TOO_LONG_ERROR)
-            self.close()
+            self.close("unreadable message")
             return
         for line in lines.ok_value:
             message = decode_caller_line(line)
             if isinstance(message, Err):
                 self._write(encode_error_line(CallerError.MALFORMED, message.err_value))
-                self.close()
+                self.close("unreadable message")
                 return
             self._queued_messages.append(message.ok_value)
         if len(self._queued_messages) > MAX_PIPELINED_MESSAGES:
             self._write(encode_error_line(CallerError.MALFORMED, "too many messages"))
-            self.close()
+            self.close("too many messages")
             return
         self._process_queue()
 
@@ -160,7 +178,7 @@
             logging.exception(
                 "unexpected error in a caller session; closing the connection"
             )
-            self.close()
+            self.close("unexpected error")
 
     async def _open_session(self, message: OpenSession) -> None:
         if self._session is not None:
@@ -244,9 +262,6 @@
             reuse_address=True,
         )
 
-    async def drain(self) -> None:
-        """Do nothing; the host calls `close_idle_sessions` later in its drain."""
-
     def close_idle_sessions(self) -> None:
         """Close quiet connections now, and all others once they become idle.
 
@@ -256,6 +271,35 @@
         for caller in list(self._callers):
             caller.close_when_idle()
 
+    async def close_gracefully(self, grace_period_ms: float) -> CallersDrained:
+        """Serve callers until their connections are idle; return what is left then.
+
+        Callers are served as before until the platform routes new ones elsewhere. Then
+        each connection is closed as soon as it is idle, until none is left or the grace
+        period is nearly over.
+        """
+        started_ms = self._timers.now_ms()
+        await sleep(self._timers, ACCEPT_WHILE_DRAINING_MS)
+        self.close_idle_sessions()
+        deadline_ms = started_ms + grace_period_ms - EXIT_MARGIN_MS
+        while self._callers and self._timers.now_ms() < deadline_ms:
+            await sleep(self._timers, DRAIN_POLL_MS)
+        return self._unfinished_work(self._timers.now_ms() - started_ms)
+
+    def _unfinished_work(self, duration_ms: float) -> CallersDrained:
+        sessions = [c.session for c in self._callers if c.session is not None]
+        statements = [s.statement_in_progress for s in sessions]
+        is_sent = [s.is_sent for s in statements if s is not None]
+        return CallersDrained(
+            duration_ms,
+            connections=len(self._callers),
+            waiting_statements=is_sent.count(False),
+            sent_statements=is_sent.count(True),
+            open_transactions=sum(
+                s.state is SessionState.IN_TRANSACTION for s in sessions
+            ),
+        )
+
     def stop_accepting(self) -> None:
         """Close the listening socket."""
         if self._server is not None:
@@ -265,7 +309,7 @@
         """Close the listening socket and all caller connections."""
         self.stop_accepting()
         for caller in list(self._callers):
-            caller.close()
+            caller.close("the host stops")
 
     def _create_protocol(self) -> CallerProtocol:
         caller = CallerProtocol(
--- a/src/azurerelay/hosts/_entry_host.py
+++ b/src/azurerelay/hosts/_entry_host.py
@@ -15,19 +15,11 @@
 from azurerelay.messages import TaggedCodec
 from azurerelay.platform import READINESS_PATH, HostSettings
 from azurerelay.relay import RelayNode
-from azurerelay.runtime import AsyncioTimerService, ZmqLink
+from azurerelay.runtime import AsyncioTimerService, ZmqLink, as_future
 from azurerelay.telemetry import Meters
-from azurerelay.timing import ScopedTimerService
+from azurerelay.timing import ScopedTimerService, spawn
 
 ENTRY_LINK_CODEC: Final = TaggedCodec(ATTACHMENT_MESSAGES)
-_MS_PER_S: Final = 1_000.0
-# The platform routes new callers elsewhere after two failed readiness checks, which
-# are one second apart.
-ACCEPT_WHILE_DRAINING_MS: Final = 2_300.0
-# Part of the grace period that remains after draining, so that the process can exit
-# by itself.
-EXIT_MARGIN_MS: Final = 1_200.0
-DRAIN_POLL_MS: Final = 50.0
 
 
 class EntryHost:
@@ -42,6 +34,7 @@
     ) -> None:
         assert settings.caller_address and settings.readiness_address
         self._settings = settings
+        self._events = events
         self._loop = loop
         self._timers = ScopedTimerService(AsyncioTimerService(loop))
         self._link = ZmqLink(
@@ -94,18 +87,13 @@
     async def drain(self) -> None:
         """Close caller connections when they are idle, before the host stops.
 
-        Readiness checks fail from now on. Callers are served as before until the
-        platform has noticed; then each connection is closed as soon as it is idle.
-        Return when none is left or the grace period is nearly over.
+        Readiness checks fail from now on, while callers are served as before until the
+        platform has noticed.
         """
         self._is_draining = True
         self._node.control_follower.set_draining()
-        started_ms = self._timers.now_ms()
-        await asyncio.sleep(ACCEPT_WHILE_DRAINING_MS / _MS_PER_S)
-        self._callers.close_idle_sessions()
-        deadline_ms = started_ms + self._settings.grace_period_ms - EXIT_MARGIN_MS
-        while self._callers.connection_count and self._timers.now_ms() < deadline_ms:
-            await asyncio.sleep(DRAIN_POLL_MS / _MS_PER_S)
+        drain = self._callers.close_gracefully(self._settings.grace_period_ms)
+        self._events.record(await as_future(spawn(drain)))
 
     async def stop(self) -> None:
         """Close all connections, sockets and timers."""
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -119,6 +119,11 @@
             return SessionState.IN_TRANSACTION
         return SessionState.IDLE
 
+    @property
+    def statement_in_progress(self) -> StatementProgress | None:
+        """The statement that is being served; None if there is none."""
+        return self._progress if self._is_busy else None
+
     async def handle(self, statement: Statement) -> CallerReply:
         """Serve one statement and return the reply to the caller.
 
@@ -143,11 +148,16 @@
             self._start_idle_timer()
         return reply
 
-    def close(self) -> None:
+    def close(self, reason: str = "the caller closed the connection") -> None:
         """End the session and roll back an open transaction.
 
-        While a statement is being served, the rollback waits for its end.
+        While a statement is being served, the rollback waits for its end. `reason` is
+        recorded for a statement that is not answered.
         """
+        if not self._is_closed and self.statement_in_progress is not None:
+            self._recorder.record_unanswered(
+                self.statement_in_progress, self._transaction is not None, reason
+            )
         self._is_closed = True
         self._stop_idle_timer()
         if not self._is_busy:
@@ -240,17 +250,15 @@
         while True:
             sent_ms = self._timers.now_ms()
             progress.attempt_count += 1
-            outcome = await with_timeout(
-                self._timers,
-                transaction.session.send(
-                    RunStatement(statement.request_id, statement.text)
-                ),
-                max(0.0, progress.deadline_ms - sent_ms),
+            reply = await self._send(
+                progress,
+                transaction.session,
+                RunStatement(statement.request_id, statement.text),
+                progress.deadline_ms - sent_ms,
             )
-            if isinstance(outcome, Err) or isinstance(outcome.ok_value, Err):
+            if reply is None:
                 transaction.group.record_missed_answer(transaction.pool, sent_ms)
                 return self._end_unanswered_commit(progress, transaction)
-            reply = outcome.ok_value.ok_value
             transaction.group.record_reply(transaction.pool, sent_ms, reply)
             if reply.error is not EndpointError.BUSY or not self._may_retry(progress):
                 return self._finish_commit(progress, transaction, sent_ms, reply)
@@ -301,12 +309,13 @@
             if sent_ms >= last_send_ms:
                 pool.release(session)
                 break
-            outcome = await with_timeout(
-                self._timers,
-                session.send(self._endpoint_command(progress.statement, shape, None)),
-                max(0.0, progress.deadline_ms - sent_ms),
+            reply = await self._send(
+                progress,
+                session,
+                self._endpoint_command(progress.statement, shape, None),
+                progress.deadline_ms - sent_ms,
             )
-            if isinstance(outcome, Err) or isinstance(outcome.ok_value, Err):
+            if reply is None:
                 session.close()
                 pool.release(session)
                 group.record_missed_answer(pool, sent_ms)
@@ -315,7 +324,6 @@
                     await self._wait_to_retry(progress, progress.reason)
                     continue
                 return self._refuse(progress, CallerError.IN_DOUBT, "unknown")
-            reply = outcome.ok_value.ok_value
             group.record_reply(pool, sent_ms, reply)
             if reply.is_success:
                 return self._finish_success(
@@ -370,14 +378,13 @@
                 excluded |= {pool.endpoint.endpoint}
                 continue
             sent_ms = self._timers.now_ms()
-            outcome = await with_timeout(
-                self._timers,
-                session.send(
-                    self._endpoint_command(progress.statement, shape, required)
-                ),
+            reply = await self._send(
+                progress,
+                session,
+                self._endpoint_command(progress.statement, shape, required),
                 self._read_timeout_ms(progress, pool),
             )
-            if isinstance(outcome, Err) or isinstance(outcome.ok_value, Err):
+            if reply is None:
                 session.close()
                 pool.release(session)
                 excluded |= {pool.endpoint.endpoint}
@@ -385,7 +392,6 @@
                 group.record_missed_answer(pool, sent_ms)
                 self._recorder.record_retry(progress)
                 continue
-            reply = outcome.ok_value.ok_value
             group.record_reply(pool, sent_ms, reply)
             if reply.is_success:
                 return self._finish_success(
@@ -510,17 +516,15 @@
                 )
             sent_ms = self._timers.now_ms()
             progress.attempt_count += 1
-            outcome = await with_timeout(
-                self._timers,
-                transaction.session.send(
-                    self._endpoint_command(statement, shape, None)
-                ),
-                max(0.0, progress.deadline_ms - sent_ms),
+            reply = await self._send(
+                progress,
+                transaction.session,
+                self._endpoint_command(statement, shape, None),
+                progress.deadline_ms - sent_ms,
             )
-            if isinstance(outcome, Err) or isinstance(outcome.ok_value, Err):
+            if reply is None:
                 transaction.group.record_missed_answer(transaction.pool, sent_ms)
                 return self._abort_transaction(progress, "the endpoint did not answer")
-            reply = outcome.ok_value.ok_value
             transaction.group.record_reply(transaction.pool, sent_ms, reply)
             if reply.is_success:
                 transaction.has_written = transaction.has_written or is_write
@@ -645,6 +649,23 @@
 
     # Helpers
 
+    async def _send(
+        self,
+        progress: StatementProgress,
+        session: PooledSession,
+        command: EndpointCommand,
+        timeout_ms: float,
+    ) -> EndpointReply | None:
+        """Send a statement to an endpoint; return its reply, or None without one."""
+        progress.is_sent = True
+        outcome = await with_timeout(
+            self._timers, session.send(command), max(0.0, timeout_ms)
+        )
+        progress.is_sent = False
+        if isinstance(outcome, Err) or isinstance(outcome.ok_value, Err):
+            return None
+        return outcome.ok_value.ok_value
+
     def _begin_statement(self, statement: Statement, route: Route) -> StatementProgress:
         now_ms = self._timers.now_ms()
         deadline_ms = now_ms + route.statement_timeout_ms
--- a/src/azurerelay/relay/_statement_progress.py
+++ b/src/azurerelay/relay/_statement_progress.py
@@ -12,7 +12,7 @@
 
     `started_ms` and `deadline_ms` are times of the timer service, `attempt_count` is
     how often a connection was ready for the statement, and `reason` is why it has not
-    been served yet.
+    been served yet. `is_sent` is whether an endpoint has it and has not answered.
     """
 
     statement: Statement
@@ -23,3 +23,4 @@
     endpoint: str = ""
     required_position: str = ""
     reason: str = "no endpoint could be used"
+    is_sent: bool = False
--- a/src/azurerelay/relay/_statement_recorder.py
+++ b/src/azurerelay/relay/_statement_recorder.py
@@ -7,6 +7,7 @@
     StatementRefused,
     StatementRetried,
     StatementServed,
+    StatementUnanswered,
 )
 from azurerelay.relay._statement_progress import StatementProgress
 from azurerelay.statements import CallerReply, Statement
@@ -101,3 +102,22 @@
                 self._version(),
             )
         )
+
+    def record_unanswered(
+        self, progress: StatementProgress, is_in_transaction: bool, reason: str
+    ) -> None:
+        """Record that a connection ended before its statement was answered."""
+        phase = "sent" if progress.is_sent else "waiting"
+        self._meters.count("statements_unanswered_total", phase=phase)
+        self._events.record(
+            StatementUnanswered(
+                progress.statement.request_id,
+                self._database,
+                phase,
+                progress.endpoint,
+                is_in_transaction,
+                self._timers.now_ms() - progress.started_ms,
+                progress.attempt_count,
+                reason,
+            )
+        )
