--- a/tests/caller_rig.py
+++ b/tests/caller_rig.py
@@ -80,8 +80,17 @@
 
     @property
     def is_answered(self) -> bool:
-        """Whether the reply to the last statement is complete."""
-        return bool(self.lines) and self.lines[-1].startswith("READY")
+        """Whether the reply to the last message is complete."""
+        if not self.lines:
+            return False
+        is_refused_session = not self.sent and self.lines[-1].startswith("ERROR")
+        return is_refused_session or self.lines[-1].startswith("READY")
+
+    @property
+    def error(self) -> str:
+        """The error code in the reply; empty if it succeeded."""
+        word, _, rest = self.lines[-2 if self.sent else -1].partition(" ")
+        return rest.partition(" ")[0] if word == "ERROR" else ""
 
 
 class StoppingHost:
@@ -92,19 +101,25 @@
         self.node: RelayNode = rig.entries["10.1.0.1:7440"]
         self.server = CallerServer("127.0.0.1:0", self.node, rig.timers)
         self.caller_count = 0
+        self.stop: Promise[CallersDrained] = Promise()
         self.stopped_at_ms: float | None = None
 
-    def connect(self, database: str = "strict") -> Caller:
-        """Connect a caller, and wait until its session is open."""
+    def new_caller(self, database: str) -> Caller:
+        """Connect a caller, and send its START."""
         self.caller_count += 1
         name = f"caller-{self.caller_count}"
-        caller = Caller(name, self.rig, self.server, database)
+        return Caller(name, self.rig, self.server, database)
+
+    def connect(self, database: str = "strict") -> Caller:
+        """Connect a caller, and wait until its session is open."""
+        caller = self.new_caller(database)
         self.rig.wait_for(lambda: caller.is_answered or caller.is_closed)
         return caller
 
     def start_stop(self) -> Promise[CallersDrained]:
         """Begin a planned stop, as at SIGTERM."""
-        return spawn(self._stop())
+        self.stop = spawn(self._stop())
+        return self.stop
 
     async def _stop(self) -> CallersDrained:
         left = await self.server.close_gracefully(GRACE_PERIOD_MS)
