A stopping entry host answers every statement that it has read

Cause: the stop had no end for statements. The host took and sent statements until the last moment, and then closed every connection, whatever its statement waited for.

A host that has closed its own connections suspects no primary.

--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -109,6 +109,7 @@
         self._suspect: str | None = None
         self._is_suspect_certain = False
         self._are_connections_scarce = False
+        self._is_aborted = False
 
     @property
     def name(self) -> str:
@@ -190,6 +191,19 @@
         for member in self._members.values():
             member.pool.trim()
 
+    def refuse_callers(self, reason: str) -> None:
+        """Fail all requests of callers that wait for a connection; proofs go on."""
+        for member in self._members.values():
+            member.pool.refuse_callers(reason)
+        self._notify()
+
+    def abort(self) -> None:
+        """Close all connections at once, without waiting for answers."""
+        self._is_aborted = True
+        for member in list(self._members.values()):
+            member.pool.abort()
+        self.close()
+
     def close(self) -> None:
         """Close all connections."""
         for name in list(self._members):
@@ -386,6 +400,8 @@
         )
         granted = await pool.acquire(PROOF_PRIORITY, SessionProfile(), wait_ms)
         if isinstance(granted, Err):
+            if self._is_aborted:
+                return None
             failure = granted.err_value
             if failure.is_at_limit:
                 self._clear_suspicion(endpoint)
@@ -404,6 +420,8 @@
         if isinstance(outcome, Err) or isinstance(outcome.ok_value, Err):
             session.close()
             pool.release(session)
+            if self._is_aborted:
+                return None
             self._record_failed_proof(endpoint, True)
             self._record_endpoint_loss(
                 pool, "no answer to a request for a leadership proof"
--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -22,7 +22,7 @@
     encode_error_line,
     encode_ready_line,
 )
-from azurerelay.relay import CallerSession, RelayNode
+from azurerelay.relay import HOST_STOPS, CallerSession, RelayNode, StopSchedule
 from azurerelay.statements import (
     CallerError,
     CallerReply,
@@ -43,13 +43,10 @@
 # next statement, and a statement that crosses the close is lost.
 QUIET_BEFORE_CLOSE_MS: Final = 250.0
 MIN_QUIET_CHECK_MS: Final = 20.0  # between two looks at a connection that is in use
-# The platform routes new callers elsewhere after two failed readiness checks, which
-# are one second apart.
-ACCEPT_WHILE_DRAINING_MS: Final = 2_300.0
-# Part of the grace period that remains after draining, so that the process can exit
-# by itself.
-EXIT_MARGIN_MS: Final = 1_200.0
-DRAIN_POLL_MS: Final = 50.0
+STOP_POLL_MS: Final = 20.0  # between two looks at the work that is left
+# How long a stopping host waits for its last replies, and for their transmission.
+LAST_REPLIES_MS: Final = 200.0
+TRANSMISSION_MS: Final = 100.0
 
 
 class CallerProtocol(asyncio.Protocol):
@@ -78,6 +75,11 @@
         """The session of the caller; None before it is open."""
         return self._session
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a message is being served."""
+        return self._is_busy
+
     @property
     def is_idle(self) -> bool:
         """Whether no message is outstanding and no transaction is open or failed."""
@@ -271,20 +273,37 @@
         for caller in list(self._callers):
             caller.close_when_idle()
 
-    async def close_gracefully(self, grace_period_ms: float) -> CallersDrained:
-        """Serve callers until their connections are idle; return what is left then.
+    async def close_gracefully(self, schedule: StopSchedule) -> CallersDrained:
+        """Answer all statements and close all connections, by a schedule.
 
-        Callers are served as before until the platform routes new ones elsewhere. Then
-        each connection is closed as soon as it is idle, until none is left or the grace
-        period is nearly over.
+        Return what was left when the time for answers was over, or when the last
+        connection had been closed.
         """
         started_ms = self._timers.now_ms()
-        await sleep(self._timers, ACCEPT_WHILE_DRAINING_MS)
+        await sleep(self._timers, schedule.close_idle_ms)
         self.close_idle_sessions()
-        deadline_ms = started_ms + grace_period_ms - EXIT_MARGIN_MS
-        while self._callers and self._timers.now_ms() < deadline_ms:
-            await sleep(self._timers, DRAIN_POLL_MS)
-        return self._unfinished_work(self._timers.now_ms() - started_ms)
+        await self._wait_while_connected(started_ms + schedule.last_begin_ms)
+        self._node.refuse_transactions()
+        await self._wait_while_connected(started_ms + schedule.last_send_ms)
+        self._node.refuse_statements()
+        await self._wait_while_connected(started_ms + schedule.last_answer_ms)
+        left = self._unfinished_work(self._timers.now_ms() - started_ms)
+        self.stop_accepting()
+        self._node.end_statements()
+        await self._wait_for_replies(self._timers.now_ms() + LAST_REPLIES_MS)
+        self._close_all()
+        await self._wait_while_connected(self._timers.now_ms() + TRANSMISSION_MS)
+        return left
+
+    async def _wait_while_connected(self, until_ms: float) -> None:
+        while self._callers and (left_ms := until_ms - self._timers.now_ms()) > 0.0:
+            await sleep(self._timers, min(STOP_POLL_MS, left_ms))
+
+    async def _wait_for_replies(self, until_ms: float) -> None:
+        while any(caller.is_busy for caller in self._callers):
+            if self._timers.now_ms() >= until_ms:
+                return
+            await sleep(self._timers, STOP_POLL_MS)
 
     def _unfinished_work(self, duration_ms: float) -> CallersDrained:
         sessions = [c.session for c in self._callers if c.session is not None]
@@ -308,8 +327,11 @@
     async def stop(self) -> None:
         """Close the listening socket and all caller connections."""
         self.stop_accepting()
+        self._close_all()
+
+    def _close_all(self) -> None:
         for caller in list(self._callers):
-            caller.close("the host stops")
+            caller.close(HOST_STOPS)
 
     def _create_protocol(self) -> CallerProtocol:
         caller = CallerProtocol(
--- a/src/azurerelay/hosts/_entry_host.py
+++ b/src/azurerelay/hosts/_entry_host.py
@@ -14,7 +14,7 @@
 from azurerelay.hosts._metrics_service import MetricsService
 from azurerelay.messages import TaggedCodec
 from azurerelay.platform import READINESS_PATH, HostSettings
-from azurerelay.relay import RelayNode
+from azurerelay.relay import RelayNode, schedule_stop
 from azurerelay.runtime import AsyncioTimerService, ZmqLink, as_future
 from azurerelay.telemetry import Meters
 from azurerelay.timing import ScopedTimerService, spawn
@@ -85,14 +85,15 @@
         self._node.control_follower.add_seeds(settings.seed_addresses)
 
     async def drain(self) -> None:
-        """Close caller connections when they are idle, before the host stops.
+        """Answer all callers and close their connections, before the host stops.
 
         Readiness checks fail from now on, while callers are served as before until the
         platform has noticed.
         """
         self._is_draining = True
         self._node.control_follower.set_draining()
-        drain = self._callers.close_gracefully(self._settings.grace_period_ms)
+        schedule = schedule_stop(self._settings.grace_period_ms)
+        drain = self._callers.close_gracefully(schedule)
         self._events.record(await as_future(spawn(drain)))
 
     async def stop(self) -> None:
--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -252,6 +252,19 @@
         for waiter in waiters:
             waiter.promise.resolve(Err(failure))
 
+    def refuse_callers(self, reason: str) -> None:
+        """Fail the waiting requests of callers, which have priorities from 0 on."""
+        refused = [waiter for waiter in self._waiters if waiter.priority >= 0]
+        self._waiters = deque(w for w in self._waiters if w.priority < 0)
+        for waiter in refused:
+            waiter.promise.resolve(Err(ConnectFailed(reason)))
+
+    def abort(self) -> None:
+        """Close all connections now; statements that wait for answers get none."""
+        self.close()
+        for session in tuple(self._checked_out):
+            session.close()
+
     def close(self) -> None:
         """Close idle connections now, and those in use when they are released."""
         self._is_closed = True
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -60,6 +60,8 @@
 # Routes with a short statement timeout use a quarter of that timeout instead.
 MIN_WRITE_TIME_MS: Final = 150.0
 
+HOST_STOPS: Final = "the host is being stopped"
+
 _CALLER_ERRORS: Final = {
     EndpointError.BUSY: CallerError.BUSY,
     EndpointError.NOT_CAUGHT_UP: CallerError.NOT_CAUGHT_UP,
@@ -232,6 +234,8 @@
             return self._unknown_database_reply()
         route, group = found
         progress = self._begin_statement(statement, route)
+        if not self._route_table.accepts_transactions:
+            return self._refuse_unsent(progress)
         if statement.is_read_only:
             return await self._run_on_any_endpoint(progress, group, None)
         return await self._run_on_primary(progress, group, None)
@@ -247,6 +251,8 @@
             return CallerReply(self.state, error=error, error_text=text)
         progress = self._begin_statement(statement, transaction.route)
         progress.endpoint = transaction.session.endpoint
+        if not self._route_table.accepts_statements:
+            return self._abort_transaction(progress, HOST_STOPS)
         while True:
             sent_ms = self._timers.now_ms()
             progress.attempt_count += 1
@@ -291,7 +297,7 @@
         """
         min_write_ms = min(MIN_WRITE_TIME_MS, progress.route.statement_timeout_ms / 4)
         last_send_ms = progress.deadline_ms - min_write_ms
-        while self._timers.now_ms() < last_send_ms and not self._is_closed:
+        while self._timers.now_ms() < last_send_ms and self._may_send:
             pool = group.primary()
             if pool is None and self._is_crowded_out(progress, group):
                 return self._refuse(progress, CallerError.BUSY, "no")
@@ -306,7 +312,7 @@
             if session is None:
                 continue
             sent_ms = self._timers.now_ms()
-            if sent_ms >= last_send_ms:
+            if sent_ms >= last_send_ms or not self._may_send:
                 pool.release(session)
                 break
             reply = await self._send(
@@ -334,7 +340,7 @@
                 return self._forward_error(progress, reply)
             self._handle_error_reply(group, session, reply)
             await self._wait_to_retry(progress, _failure_reason(reply))
-        return self._refuse(progress, CallerError.BUSY, "no")
+        return self._refuse_unsent(progress)
 
     async def _run_on_any_endpoint(
         self,
@@ -377,6 +383,9 @@
                     return self._refuse(progress, CallerError.BUSY, "no")
                 excluded |= {pool.endpoint.endpoint}
                 continue
+            if not self._may_send:
+                pool.release(session)
+                break
             sent_ms = self._timers.now_ms()
             reply = await self._send(
                 progress,
@@ -406,7 +415,7 @@
             self._recorder.record_retry(progress)
         if failed_reply is not None:
             return self._forward_error(progress, failed_reply)
-        return self._refuse(progress, CallerError.BUSY, "no")
+        return self._refuse_unsent(progress)
 
     async def _required_position(
         self, route: Route, group: GroupConnections
@@ -514,6 +523,8 @@
                 return self._abort_transaction(
                     progress, "the connection could not be set up"
                 )
+            if not self._route_table.accepts_statements:
+                return self._abort_transaction(progress, HOST_STOPS)
             sent_ms = self._timers.now_ms()
             progress.attempt_count += 1
             reply = await self._send(
@@ -672,8 +683,12 @@
         self._progress = StatementProgress(statement, route, now_ms, deadline_ms)
         return self._progress
 
+    @property
+    def _may_send(self) -> bool:
+        return self._route_table.accepts_statements and not self._is_closed
+
     def _may_retry(self, progress: StatementProgress) -> bool:
-        return self._timers.now_ms() < progress.deadline_ms and not self._is_closed
+        return self._timers.now_ms() < progress.deadline_ms and self._may_send
 
     def _patience_left_ms(self, progress: StatementProgress) -> float:
         """Return for how long a statement may wait for a scarce connection."""
@@ -750,6 +765,12 @@
         self._recorder.record_refusal(progress, has_run)
         return CallerReply(self.state, error=error, error_text=progress.reason)
 
+    def _refuse_unsent(self, progress: StatementProgress) -> CallerReply:
+        """Refuse a statement that no endpoint has run, or that only reads."""
+        if not self._may_send:
+            progress.reason = HOST_STOPS
+        return self._refuse(progress, CallerError.BUSY, "no")
+
     def _forward_error(
         self, progress: StatementProgress, reply: EndpointReply
     ) -> CallerReply:
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -21,7 +21,7 @@
     connection_share,
     regional_connection_share,
 )
-from azurerelay.relay._caller_session import CallerSession
+from azurerelay.relay._caller_session import HOST_STOPS, CallerSession
 from azurerelay.routes import Configuration, Route
 from azurerelay.statements import CallerError, EndpointConnector
 from azurerelay.telemetry import Meters
@@ -72,6 +72,9 @@
         self._entry_host_count = 1
         self._reported_suspects: frozenset[tuple[str, bool]] = frozenset()
         self._is_ramping = True
+        self._accepts_transactions = True
+        self._accepts_statements = True
+        self._has_ended_statements = False
         self._configured: Promise[None] = Promise()
         self._control_follower = ControlFollower(
             topology.failure_domain,
@@ -112,6 +115,16 @@
         configuration = self._control_follower.configuration
         return configuration.transaction_idle_ms if configuration else 0
 
+    @property
+    def accepts_transactions(self) -> bool:
+        """Whether transactions are started; False while the host is being stopped."""
+        return self._accepts_transactions
+
+    @property
+    def accepts_statements(self) -> bool:
+        """Whether statements are sent; False while the host is being stopped."""
+        return self._accepts_statements
+
     @property
     def is_ready(self) -> bool:
         """Whether callers can be served: routes and endpoints are known."""
@@ -124,6 +137,30 @@
         self._timers.call_every(GROUP_CHECK_INTERVAL_MS, self._check_groups)
         self._timers.call_later(START_RAMP_MS, self._end_ramp)
 
+    def refuse_transactions(self) -> None:
+        """Start no more transactions."""
+        self._accepts_transactions = False
+
+    def refuse_statements(self) -> None:
+        """Send no more statements, and refuse those that wait for a connection.
+
+        Statements that endpoints have go on.
+        """
+        self._accepts_transactions = self._accepts_statements = False
+        for group in self._groups.values():
+            group.refuse_callers(HOST_STOPS)
+        self._configured.resolve(None)
+
+    def end_statements(self) -> None:
+        """Close the connections of all statements that endpoints have not answered.
+
+        Their callers get the reply to a lost connection.
+        """
+        self.refuse_statements()
+        self._has_ended_statements = True
+        for group in self._groups.values():
+            group.abort()
+
     def stop(self) -> None:
         """Close all connections to endpoints."""
         for group in self._groups.values():
@@ -165,6 +202,9 @@
             await with_timeout(
                 self._timers, self._configured, FIRST_CONFIGURATION_TIMEOUT_MS
             )
+        if not self._accepts_statements:
+            self._record_refused_session(database, HOST_STOPS)
+            return CallerError.BUSY
         if self.version < 0:
             self._record_refused_session(database, "no configuration")
             return CallerError.BUSY
@@ -286,6 +326,8 @@
         return replace(share, limit=1) if self._is_ramping else share
 
     def _prove_primaries(self) -> None:
+        if self._has_ended_statements:
+            return
         oldest_ms = self._timers.now_ms() - PROOF_INTERVAL_MS
         for group in self._groups.values():
             sample = group.samples.newest
@@ -304,6 +346,8 @@
 
     def _check_groups(self) -> None:
         """Close idle connections, and report changes of the suspected primaries."""
+        if self._has_ended_statements:
+            return
         for group in self._groups.values():
             group.close_idle_connections()
             if group.suspected_primary() is not None:
--- a/src/azurerelay/relay/_route_table.py
+++ b/src/azurerelay/relay/_route_table.py
@@ -18,6 +18,14 @@
     def transaction_idle_ms(self) -> int:
         """How long a transaction may stay idle, in milliseconds."""
 
+    @property
+    def accepts_transactions(self) -> bool:
+        """Whether transactions are started; False while the host is being stopped."""
+
+    @property
+    def accepts_statements(self) -> bool:
+        """Whether statements are sent; False while the host is being stopped."""
+
     def find_route(self, database: str) -> tuple[Route, GroupConnections] | None:
         """Return the route of a database name and its group, None if unknown."""
 
