Answer a statement whose handling fails unexpectedly

The host now replies INDOUBT, rolls an open transaction back, and then closes the connection. The test fails without the change (closed, no line received).

--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -201,7 +201,16 @@
         self._process_queue()
 
     async def _execute(self, session: CallerSession, statement: Statement) -> None:
-        reply = await session.handle(statement)
+        try:
+            reply = await session.handle(statement)
+        except Exception:
+            logging.exception(
+                "unexpected error in statement %s; closing its connection",
+                statement.request_id,
+            )
+            self._write(encode_caller_reply(session.end_in_doubt()))
+            self.close("unexpected error")
+            return
         self._is_busy = False
         self._write(encode_caller_reply(reply))
         if self._closes_when_idle and self.is_idle and _ends_operation(statement):
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -150,6 +150,18 @@
             self._start_idle_timer()
         return reply
 
+    def end_in_doubt(self) -> CallerReply:
+        """Return the reply to a statement whose handling has failed unexpectedly.
+
+        An open transaction is rolled back. The session must be closed after the reply.
+        """
+        self._is_busy = False
+        self._is_transaction_failed = self._transaction is not None
+        self._discard_transaction()
+        return CallerReply(
+            self.state, error=CallerError.IN_DOUBT, error_text="internal error"
+        )
+
     def close(self, reason: str = "the caller closed the connection") -> None:
         """End the session and roll back an open transaction.
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,6 +3,7 @@
 import os
 import random
 import unittest
+import unittest.mock
 from typing import Any
 
 from azurerelay.events import CallersDrained, StatementUnanswered
@@ -76,6 +77,21 @@
         self.assertLess(left.duration_ms, GRACE_PERIOD_MS)
 
 
+class UnexpectedErrorTest(StopCase):
+    def test_a_statement_whose_handling_fails_is_answered(self) -> None:
+        caller = self.host.connect()
+        caller.run("BEGIN")
+        written = caller.query("WRITE a x")
+        self.advance(500.0)
+        pinned = caller.protocol.session._transaction.session
+        with unittest.mock.patch.object(pinned, "send", side_effect=ValueError):
+            caller.query("COMMIT")
+        self.assertEqual((caller.is_answered, caller.error), (True, "INDOUBT"))
+        self.assertTrue(caller.is_closed)
+        self.advance(500.0)
+        self.assertNotIn(written, self.rig.committed)
+
+
 class AnsweredStopTest(StopCase):
     def assert_refused(self, caller: Caller, request_id: str, error: str) -> None:
         self.assertTrue(caller.is_answered, caller.lines)
