A stopping host refuses connections that it accepted as it stopped listening

The socket now stops listening when no statement is accepted any more, and the connections that have been accepted by then are answered with BUSY before the host goes on. The test fails without the change (no line received).

--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -44,6 +44,8 @@
 QUIET_BEFORE_CLOSE_MS: Final = 250.0
 MIN_QUIET_CHECK_MS: Final = 20.0  # between two looks at a connection that is in use
 STOP_POLL_MS: Final = 20.0  # between two looks at the work that is left
+# After this, connections that were accepted as the listening socket closed are known.
+ACCEPTED_CONNECTIONS_MS: Final = 20.0
 # How long a stopping host waits for its last replies, and for their transmission.
 LAST_REPLIES_MS: Final = 200.0
 TRANSMISSION_MS: Final = 100.0
@@ -295,9 +297,10 @@
         self._node.refuse_transactions()
         await self._wait_while_connected(started_ms + schedule.last_send_ms)
         self._node.refuse_statements()
+        self.stop_accepting()
+        await sleep(self._timers, ACCEPTED_CONNECTIONS_MS)
         await self._wait_while_connected(started_ms + schedule.last_answer_ms)
         left = self._unfinished_work(self._timers.now_ms() - started_ms)
-        self.stop_accepting()
         self._node.end_statements()
         await self._wait_for_replies(self._timers.now_ms() + LAST_REPLIES_MS)
         self._close_all()
--- a/tests/caller_rig.py
+++ b/tests/caller_rig.py
@@ -1,12 +1,13 @@
 """Callers of one entry host on simulated time, from their sockets to the endpoints."""
 
 import asyncio
+from functools import partial
 from typing import Any
 
 from azurerelay.events import CallersDrained
 from azurerelay.hosts._caller_server import CallerServer
 from azurerelay.relay import RelayNode, schedule_stop
-from azurerelay.timing import Promise, spawn
+from azurerelay.timing import Promise, TimerService, spawn
 from tests.platform_rig import PlatformRig
 
 GRACE_PERIOD_MS = 6_000.0
@@ -101,9 +102,16 @@
 
     is_listening = True
 
+    def __init__(self, node: RelayNode, timers: TimerService) -> None:
+        super().__init__("127.0.0.1:0", node, timers)
+        self.accepted: list[tuple[Caller, str]] = []
+
     def stop_accepting(self) -> None:
-        """Refuse new connections."""
+        """Refuse new connections; those that were accepted before arrive later."""
         self.is_listening = False
+        for caller, database in self.accepted:
+            self._timers.call_later(5.0, partial(caller.connect, database))
+        self.accepted = []
 
 
 class StoppingHost:
@@ -112,7 +120,7 @@
     def __init__(self, rig: PlatformRig) -> None:
         self.rig = rig
         self.node: RelayNode = rig.entries["10.1.0.1:7440"]
-        self.server = _RigCallerServer("127.0.0.1:0", self.node, rig.timers)
+        self.server = _RigCallerServer(self.node, rig.timers)
         self.caller_count = 0
         self.stop: Promise[CallersDrained] = Promise()
         self.stopped_at_ms: float | None = None
@@ -126,6 +134,12 @@
             caller.connect(database)
         return caller
 
+    def accept_at_last(self, database: str = "strict") -> Caller:
+        """Connect a caller whose connection the host accepts as it stops listening."""
+        caller = Caller("last", self.rig, self.server)
+        self.server.accepted.append((caller, database))
+        return caller
+
     def connect(self, database: str = "strict") -> Caller:
         """Connect a caller, and wait until its session is open."""
         caller = self.new_caller(database)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -152,6 +152,12 @@
         for caller in callers:
             self.assertTrue(caller.is_answered, caller.lines)
 
+    def test_a_connection_accepted_at_the_end_of_the_stop_is_refused(self) -> None:
+        caller = self.host.accept_at_last()
+        self.start_stop()
+        self.finish_stop()
+        self.assertEqual((caller.is_answered, caller.error), (True, "BUSY"))
+
     def test_a_write_that_gets_no_answer_is_left_in_doubt(self) -> None:
         caller = self.host.connect()
         self.rig.primary().work_ms = 20_000.0
