A control host answers all that it has read before it ends

Operators and endpoints saw their connection close without an answer when a control host got SIGTERM: `ControlHost.drain` did nothing, and `HttpService.stop` closed the listening socket only. The process then ended under requests in progress, under responses that were not sent in full, under connections in the kernel's queue and under connections kept alive, whose next request was cut off.

HttpService.drain now takes the connections that wait in the kernel's queue, refuses new ones, answers as before with `Connection: close` on the last answer of each connection, and closes those that are idle and quiet. HttpService.stop answers what is left with 503 and waits until it is sent. The control host drains until 1.2 s before the end of the grace period, while its node works as before; a 200 still comes from the node alone. An error in a handler is answered with 500, where the client had got no answer.

Evidence: tests/test_planned_stop.py, 8 tests.

--- a/src/azurerelay/hosts/_control_host.py
+++ b/src/azurerelay/hosts/_control_host.py
@@ -20,7 +20,12 @@
 from azurerelay.hosts._directory_cache import DirectoryCache
 from azurerelay.hosts._disk_identity import INITIAL_IDENTITY, ensure_disk_identity
 from azurerelay.hosts._endpoint_client import TcpEndpointConnector
-from azurerelay.hosts._http_service import HttpRequest, HttpServerResponse, HttpService
+from azurerelay.hosts._http_service import (
+    UNAVAILABLE,
+    HttpRequest,
+    HttpServerResponse,
+    HttpService,
+)
 from azurerelay.hosts._link_sweep import LINK_SWEEP_INTERVAL_MS
 from azurerelay.hosts._metrics_service import MetricsService
 from azurerelay.hosts._promotion_client import HttpPromotionClient
@@ -40,8 +45,10 @@
 from azurerelay.telemetry import Meters
 from azurerelay.timing import ScopedTimerService
 
-# Operators and endpoints retry on another control host after this response.
-_UNAVAILABLE: Final = HttpServerResponse(503)
+_MS_PER_S: Final = 1_000.0
+# Part of the grace period that remains after draining, so that the process can exit
+# by itself.
+EXIT_MARGIN_MS: Final = 1_200.0
 
 
 class ControlHost:
@@ -131,10 +138,21 @@
         self._settings = settings
 
     async def drain(self) -> None:
-        """Do nothing; once this host has stopped, the others elect a new leader."""
+        """Answer the requests of operators and endpoints that have been read.
+
+        New connections are refused, so that clients turn to another control host at
+        once. The node works as before until it has an outcome for each request, or the
+        grace period is nearly over. Once this host has stopped, the others elect a new
+        leader.
+        """
+        limit_ms = max(0.0, self._settings.grace_period_ms - EXIT_MARGIN_MS)
+        await self._service.drain(limit_ms / _MS_PER_S)
 
     async def stop(self) -> None:
-        """Close all services, timers, the disk and the link."""
+        """Close all services, timers, the disk and the link.
+
+        Requests without an outcome are refused: what they ask for may still happen.
+        """
         await self._service.stop()
         await self._metrics.stop()
         self._cache.stop()
@@ -180,11 +198,17 @@
             self._record_replacement(-1, "invalid", text, started_ms)
             return HttpServerResponse(400, encode_findings(findings))
         configuration = decoded.ok_value
-        outcome = await as_future(self._node.replace_configuration(configuration))
-        self._record_replacement(configuration.version, outcome.value, "", started_ms)
+        outcome = OrderOutcome.UNKNOWN
+        try:
+            outcome = await as_future(self._node.replace_configuration(configuration))
+        finally:
+            # Recorded for an order, too, that is given up because the host stops.
+            self._record_replacement(
+                configuration.version, outcome.value, "", started_ms
+            )
         if outcome is OrderOutcome.DURABLE:
             return HttpServerResponse(200, b"{}")
-        return _UNAVAILABLE
+        return UNAVAILABLE
 
     def _record_replacement(
         self, version: int, outcome: str, findings: str, started_ms: float
@@ -200,7 +224,7 @@
     async def _read_configuration(self) -> HttpServerResponse:
         configuration = await as_future(self._node.read_configuration())
         if configuration is None:
-            return _UNAVAILABLE
+            return UNAVAILABLE
         return HttpServerResponse(200, configuration.document)
 
     async def _handle_heartbeat(self, request: HttpRequest) -> HttpServerResponse:
@@ -213,11 +237,11 @@
         is_confirmed = await as_future(self._node.receive_heartbeat(announcement))
         if announcement.is_draining:
             await self._cache.save_soon()
-        return HttpServerResponse(200, b"{}") if is_confirmed else _UNAVAILABLE
+        return HttpServerResponse(200, b"{}") if is_confirmed else UNAVAILABLE
 
     async def _handle_deregistration(self, request: HttpRequest) -> HttpServerResponse:
         endpoint = request.path[len(DEREGISTER_PATH_PREFIX) :]
         incarnation = decode_departure(request.body)
         is_confirmed = await as_future(self._node.deregister(endpoint, incarnation))
         await self._cache.save_soon()
-        return HttpServerResponse(200, b"{}") if is_confirmed else _UNAVAILABLE
+        return HttpServerResponse(200, b"{}") if is_confirmed else UNAVAILABLE
--- a/src/azurerelay/hosts/_http_service.py
+++ b/src/azurerelay/hosts/_http_service.py
@@ -4,16 +4,24 @@
 """
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Final
 
 import httptools
+from absl import logging
 
 from azurerelay.hosts._sockets import set_socket_options, split_address
 
 # Large enough for a configuration with thousands of routes.
 MAX_BODY_BYTES: Final = 8 * 1024 * 1024
+# A draining service closes an idle connection once it has been quiet for this long. A
+# client that has just connected may be about to send its request.
+QUIET_BEFORE_CLOSE_S: Final = 0.25
+CLOSE_POLL_S: Final = 0.01
+# How long a stopping service waits for its last responses to be sent.
+FLUSH_TIMEOUT_S: Final = 0.3
 _STATUS_TEXT: Final = {
     200: "OK",
     400: "Bad Request",
@@ -44,38 +52,63 @@
     headers: dict[str, str] = field(default_factory=dict)
 
 
+# Clients retry on another host after this response.
+UNAVAILABLE: Final = HttpServerResponse(503)
+
 Handler = Callable[[HttpRequest], Awaitable[HttpServerResponse]]
 
 
+class _ServiceState:
+    """The handler, the connections and the phase of one service."""
+
+    def __init__(self, handler: Handler) -> None:
+        self.handler = handler
+        self.connections: set[_HttpProtocol] = set()
+        self.is_draining = False
+        self.is_stopped = False
+
+
 class _HttpProtocol(asyncio.Protocol):
     """One client connection; responses are sent in the order of the requests."""
 
-    def __init__(self, handler: Handler, tasks: set[asyncio.Task[None]]) -> None:
-        self._handler = handler
-        self._tasks = tasks
+    def __init__(self, state: _ServiceState) -> None:
+        self._state = state
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._path = b""
         self._body_parts: list[bytes] = []
         self._body_length = 0
+        self._unanswered: set[asyncio.Future[HttpServerResponse]] = set()
         self._last_response_task: asyncio.Task[None] | None = None
+        self._last_received_s = _now_s()
+        self._is_receiving = False
         self._is_rejected = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the socket options."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._state.connections.add(self)
         set_socket_options(transport.get_extra_info("socket"))
 
+    def connection_lost(self, error: Exception | None) -> None:
+        """Forget the connection; its requests are still handled to the end."""
+        self._state.connections.discard(self)
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser; reject malformed input with status 400."""
         if self._is_rejected:
             return
+        self._last_received_s = _now_s()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
             self._reject(HttpServerResponse(400))
 
+    def on_message_begin(self) -> None:
+        """Record that a request has begun to arrive; called by the parser."""
+        self._is_receiving = True
+
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target; called by the parser."""
         self._path += url
@@ -90,8 +123,12 @@
 
     def on_message_complete(self) -> None:
         """Start handling a complete request; called by the parser."""
+        self._is_receiving = False
         if self._is_rejected:
             return
+        if self._state.is_stopped:
+            self._reject(UNAVAILABLE)
+            return
         request = HttpRequest(
             self._parser.get_method().decode(),
             self._path.decode(errors="replace").partition("?")[0],
@@ -99,7 +136,35 @@
         )
         keep_alive = self._parser.should_keep_alive()
         self._path, self._body_parts, self._body_length = b"", [], 0
-        self._queue_response(self._handler(request), keep_alive)
+        self._queue_response(self._state.handler(request), keep_alive)
+
+    def close_if_quiet(self, quiet_s: float) -> None:
+        """Close the connection if it is idle and has been quiet for this long."""
+        is_idle = not (self._unanswered or self._is_receiving)
+        if is_idle and _now_s() - self._last_received_s >= quiet_s:
+            self._close()
+
+    def finish(self) -> None:
+        """Answer the requests in progress with status 503, then close the connection.
+
+        Responses that are ready are sent as they are.
+        """
+        for handling in self._unanswered:
+            handling.cancel()
+        if self._is_receiving:
+            self._reject(UNAVAILABLE)
+        elif not self._unanswered:
+            self._close()
+
+    def abort(self) -> None:
+        """Close the connection without sending the rest of a response."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _close(self) -> None:
+        """Close the connection after the buffered data has been sent."""
+        if self._transport is not None:
+            self._transport.close()
 
     def _reject(self, response: HttpServerResponse) -> None:
         """Send an error after all earlier responses, then close the connection."""
@@ -107,33 +172,32 @@
             return
         self._is_rejected = True
         self._body_parts = []
-
-        async def respond() -> HttpServerResponse:
-            return response
-
-        self._queue_response(respond(), False)
+        ready = asyncio.get_running_loop().create_future()
+        ready.set_result(response)
+        self._queue_response(ready, False)
 
     def _queue_response(
         self, response: Awaitable[HttpServerResponse], keep_alive: bool
     ) -> None:
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(
-            self._respond_in_order(response, keep_alive, self._last_response_task)
+        handling = asyncio.ensure_future(response)
+        self._unanswered.add(handling)
+        self._last_response_task = asyncio.get_running_loop().create_task(
+            self._respond_in_order(handling, keep_alive, self._last_response_task)
         )
-        self._last_response_task = task
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
 
     async def _respond_in_order(
         self,
-        pending_response: Awaitable[HttpServerResponse],
+        handling: "asyncio.Future[HttpServerResponse]",
         keep_alive: bool,
         previous_task: "asyncio.Task[None] | None",
     ) -> None:
-        response = await pending_response
+        await asyncio.wait((handling,))
         if previous_task is not None:
             await asyncio.wait((previous_task,))
-        self._write_response(response, keep_alive)
+        self._unanswered.discard(handling)
+        is_last = not (self._unanswered or self._is_receiving)
+        closes = not keep_alive or (self._state.is_draining and is_last)
+        self._write_response(_response_of(handling), not closes)
 
     def _write_response(self, response: HttpServerResponse, keep_alive: bool) -> None:
         transport = self._transport
@@ -152,15 +216,30 @@
             transport.close()
 
 
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _response_of(handling: "asyncio.Future[HttpServerResponse]") -> HttpServerResponse:
+    """Return a handler's response; 503 if it was cancelled, 500 if it raised."""
+    if handling.cancelled():
+        return UNAVAILABLE
+    error = handling.exception()
+    if error is None:
+        return handling.result()
+    logging.error("unexpected error while handling an HTTP request", exc_info=error)
+    return HttpServerResponse(500)
+
+
 class HttpService:
     """HTTP server that passes all requests on one address to one handler."""
 
     def __init__(self, name: str, address: str, handler: Handler) -> None:
         self._name = name
         self._address = address
-        self._handler = handler
+        self._state = _ServiceState(handler)
+        self._listener: socket.socket | None = None
         self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
 
     @property
     def name(self) -> str:
@@ -169,18 +248,56 @@
 
     async def start(self) -> None:
         """Bind the address and start serving."""
-        host, port = split_address(self._address)
+        self._listener = socket.create_server(split_address(self._address))
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: _HttpProtocol(self._handler, self._tasks),
-            host,
-            port,
-            reuse_address=True,
+            self._create_protocol, sock=self._listener
         )
 
-    async def drain(self) -> None:
-        """Do nothing; readiness checks must still be answered while the host drains."""
+    async def drain(self, limit_s: float) -> None:
+        """Accept no new connections, and close the open ones once they are idle.
+
+        Requests are answered as before. Connections that the kernel has accepted are
+        served, too: their clients may have sent a request. Return when no connection
+        is left or the limit is over.
+        """
+        self._state.is_draining = True
+        await self._stop_accepting()
+        deadline_s = _now_s() + limit_s
+        while self._state.connections and _now_s() < deadline_s:
+            for connection in list(self._state.connections):
+                connection.close_if_quiet(QUIET_BEFORE_CLOSE_S)
+            await asyncio.sleep(CLOSE_POLL_S)
 
     async def stop(self) -> None:
-        """Close the listening socket."""
-        if self._server is not None:
-            self._server.close()
+        """Answer requests in progress with status 503, and close all connections."""
+        self._state.is_draining = self._state.is_stopped = True
+        await self._stop_accepting()
+        for connection in list(self._state.connections):
+            connection.finish()
+        deadline_s = _now_s() + FLUSH_TIMEOUT_S
+        while self._state.connections and _now_s() < deadline_s:
+            await asyncio.sleep(CLOSE_POLL_S)
+        for connection in list(self._state.connections):
+            connection.abort()
+
+    async def _stop_accepting(self) -> None:
+        """Accept the connections in the queue of the kernel, and close the socket.
+
+        Closing the socket resets the connections that are still in its queue.
+        """
+        if self._server is None or self._listener is None:
+            return
+        loop = asyncio.get_running_loop()
+        accepted = []
+        while True:
+            try:
+                accepted.append(self._listener.accept()[0])
+            except OSError:
+                break
+        self._server.close()
+        self._server = None
+        for client in accepted:
+            await loop.connect_accepted_socket(self._create_protocol, client)
+
+    def _create_protocol(self) -> _HttpProtocol:
+        return _HttpProtocol(self._state)
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,258 @@
+"""Tests of what callers, operators and endpoints see while a host stops as planned."""
+
+import asyncio
+import os
+import socket
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from azurerelay.cluster import OrderOutcome
+from azurerelay.events import NullEventLog
+from azurerelay.hosts._control_host import EXIT_MARGIN_MS, ControlHost
+from azurerelay.hosts._http_service import (
+    HttpRequest,
+    HttpServerResponse,
+    HttpService,
+)
+from azurerelay.platform import HostSettings
+from azurerelay.telemetry import Meters
+from azurerelay.timing import Promise
+
+LOCAL = "127.0.0.1"
+# The metrics port is fixed, so each run of the tests has an IP address of its own.
+HOST_IP = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}.1"
+CONTROL_PORT = 7441
+HANG_GUARD_S = 10.0
+ORDER = (
+    b'{"version":7,"routes":[],"services":[],"limits":{"max_header_bytes":16384,'
+    b'"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000,'
+    b'"transaction_idle_ms":3000}}'
+)
+
+
+def raw_request(method: str, path: str, body: bytes = b"") -> bytes:
+    head = f"{method} {path} HTTP/1.1\r\nHost: h\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+async def read_to_end(reader: asyncio.StreamReader) -> bytes:
+    async with asyncio.timeout(HANG_GUARD_S):
+        return await reader.read()
+
+
+def control_settings(data_folder: str, grace_period_ms: float) -> HostSettings:
+    return HostSettings(
+        name="c1",
+        ip_address=HOST_IP,
+        failure_domain="a",
+        regions={"a": "r"},
+        link_address=f"{HOST_IP}:7440",
+        caller_address=None,
+        readiness_address=None,
+        control_address=f"{HOST_IP}:{CONTROL_PORT}",
+        seed_addresses=(f"{HOST_IP}:7440",),
+        is_bootstrap=True,
+        heartbeat_interval_ms=1_000.0,
+        max_disk_losses=0,
+        grace_period_ms=grace_period_ms,
+        data_folder=data_folder,
+        promotion_address=None,
+    )
+
+
+class ControlHostStopTest(unittest.TestCase):
+    """A control host with real sockets, stopped while a request is in progress."""
+
+    def _stop_during(
+        self,
+        request: bytes,
+        node_method: str,
+        grace_period_ms: float,
+        outcome: Any = None,
+    ) -> bytes:
+        """Return the response to a request that reaches the node before the stop.
+
+        The node has no outcome before the drain has begun, and none at all without
+        `outcome`.
+        """
+        response = b""
+
+        async def run(folder: str) -> None:
+            nonlocal response
+            settings = control_settings(folder, grace_period_ms)
+            loop = asyncio.get_running_loop()
+            host = ControlHost(settings, NullEventLog(), Meters(), loop)
+            await host.start()
+            called, promise = asyncio.Event(), Promise[Any]()
+
+            def call(*arguments: object) -> Promise[Any]:
+                called.set()
+                return promise
+
+            setattr(host._node, node_method, call)
+            reader, writer = await asyncio.open_connection(HOST_IP, CONTROL_PORT)
+            writer.write(request)
+            await called.wait()
+            drain = asyncio.create_task(host.drain())
+            await asyncio.sleep(0.02)
+            if outcome is not None:
+                promise.resolve(outcome)
+            await drain
+            await host.stop()
+            response = await read_to_end(reader)
+            writer.close()
+
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(run(folder))
+        return response
+
+    def test_an_order_in_progress_is_answered_before_a_control_host_ends(self) -> None:
+        response = self._stop_during(
+            raw_request("POST", "/v1/Configuration.Replace", ORDER),
+            "replace_configuration",
+            6_000.0,
+            OrderOutcome.DURABLE,
+        )
+        self.assertTrue(response.startswith(b"HTTP/1.1 200 "), response)
+        self.assertIn(b"Connection: close", response)
+
+    def test_an_order_without_an_outcome_is_refused_before_a_control_host_ends(
+        self,
+    ) -> None:
+        response = self._stop_during(
+            raw_request("POST", "/v1/Configuration.Replace", ORDER),
+            "replace_configuration",
+            EXIT_MARGIN_MS + 50.0,
+        )
+        self.assertTrue(response.startswith(b"HTTP/1.1 503 "), response)
+        self.assertIn(b"Connection: close", response)
+
+    def test_a_departure_that_a_stopping_control_host_has_read_is_answered(
+        self,
+    ) -> None:
+        response = self._stop_during(
+            raw_request("POST", "/v1/Instances.Deregister/e1"),
+            "deregister",
+            6_000.0,
+            True,
+        )
+        self.assertTrue(response.startswith(b"HTTP/1.1 200 "), response)
+
+
+class HttpServiceStopTest(unittest.TestCase):
+    def test_a_connection_in_the_queue_of_the_kernel_is_served_in_a_drain(
+        self,
+    ) -> None:
+        async def scenario(service: HttpService, port: int) -> None:
+            # Blocks the event loop, so that the service cannot accept it yet.
+            client = socket.create_connection((LOCAL, port))
+            client.sendall(raw_request("GET", "/queued"))
+            await service.drain(HANG_GUARD_S)
+            reader, writer = await asyncio.open_connection(sock=client)
+            answer = await read_to_end(reader)
+            self.assertIn(b"/queued", answer)
+            self.assertIn(b"Connection: close", answer)
+            writer.close()
+            await service.stop()
+
+        serve(scenario, echo_path)
+
+    def test_a_kept_alive_connection_is_answered_until_a_drain_closes_it(
+        self,
+    ) -> None:
+        async def scenario(service: HttpService, port: int) -> None:
+            reader, writer = await asyncio.open_connection(LOCAL, port)
+            writer.write(raw_request("GET", "/first"))
+            first = await reader.readuntil(b"/first")
+            self.assertNotIn(b"Connection: close", first)
+            drain = asyncio.create_task(service.drain(HANG_GUARD_S))
+            await asyncio.sleep(0.02)
+            writer.write(raw_request("GET", "/second"))
+            second = await read_to_end(reader)
+            self.assertIn(b"/second", second)
+            self.assertIn(b"Connection: close", second)
+            await drain
+            writer.close()
+
+        serve(scenario, echo_path)
+
+    def test_all_pipelined_requests_are_answered_in_a_stop(self) -> None:
+        async def scenario(service: HttpService, port: int) -> None:
+            release = asyncio.Event()
+
+            async def hold(request: HttpRequest) -> HttpServerResponse:
+                if request.path == "/held":
+                    await release.wait()
+                return HttpServerResponse(200, request.path.encode())
+
+            service._state.handler = hold
+            reader, writer = await asyncio.open_connection(LOCAL, port)
+            paths = ("/ready", "/held", "/behind")
+            writer.write(b"".join(raw_request("GET", path) for path in paths))
+            await reader.readuntil(b"/ready")
+            await service.stop()
+            rest = await read_to_end(reader)
+            self.assertTrue(rest.startswith(b"HTTP/1.1 503 "), rest)
+            self.assertIn(b"/behind", rest)
+            self.assertEqual(rest.count(b"HTTP/1.1 "), 2)
+            self.assertEqual(rest.count(b"Connection: close"), 1)
+            writer.close()
+
+        serve(scenario, echo_path)
+
+    def test_a_long_response_is_sent_in_full_before_a_stop_returns(self) -> None:
+        body = b"x" * 30_000_000  # more than the kernel buffers
+
+        async def answer(request: HttpRequest) -> HttpServerResponse:
+            return HttpServerResponse(200, body)
+
+        async def scenario(service: HttpService, port: int) -> None:
+            reader, writer = await asyncio.open_connection(LOCAL, port)
+            writer.write(raw_request("GET", "/"))
+            await reader.readuntil(b"\r\n\r\n")
+            read = asyncio.create_task(read_to_end(reader))
+            await service.drain(HANG_GUARD_S)
+            await service.stop()
+            self.assertEqual(len(await read), len(body))
+            writer.close()
+
+        serve(scenario, answer)
+
+    def test_a_handler_that_raises_is_answered_with_status_500(self) -> None:
+        async def fail(request: HttpRequest) -> HttpServerResponse:
+            raise ValueError("an error of the handler")
+
+        async def scenario(service: HttpService, port: int) -> None:
+            reader, writer = await asyncio.open_connection(LOCAL, port)
+            writer.write(raw_request("GET", "/"))
+            async with asyncio.timeout(HANG_GUARD_S):
+                self.assertIn(b" 500 ", await reader.readline())
+            writer.close()
+            await service.stop()
+
+        serve(scenario, fail)
+
+
+async def echo_path(request: HttpRequest) -> HttpServerResponse:
+    return HttpServerResponse(200, request.path.encode())
+
+
+def serve(
+    scenario: Callable[[HttpService, int], Awaitable[None]],
+    handler: Callable[[HttpRequest], Awaitable[HttpServerResponse]],
+) -> None:
+    """Run a scenario against a service and its port."""
+
+    async def run() -> None:
+        service = HttpService("test", f"{LOCAL}:0", handler)
+        await service.start()
+        server: Any = service._server
+        await scenario(service, server.sockets[0].getsockname()[1])
+
+    asyncio.run(run())
+
+
+if __name__ == "__main__":
+    unittest.main()
