A check in the kernel's queue is answered when an entry host stops

What the platform saw: a readiness check that reached an entry host just before it closed its readiness socket was reset. The host was still running; a check in progress is answered with 503 now, as all others since the drain began.

Cause: a stopping HttpService closed connections that it had accepted, but not read from yet. It reads what the kernel has received before it closes idle connections.

--- a/src/azurerelay/hosts/_http_service.py
+++ b/src/azurerelay/hosts/_http_service.py
@@ -270,8 +270,11 @@
 
     async def stop(self) -> None:
         """Answer requests in progress with status 503, and close all connections."""
-        self._state.is_draining = self._state.is_stopped = True
+        self._state.is_draining = True
         await self._stop_accepting()
+        # Requests that the kernel has received are read meanwhile.
+        await asyncio.sleep(CLOSE_POLL_S)
+        self._state.is_stopped = True
         for connection in list(self._state.connections):
             connection.finish()
         deadline_s = _now_s() + FLUSH_TIMEOUT_S
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,16 +7,19 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
+from unittest.mock import patch
 
 from azurerelay.cluster import OrderOutcome
 from azurerelay.events import NullEventLog
 from azurerelay.hosts._control_host import EXIT_MARGIN_MS, ControlHost
+from azurerelay.hosts._entry_host import EntryHost
 from azurerelay.hosts._http_service import (
     HttpRequest,
     HttpServerResponse,
     HttpService,
 )
 from azurerelay.platform import HostSettings
+from azurerelay.relay import RelayNode
 from azurerelay.telemetry import Meters
 from azurerelay.timing import Promise
 
@@ -24,6 +27,7 @@
 # The metrics port is fixed, so each run of the tests has an IP address of its own.
 HOST_IP = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}.1"
 CONTROL_PORT = 7441
+READINESS_PORT = 7443
 HANG_GUARD_S = 10.0
 ORDER = (
     b'{"version":7,"routes":[],"services":[],"limits":{"max_header_bytes":16384,'
@@ -42,6 +46,26 @@
         return await reader.read()
 
 
+def entry_settings() -> HostSettings:
+    return HostSettings(
+        name="e1",
+        ip_address=HOST_IP,
+        failure_domain="a",
+        regions={"a": "r"},
+        link_address=f"{HOST_IP}:7440",
+        caller_address=f"{HOST_IP}:7442",
+        readiness_address=f"{HOST_IP}:{READINESS_PORT}",
+        control_address=None,
+        seed_addresses=(f"{HOST_IP}:7449",),
+        is_bootstrap=False,
+        heartbeat_interval_ms=1_000.0,
+        max_disk_losses=0,
+        grace_period_ms=6_000.0,
+        data_folder=None,
+        promotion_address=None,
+    )
+
+
 def control_settings(data_folder: str, grace_period_ms: float) -> HostSettings:
     return HostSettings(
         name="c1",
@@ -141,6 +165,37 @@
         self.assertTrue(response.startswith(b"HTTP/1.1 200 "), response)
 
 
+class ReadinessTest(unittest.TestCase):
+    def test_readiness_checks_are_answered_until_a_draining_entry_host_ends(
+        self,
+    ) -> None:
+        async def run() -> None:
+            loop = asyncio.get_running_loop()
+            host = EntryHost(entry_settings(), NullEventLog(), Meters(), loop)
+            await host.start()
+            check = raw_request("GET", "/v1/readiness")
+            reader, writer = await asyncio.open_connection(HOST_IP, READINESS_PORT)
+            drain = None
+            for expected in (b" 200 ", b" 503 ", b" 503 "):
+                writer.write(check)
+                self.assertIn(expected, await reader.readuntil(b"\r\n\r\n"))
+                drain = drain or asyncio.create_task(host.drain())
+                await asyncio.sleep(0)
+            assert drain is not None
+            drain.cancel()
+            # Blocks the event loop, so that the host stops with the check in a queue.
+            client = socket.create_connection((HOST_IP, READINESS_PORT))
+            client.sendall(check)
+            await host.stop()
+            last_reader, last_writer = await asyncio.open_connection(sock=client)
+            self.assertIn(b" 503 ", await read_to_end(last_reader))
+            writer.close()
+            last_writer.close()
+
+        with patch.object(RelayNode, "is_ready", new=True):
+            asyncio.run(run())
+
+
 class HttpServiceStopTest(unittest.TestCase):
     def test_a_connection_in_the_queue_of_the_kernel_is_served_in_a_drain(
         self,
