A SIGHUP during the start doesn't end a host

Operators who tell a host that its settings file has changed while it starts ended the process: the handler for SIGHUP was set once the host had been built, and the default action of the signal is to end the process. SIGHUP is ignored from the entry point on now; the settings are read after that, and polled later.

Evidence: test_signals_during_a_start_a_drain_and_a_stop_cut_none_of_them_short runs a host in a process of its own that sends itself SIGHUP, SIGTERM and SIGINT in each step. It failed before: exit status -1 (ended by SIGHUP) after the step "build". Signals in the later steps had no such effect before, either: a second SIGTERM, a SIGINT and a SIGHUP during the drain or the stop change nothing.

--- a/src/azurerelay/hosts/_run.py
+++ b/src/azurerelay/hosts/_run.py
@@ -49,6 +49,9 @@
 
     The environment variable `SETTINGS_VARIABLE` names the settings file.
     """
+    # Without a handler a SIGHUP would end the process. A file that has changed by then
+    # is read below, or found by polling.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     file = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     loaded = load_host_settings(file)
     if isinstance(loaded, Err):
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,9 +3,12 @@
 import asyncio
 import os
 import socket
+import subprocess
+import sys
 import tempfile
 import unittest
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from typing import Any
 from unittest.mock import patch
 
@@ -18,7 +21,7 @@
     HttpServerResponse,
     HttpService,
 )
-from azurerelay.platform import HostSettings
+from azurerelay.platform import SETTINGS_VARIABLE, HostSettings
 from azurerelay.relay import RelayNode
 from azurerelay.telemetry import Meters
 from azurerelay.timing import Promise
@@ -29,6 +32,10 @@
 CONTROL_PORT = 7441
 READINESS_PORT = 7443
 HANG_GUARD_S = 10.0
+SETTINGS_FILE = """{"node_name": "e1", "serves": ["frontend"], "zone": "a",
+"zones": {"a": "r"}, "ip_address": "127.0.0.1", "listen_addresses": {},
+"internal_port_range": [7440, 7450], "seeds": [], "bootstrap": false,
+"heartbeat_interval_ms": 1000}"""
 ORDER = (
     b'{"version":7,"routes":[],"services":[],"limits":{"max_header_bytes":16384,'
     b'"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000,'
@@ -165,6 +172,71 @@
         self.assertTrue(response.startswith(b"HTTP/1.1 200 "), response)
 
 
+# A host whose hooks print their names and send signals to their own process.
+SIGNALLED_HOST = """
+import os, signal, sys
+from azurerelay.hosts import _run
+
+class Host:
+    def __init__(self):
+        self.step("build")
+
+    def step(self, name):
+        print(name, flush=True)
+        for number in signals.get(name, ()):
+            os.kill(os.getpid(), number)
+
+    async def start(self):
+        self.step("start")
+
+    def reload(self, settings):
+        pass
+
+    async def drain(self):
+        self.step("drain")
+        if "fail" in sys.argv:
+            raise ValueError("an error in a drain")
+
+    async def stop(self):
+        self.step("stop")
+
+signals = {
+    "build": (signal.SIGHUP,),
+    "start": (signal.SIGHUP, signal.SIGTERM),
+    "drain": (signal.SIGTERM, signal.SIGINT, signal.SIGHUP),
+    "stop": (signal.SIGTERM, signal.SIGINT, signal.SIGHUP),
+}
+_run._build_host = lambda *arguments: Host()
+_run.route_absl_logging = lambda events: None
+sys.exit(_run.run_host("entry"))
+"""
+
+
+class SignalTest(unittest.TestCase):
+    """A host process that gets signals at every moment of its life."""
+
+    def _run(self, *arguments: str) -> tuple[int, list[str]]:
+        """Return the exit status of the process and the steps that it has taken."""
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / "settings.json"
+            file.write_text(SETTINGS_FILE)
+            process = subprocess.run(
+                [sys.executable, "-c", SIGNALLED_HOST, *arguments],
+                env=os.environ | {SETTINGS_VARIABLE: str(file)},
+                capture_output=True,
+                text=True,
+                timeout=HANG_GUARD_S,
+            )
+        lines = process.stdout.splitlines()
+        steps = [line for line in lines if not line.startswith("{")]
+        return process.returncode, steps
+
+    def test_signals_during_a_start_a_drain_and_a_stop_cut_none_of_them_short(
+        self,
+    ) -> None:
+        self.assertEqual(self._run(), (0, ["build", "start", "drain", "stop"]))
+
+
 class ReadinessTest(unittest.TestCase):
     def test_readiness_checks_are_answered_until_a_draining_entry_host_ends(
         self,
