An error in a drain doesn't skip the stop

Callers of a host, and clients of each other component of a daemon, lost their connections without an answer when one drain raised: `_run` and `Application.drain` passed the error on, and the process ended without any stop. The error is logged now, and the remaining components are drained and stopped.

Evidence: test_an_error_in_a_drain_does_not_skip_the_stop (a host process) ended with status 1 after "build", "start", "drain", without "stop"; it now stops with status 0. test_an_error_in_one_component_does_not_skip_the_others raised ValueError before, in both of its cases.

--- a/src/azurerelay/hosts/_run.py
+++ b/src/azurerelay/hosts/_run.py
@@ -87,7 +87,10 @@
     await stop_requested.wait()
     watch_task.cancel()
     events.record(ProcessChanged("draining", "SIGTERM"))
-    await host.drain()
+    try:
+        await host.drain()
+    except Exception:
+        logging.exception("the drain failed; stopping without the rest of it")
     await host.stop()
     events.record(ProcessChanged("stopped", role))
     events.flush()
--- a/src/azurerelay/runtime/_application.py
+++ b/src/azurerelay/runtime/_application.py
@@ -1,6 +1,6 @@
 """The life cycle of a process: its components and the order of their start and stop."""
 
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Protocol
 
 from absl import logging
@@ -24,7 +24,11 @@
 
 
 class Application:
-    """Start components in the given order; drain and stop them in reverse order."""
+    """Start components in the given order; drain and stop them in reverse order.
+
+    An error in the drain or the stop of a component is logged, and the others go on:
+    each has callers of its own.
+    """
 
     def __init__(self, name: str, components: Sequence[Component]) -> None:
         self._name = name
@@ -50,12 +54,22 @@
     async def drain(self) -> None:
         """Drain all started components in reverse start order."""
         for component in reversed(self._started):
-            await component.drain()
-            logging.info("%s: %s drained", self._name, component.name)
+            await self._run_hook(component, component.drain, "drained")
 
     async def stop(self) -> None:
         """Stop all started components in reverse start order."""
         while self._started:
             component = self._started.pop()
-            await component.stop()
-            logging.info("%s: %s stopped", self._name, component.name)
+            await self._run_hook(component, component.stop, "stopped")
+
+    async def _run_hook(
+        self, component: Component, hook: Callable[[], Awaitable[None]], done: str
+    ) -> None:
+        try:
+            await hook()
+        except Exception:
+            logging.exception(
+                "%s: %s could not be %s", self._name, component.name, done
+            )
+        else:
+            logging.info("%s: %s %s", self._name, component.name, done)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -23,6 +23,7 @@
 )
 from azurerelay.platform import SETTINGS_VARIABLE, HostSettings
 from azurerelay.relay import RelayNode
+from azurerelay.runtime import Application
 from azurerelay.telemetry import Meters
 from azurerelay.timing import Promise
 
@@ -212,6 +213,47 @@
 """
 
 
+class _Component:
+    """A component that records its hooks, and fails in one of them."""
+
+    def __init__(self, name: str, failing_hook: str, steps: list[str]) -> None:
+        self.name = name
+        self._failing_hook = failing_hook
+        self._steps = steps
+
+    async def start(self) -> None:
+        self._step("start")
+
+    async def drain(self) -> None:
+        self._step("drain")
+
+    async def stop(self) -> None:
+        self._step("stop")
+
+    def _step(self, hook: str) -> None:
+        self._steps.append(f"{hook} {self.name}")
+        if hook == self._failing_hook:
+            raise ValueError(f"an error in {hook} of {self.name}")
+
+
+class ApplicationTest(unittest.TestCase):
+    def test_an_error_in_one_component_does_not_skip_the_others(self) -> None:
+        for failing_hook in ("drain", "stop"):
+            with self.subTest(failing_hook):
+                steps: list[str] = []
+                names = {"link": "", "server": failing_hook}
+                components = [_Component(n, hook, steps) for n, hook in names.items()]
+
+                async def run(application: Application) -> None:
+                    await application.start()
+                    await application.drain()
+                    await application.stop()
+
+                asyncio.run(run(Application("test", components)))
+                expected = ["start link", "start server", "drain server", "drain link"]
+                self.assertEqual(steps, [*expected, "stop server", "stop link"])
+
+
 class SignalTest(unittest.TestCase):
     """A host process that gets signals at every moment of its life."""
 
@@ -236,6 +278,9 @@
     ) -> None:
         self.assertEqual(self._run(), (0, ["build", "start", "drain", "stop"]))
 
+    def test_an_error_in_a_drain_does_not_skip_the_stop(self) -> None:
+        self.assertEqual(self._run("fail"), (0, ["build", "start", "drain", "stop"]))
+
 
 class ReadinessTest(unittest.TestCase):
     def test_readiness_checks_are_answered_until_a_draining_entry_host_ends(
