Statements in a queue don't reach an endpoint that has drained

What an endpoint saw: writes that reached it up to 10.8 s after its heartbeat as draining had been acknowledged; the platform allows 7 s. Callers of such a write are in doubt once the endpoint ends under it.

Cause: an endpoint is no longer chosen five seconds after a host has seen it drain, but statements that had chosen it before waited in its queue for as long as their route allows, and were granted a connection then.

The queue is refused when the five seconds are over: its statements are tried on the other endpoints, or wait for the next primary, or get a refusal that is true.

--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -49,8 +49,9 @@
 POSITION_REFRESH_MS: Final = 1_000.0
 # How long a proof waits for a connection if none is open yet.
 PROOF_CONNECT_TIMEOUT_MS: Final = 1_000.0
-# How long a draining primary still gets new statements after it was first seen to
-# drain; the platform allows seven seconds from its acknowledged heartbeat.
+# How long a draining primary still gets new statements, and other draining endpoints
+# those that wait for a connection, after it was first seen to drain. The platform
+# allows seven seconds from its acknowledged heartbeat.
 DRAINING_WORK_MS: Final = 5_000.0
 # How long an endpoint is kept after control has stopped listing it.
 UNLISTED_RETENTION_MS: Final = 20_000.0
@@ -58,6 +59,7 @@
 # seconds. All hosts are crowded out then, and connections are about to come free.
 SETTLING_MS: Final = 3_500.0
 PROOF_PRIORITY: Final = -1  # before all callers
+DRAINED: Final = ConnectFailed("the endpoint is draining")
 
 CommandPromise = Promise[Result[EndpointReply, ConnectionLost]]
 
@@ -491,6 +493,14 @@
             member.draining_since_ms = None
         elif member.draining_since_ms is None:
             member.draining_since_ms = now_ms
+            self._timers.call_later(
+                DRAINING_WORK_MS, partial(self._end_queue, member, now_ms)
+            )
+
+    def _end_queue(self, member: _Member, draining_since_ms: float) -> None:
+        """Turn statements that wait for a drained endpoint to the other ones."""
+        if member.draining_since_ms == draining_since_ms:
+            member.pool.refuse_waiters(DRAINED)
 
     def _accepts_work(self, member: _Member, now_ms: float) -> bool:
         since_ms = member.draining_since_ms
--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -248,6 +248,10 @@
             self._failing_since_ms = now_ms
         self._retry_at_ms = now_ms + self._retry_delay_ms
         self._retry_delay_ms = min(MAX_RETRY_DELAY_MS, 2 * self._retry_delay_ms)
+        self.refuse_waiters(failure)
+
+    def refuse_waiters(self, failure: ConnectFailed) -> None:
+        """Fail all waiting requests."""
         waiters, self._waiters = self._waiters, deque()
         for waiter in waiters:
             waiter.promise.resolve(Err(failure))
@@ -258,7 +262,7 @@
         for idle in self._idle:
             idle.session.close()
         self._idle.clear()
-        self._fail_waiters(ConnectFailed("the endpoint is gone"))
+        self.refuse_waiters(ConnectFailed("the endpoint is gone"))
 
     def _record_duration(self, duration_ms: float) -> None:
         self._service_ms = self.service_ms
@@ -342,12 +346,6 @@
         self._fail_waiters(outcome.err_value)
 
     def _fail_waiters(self, failure: ConnectFailed) -> None:
-        """Fail the waiting requests, unless a connection may still become free.
-
-        A closed pool fails them in any case.
-        """
-        if (self._checked_out or self._connecting) and not self._is_closed:
-            return
-        waiters, self._waiters = self._waiters, deque()
-        for waiter in waiters:
-            waiter.promise.resolve(Err(failure))
+        """Fail the waiting requests, unless a connection may still become free."""
+        if not (self._checked_out or self._connecting):
+            self.refuse_waiters(failure)
