--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -248,16 +248,14 @@
             self._failing_since_ms = now_ms
         self._retry_at_ms = now_ms + self._retry_delay_ms
         self._retry_delay_ms = min(MAX_RETRY_DELAY_MS, 2 * self._retry_delay_ms)
-        waiters, self._waiters = self._waiters, deque()
-        for waiter in waiters:
-            waiter.promise.resolve(Err(failure))
+        self._refuse_waiters(failure)
 
-    def refuse_callers(self, reason: str) -> None:
+    def refuse_callers(self, failure: ConnectFailed) -> None:
         """Fail the waiting requests of callers, which have priorities from 0 on."""
         refused = [waiter for waiter in self._waiters if waiter.priority >= 0]
         self._waiters = deque(w for w in self._waiters if w.priority < 0)
         for waiter in refused:
-            waiter.promise.resolve(Err(ConnectFailed(reason)))
+            waiter.promise.resolve(Err(failure))
 
     def abort(self) -> None:
         """Close all connections now; statements that wait for answers get none."""
@@ -271,7 +269,12 @@
         for idle in self._idle:
             idle.session.close()
         self._idle.clear()
-        self._fail_waiters(ConnectFailed("the endpoint is gone"))
+        self._refuse_waiters(ConnectFailed("the endpoint is gone"))
+
+    def _refuse_waiters(self, failure: ConnectFailed) -> None:
+        waiters, self._waiters = self._waiters, deque()
+        for waiter in waiters:
+            waiter.promise.resolve(Err(failure))
 
     def _record_duration(self, duration_ms: float) -> None:
         self._service_ms = self.service_ms
@@ -355,12 +358,6 @@
         self._fail_waiters(outcome.err_value)
 
     def _fail_waiters(self, failure: ConnectFailed) -> None:
-        """Fail the waiting requests, unless a connection may still become free.
-
-        A closed pool fails them in any case.
-        """
-        if (self._checked_out or self._connecting) and not self._is_closed:
-            return
-        waiters, self._waiters = self._waiters, deque()
-        for waiter in waiters:
-            waiter.promise.resolve(Err(failure))
+        """Fail the waiting requests, unless a connection may still become free."""
+        if not (self._checked_out or self._connecting):
+            self._refuse_waiters(failure)
