Statements that wait follow a new configuration at once

Callers saw statements that waited for a connection or a primary run into their time-out when a new configuration took their group out or moved their route: the statement kept the group that it had looked up at first, which has no endpoint any more.

The route is looked up again in each round of the two loops, and once a connection is granted.

--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -310,6 +310,8 @@
         min_write_ms = min(MIN_WRITE_TIME_MS, progress.route.statement_timeout_ms / 4)
         last_send_ms = progress.deadline_ms - min_write_ms
         while self._timers.now_ms() < last_send_ms and self._may_send:
+            if not self._is_routed_to(group):
+                return await self._follow_route(progress, shape)
             pool = group.primary()
             if pool is None and self._is_crowded_out(progress, group):
                 return self._refuse(progress, CallerError.BUSY, "no")
@@ -327,6 +329,9 @@
             if sent_ms >= last_send_ms or not self._may_send:
                 pool.release(session)
                 break
+            if not self._is_routed_to(group):
+                pool.release(session)
+                continue
             reply = await self._send(
                 progress,
                 session,
@@ -369,6 +374,8 @@
         required: Position | None = None
         failed_reply: EndpointReply | None = None
         while self._may_retry(progress):
+            if not self._is_routed_to(group):
+                return await self._follow_route(progress, shape)
             if required is None:
                 required = await self._required_position(progress.route, group)
             if required is None:
@@ -398,6 +405,9 @@
             if not self._may_send:
                 pool.release(session)
                 break
+            if not self._is_routed_to(group):
+                pool.release(session)
+                continue
             sent_ms = self._timers.now_ms()
             reply = await self._send(
                 progress,
@@ -429,6 +439,27 @@
             return self._forward_error(progress, failed_reply)
         return self._refuse_unsent(progress)
 
+    def _is_routed_to(self, group: GroupConnections) -> bool:
+        found = self._route_table.find_route(self._database)
+        return found is not None and found[1] is group
+
+    async def _follow_route(
+        self, progress: StatementProgress, shape: PreparedShape | None
+    ) -> CallerReply:
+        """Run a statement whose route was moved or removed before it was sent."""
+        found = self._route_table.find_route(self._database)
+        if found is None:
+            return self._unknown_database_reply()
+        progress.route, group = found
+        statement = progress.statement
+        if isinstance(statement, Begin):
+            is_read = statement.is_read_only
+        else:
+            is_read = not self._is_write(statement)
+        if is_read:
+            return await self._run_on_any_endpoint(progress, group, shape)
+        return await self._run_on_primary(progress, group, shape)
+
     async def _required_position(
         self, route: Route, group: GroupConnections
     ) -> Position | None:
