A stopping host tells idle callers that it closes their sessions

The host now sends an error before it closes an idle session: BUSY, or ABORTED in a transaction. The protocol has it close the session, and a statement in flight takes it for its reply, which is true: the host reads nothing after it.

One check of tests/test_hosts.py held the quiet connection to end without any bytes; it now holds it to end with exactly this error.

--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -100,13 +100,25 @@
             return
         quiet_ms = self._timers.now_ms() - self._last_message_ms
         if self.is_idle and quiet_ms >= QUIET_BEFORE_CLOSE_MS:
-            self.close()
+            self.dismiss()
             return
         remaining_ms = QUIET_BEFORE_CLOSE_MS - quiet_ms if self.is_idle else 0.0
         self._timers.call_later(
             max(MIN_QUIET_CHECK_MS, remaining_ms), self._close_if_quiet
         )
 
+    def dismiss(self) -> None:
+        """End the session of a caller that waits for no reply, because the host stops.
+
+        A statement that crosses the close takes the error for its reply. The host does
+        not read it, so it has no effect, and an open transaction is rolled back.
+        """
+        if not self._is_busy:
+            is_idle = self._session is None or self._session.state is SessionState.IDLE
+            error = CallerError.BUSY if is_idle else CallerError.ABORTED
+            self._write(encode_error_line(error, HOST_STOPS))
+        self.close(HOST_STOPS)
+
     def close(self, reason: str = "the session ended") -> None:
         """Close the connection after the buffered data has been sent.
 
@@ -343,7 +355,7 @@
 
     def _close_all(self) -> None:
         for caller in list(self._callers):
-            caller.close(HOST_STOPS)
+            caller.dismiss()
 
     def _create_protocol(self) -> CallerProtocol:
         caller = CallerProtocol(
--- a/tests/caller_rig.py
+++ b/tests/caller_rig.py
@@ -85,16 +85,14 @@
     @property
     def is_answered(self) -> bool:
         """Whether the reply to the last message is complete."""
-        if not self.lines:
-            return False
-        is_refused_session = not self.sent and self.lines[-1].startswith("ERROR")
-        return is_refused_session or self.lines[-1].startswith("READY")
+        is_refused_session = not self.sent and "ERROR" in self.received
+        return is_refused_session or "\r\nREADY" in f"\r\n{self.received}"
 
     @property
     def error(self) -> str:
         """The error code in the reply; empty if it succeeded."""
-        word, _, rest = self.lines[-2 if self.sent else -1].partition(" ")
-        return rest.partition(" ")[0] if word == "ERROR" else ""
+        first = self.lines[0] if self.lines else ""
+        return first.split(" ")[1] if first.startswith("ERROR") else ""
 
 
 class _RigCallerServer(CallerServer):
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -350,8 +350,8 @@
         self.assertEqual(await reader.readline(), b"COMPLETE signed q2\r\n")
         self.assertTrue((await reader.readline()).startswith(b"READY I 3."))
         # Both connections are closed: one after its reply, the other one as it is quiet.
-        for other, _ in readers:
-            self.assertEqual(await other.read(), b"")
+        ends = [await other.read() for other, _ in readers]
+        self.assertEqual(ends, [b"", b"ERROR BUSY the host is being stopped\r\n"])
         for _, other_writer in readers:
             other_writer.close()
         await server.stop()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -152,6 +152,20 @@
         for caller in callers:
             self.assertTrue(caller.is_answered, caller.lines)
 
+    def test_a_statement_that_crosses_the_close_is_refused(self) -> None:
+        """The host tells idle callers that it closes their connections."""
+        idle, idle_in_transaction = self.host.connect(), self.host.connect()
+        idle_in_transaction.run("BEGIN")
+        self.start_stop()
+        self.advance_to(2_600.0)
+        self.assertEqual((idle.is_closed, idle.lines[-1][:11]), (True, "ERROR BUSY "))
+        idle_in_transaction.run("WRITE a x")
+        self.finish_stop()
+        self.assertTrue(idle_in_transaction.is_closed)
+        self.assertTrue(idle_in_transaction.lines[-1].startswith("ERROR ABORTED"))
+        self.advance(10_000.0)
+        self.assertEqual(self.rig.committed, [])
+
     def test_a_connection_accepted_at_the_end_of_the_stop_is_refused(self) -> None:
         caller = self.host.accept_at_last()
         self.start_stop()
