A failed promise no longer leaves its other waiters hanging

Cause: with_timeout and gather read the value of a failed promise inside a callback. The error went to whoever resolved the promise, and the promise that was returned stayed unresolved for ever, so flags such as "connecting" stayed set. An error in one callback also kept the callbacks behind it from running.

Change: both pass the error on; all callbacks of a promise run, and the first error is raised after them.

--- a/src/azurerelay/timing/_coroutines.py
+++ b/src/azurerelay/timing/_coroutines.py
@@ -51,7 +51,8 @@
 ) -> Promise[Result[T, TimedOut]]:
     """Return a promise of `Ok` with the value, or of `Err(TimedOut)` after the timeout.
 
-    The timeout does not cancel the awaited promise; a later value of it is ignored.
+    If the awaited promise fails, so does the returned one. The timeout does not cancel
+    the awaited promise; a later value of it is ignored.
     """
     outcome: Promise[Result[T, TimedOut]] = Promise()
     if promise.is_done:
@@ -59,7 +60,12 @@
 
     def finish() -> None:
         timer.cancel()
-        outcome.resolve(Ok(promise.value))
+        try:
+            value = promise.value
+        except Exception as error:
+            outcome.fail(error)
+            return
+        outcome.resolve(Ok(value))
 
     def expire() -> None:
         promise.discard_callback(finish)
--- a/src/azurerelay/timing/_promise.py
+++ b/src/azurerelay/timing/_promise.py
@@ -80,17 +80,33 @@
         self._is_done = True
         callbacks = self._callbacks
         self._callbacks = []
+        first_error: Exception | None = None
         for callback in callbacks:
-            callback()
+            try:
+                callback()
+            except Exception as error:
+                # The other callbacks belong to flows that would wait for ever.
+                first_error = first_error or error
+        if first_error is not None:
+            raise first_error
 
 
 def gather(promises: Sequence[Promise[T]]) -> Promise[tuple[T, ...]]:
-    """Return a promise of all values, in the order of the promises."""
+    """Return a promise of all values, in the order of the promises.
+
+    It fails with the first error in that order, once all promises are done.
+    """
     combined: Promise[tuple[T, ...]] = Promise()
 
     def check() -> None:
-        if all(promise.is_done for promise in promises):
-            combined.resolve(tuple(promise.value for promise in promises))
+        if not all(promise.is_done for promise in promises):
+            return
+        try:
+            values = tuple(promise.value for promise in promises)
+        except Exception as error:
+            combined.fail(error)
+            return
+        combined.resolve(values)
 
     if not promises:
         return Promise.of(())
