Odd fields of heartbeats and deregistrations are refused with 400

Endpoints and operators saw: after one report with a number beyond 64 bits, no message with the directory could be encoded; deep nesting was answered with 500; an address with port 99999, a host name or digits of another script was handed to all hosts as an endpoint; an unreadable deregistration took the endpoint named in its path out of service.

Cause: the decoder checked types only, let RecursionError pass, and took an unreadable deregistration for one without a body.

Change: each field has a range or a length: numbers fit a signed 64-bit integer, start times end with the year 9999, names have at most 255 printable characters, addresses are the IPv4 address of one host with a port from 1 to 65535, bodies have at most 64 KiB. An error names the field; a deregistration is refused like a heartbeat. One without a body or without `born` is accepted as before. The limits are in discovery/, so that directories can apply them to what comes from other sources.

Changed check: test_deregistrations_are_decoded wanted None, which removes the endpoint, for unreadable bodies.

--- a/src/azurerelay/discovery/__init__.py
+++ b/src/azurerelay/discovery/__init__.py
@@ -4,5 +4,28 @@
 from azurerelay.discovery._departure import Departure
 from azurerelay.discovery._directory_changes import DirectoryChanges
 from azurerelay.discovery._endpoint_directory import EndpointDirectory
+from azurerelay.discovery._field_limits import (
+    MAX_DURATION_MS,
+    MAX_PORT,
+    MAX_SEQUENCE,
+    MAX_SLOTS,
+    MAX_UNIX_MS,
+    is_endpoint_address,
+    is_name,
+    is_word,
+)
 
-__all__ = ["Announcement", "Departure", "DirectoryChanges", "EndpointDirectory"]
+__all__ = [
+    "MAX_DURATION_MS",
+    "MAX_PORT",
+    "MAX_SEQUENCE",
+    "MAX_SLOTS",
+    "MAX_UNIX_MS",
+    "Announcement",
+    "Departure",
+    "DirectoryChanges",
+    "EndpointDirectory",
+    "is_endpoint_address",
+    "is_name",
+    "is_word",
+]
--- a/src/azurerelay/hosts/_control_host.py
+++ b/src/azurerelay/hosts/_control_host.py
@@ -217,7 +217,13 @@
 
     async def _handle_deregistration(self, request: HttpRequest) -> HttpServerResponse:
         endpoint = request.path[len(DEREGISTER_PATH_PREFIX) :]
-        incarnation = decode_departure(request.body)
-        is_confirmed = await as_future(self._node.deregister(endpoint, incarnation))
+        decoded = decode_departure(endpoint, request.body)
+        if isinstance(decoded, Err):
+            reason = f"deregistration: {decoded.err_value}"
+            self._events.record(AnnouncementRefused(endpoint[:64], reason))
+            return HttpServerResponse(400)
+        is_confirmed = await as_future(
+            self._node.deregister(endpoint, decoded.ok_value)
+        )
         await self._cache.save_soon()
         return HttpServerResponse(200, b"{}") if is_confirmed else _UNAVAILABLE
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,113 @@
+"""Tests with heartbeats and deregistrations that no endpoint has sent."""
+
+import json
+import unittest
+from typing import Any
+
+from result import Err
+
+from azurerelay.platform import decode_announcement, decode_departure
+
+DEEP = b"[" * 20_000
+HEARTBEAT: dict[str, Any] = {
+    "service": "ledger",
+    "address": "10.9.0.1:9000",
+    "zone": "east-1",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "database_role": "replica",
+    "seq": 4,
+    "born": 99,
+}
+ODD_FIELDS: tuple[tuple[str, Any], ...] = (
+    *((key, 10**24) for key in ("slots", "cold_remaining_ms", "born", "seq")),
+    *((key, 2**63) for key in ("slots", "cold_remaining_ms", "born", "seq")),
+    *((key, -1) for key in ("slots", "cold_remaining_ms", "born", "seq")),
+    *((key, "x" * 256) for key in ("service", "zone", "state", "database_role")),
+    *((key, "") for key in ("service", "zone", "address")),
+    *((key, None) for key in HEARTBEAT if key != "version"),
+    ("service", "ledger\r\nQUERY - WRITE a b"),
+    ("service", "two words"),
+    ("zone", "a\0b"),
+    ("address", "10.9.0.1:65536"),
+    ("address", "10.9.0.1:99999"),
+    ("address", "10.9.0.1:0"),
+    ("address", "10.9.0.1:-1"),
+    ("address", "10.9.0.1:٨٠٨٠"),
+    ("address", "10.9.0.1:" + "9" * 5_000),
+    ("address", "10.9.0.256:80"),
+    ("address", "10.9.0.010:80"),
+    ("address", "0.0.0.0:80"),
+    ("address", "224.0.0.1:80"),
+    ("address", "no.such.host:80"),
+    ("address", "[::1]:80"),
+    ("address", "10.9.0.1:80\n"),
+)
+
+
+def heartbeat(**fields: Any) -> bytes:
+    return json.dumps(HEARTBEAT | fields).encode()
+
+
+class BoundaryTest(unittest.TestCase):
+    """A field that passes here reaches the messages, disks and sockets of all hosts."""
+
+    def test_a_heartbeat_with_an_odd_field_is_refused_with_the_name_of_the_field(
+        self,
+    ) -> None:
+        for key, value in ODD_FIELDS:
+            with self.subTest(key=key, value=str(value)[:30]):
+                decoded = decode_announcement("i-1", heartbeat(**{key: value}))
+                self.assertIsInstance(decoded, Err)
+                self.assertIn(key, decoded.err_value)
+
+    def test_valid_heartbeats_at_the_limits_are_accepted(self) -> None:
+        for key, value in (
+            ("address", "10.9.0.1:65535"),
+            ("address", "223.255.255.255:1"),
+            ("service", "x" * 255),
+            ("born", 1_800_000_000_000),
+            ("seq", 2**63 - 1),
+            ("slots", 0),
+            ("unknown", {"a": [1, 10**30]}),
+        ):
+            with self.subTest(key=key, value=str(value)[:30]):
+                self.assertTrue(
+                    decode_announcement("i-1", heartbeat(**{key: value})).is_ok()
+                )
+
+    def test_bodies_that_are_nested_too_deeply_or_too_large_are_refused(self) -> None:
+        nested = heartbeat()[:-1] + b', "x": ' + b'{"x":' * 20_000
+        for body in (DEEP, nested, heartbeat(x="y" * 70_000), b"1" * 5_000):
+            with self.subTest(body[-20:]):
+                self.assertIsInstance(decode_announcement("i-1", body), Err)
+                self.assertIsInstance(decode_departure("i-1", body), Err)
+
+    def test_an_endpoint_id_must_be_a_word(self) -> None:
+        for endpoint in ("", "i 1", "i\r\n1", "x" * 256):
+            with self.subTest(endpoint[:10]):
+                self.assertIsInstance(decode_announcement(endpoint, heartbeat()), Err)
+                self.assertIsInstance(decode_departure(endpoint, b""), Err)
+
+    def test_a_deregistration_that_no_endpoint_has_sent_removes_no_endpoint(
+        self,
+    ) -> None:
+        """Unreadable bytes in the name of a healthy endpoint took it out of service."""
+        for body in (
+            b"{",
+            b"[]",
+            b"\xff",
+            b'{"born": "x"}',
+            b'{"born": null}',
+            b'{"born": 1e24}',
+            json.dumps({"born": 10**24}).encode(),
+            json.dumps({"born": 2**63}).encode(),
+        ):
+            with self.subTest(body):
+                self.assertIsInstance(decode_departure("i-1", body), Err)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -6,7 +6,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from result import Err
+from result import Err, Ok
 
 from azurerelay.discovery import Announcement
 from azurerelay.platform import (
@@ -315,9 +315,9 @@
             self.assertIsInstance(decode_announcement("i-1", body), Err)
 
     def test_deregistrations_are_decoded(self) -> None:
-        self.assertEqual(decode_departure(b'{"born": 5}'), 5)
-        for body in (b"", b"{}", b"{", b'{"born": "x"}'):
-            self.assertIsNone(decode_departure(body))
+        self.assertEqual(decode_departure("i-1", b'{"born": 5}'), Ok(5))
+        for body in (b"", b"{}"):
+            self.assertEqual(decode_departure("i-1", body), Ok(None))
 
     def test_promotion_requests_and_statuses(self) -> None:
         call = encode_promotion_order(PromotionOrder("s1", "i-1", "core-1", 42))
