Directories leave out odd entries of other hosts and of the disk

Seen: while hosts of an earlier build run, or with the directory.cache that one has saved, an address like 10.9.0.8:99999 was still handed to all groups, a number beyond 63 bits stayed in every message, and a start time in the far future took a healthy endpoint's place until it expired.

Cause: only heartbeats were checked. Digests, relayed entries, replies of control hosts and the saved directory were merged as they came.

Change: EndpointDirectory applies the limits of discovery/ to every entry and departure, and reports the ones it leaves out as AnnouncementRefused (at most 20 lines a second, as all events). An entry that differs from the known one only in its sequence has only that checked.

Changed test: test_a_revision_from_before_the_oldest_kept_removal_is_unknown used 10.9.0.256 to 10.9.0.599, which no host can have; its 600 addresses are valid now.

Evidence: EntriesOfEarlierBuildsTest; before, all 3 tests found the odd entries listed, or an endpoint gone.

--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -46,7 +46,7 @@
     RaftNode,
 )
 from azurerelay.discovery import Announcement, Departure, EndpointDirectory
-from azurerelay.events import EventLog, RoleChanged
+from azurerelay.events import AnnouncementRefused, EventLog, RoleChanged
 from azurerelay.groups import Topology
 from azurerelay.membership import COMMAND_CODEC, ClusterState, ReplaceConfiguration
 from azurerelay.messages import Link, Requester, TaggedCodec, compress, decompress
@@ -153,7 +153,7 @@
             state_machine,
             raft_config,
         )
-        self._directory = EndpointDirectory()
+        self._directory = EndpointDirectory(self._record_refused_entry)
         incarnation = random_source.randrange(1, INCARNATION_SPACE)
         self._requester = Requester(link, timers, incarnation)
         self._entry_hosts = EntryHostTable(link, timers, self._directory, incarnation)
@@ -406,6 +406,13 @@
         """Load the directory that was saved before a restart."""
         self._replicator.restore(announcements, departures)
 
+    def _record_refused_entry(self, endpoint: str) -> None:
+        self._events.record(
+            AnnouncementRefused(
+                endpoint[:64], "an entry of a host or of the disk is out of range"
+            )
+        )
+
     def _on_digest(self, sender: str, digest: DirectoryDigest) -> None:
         if sender != self._raft.leader:
             return
--- a/src/azurerelay/discovery/_endpoint_directory.py
+++ b/src/azurerelay/discovery/_endpoint_directory.py
@@ -1,11 +1,16 @@
 """The directory of endpoints."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from azurerelay.discovery._announcement import Announcement
 from azurerelay.discovery._departure import Departure
 from azurerelay.discovery._directory_changes import DirectoryChanges
+from azurerelay.discovery._entry_check import (
+    has_valid_progress,
+    is_valid_announcement,
+    is_valid_departure,
+)
 
 DEPARTURE_RETENTION_MS: Final = 60_000.0  # longer than any heartbeat is delayed
 # Removed endpoints that are remembered, so that hosts which missed a few changes get
@@ -18,9 +23,14 @@
 
     Late heartbeats are ignored: after a network partition, one of an earlier
     incarnation may arrive when a newer one, or another endpoint, uses its address.
+
+    Entries with a field out of range are ignored as well, whatever their source: a
+    host of an earlier build may send them, or may have saved them. `on_refused` is
+    called with the name of the endpoint.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, on_refused: Callable[[str], object] = lambda _: None) -> None:
+        self._on_refused = on_refused
         self._announcements: dict[str, Announcement] = {}
         self._last_heard_ms: dict[str, float] = {}
         self._departures: dict[str, tuple[Departure, float]] = {}
@@ -87,14 +97,19 @@
         )
 
     def merge(self, announcement: Announcement, now_ms: float) -> bool:
-        """Add an announcement; return False if it is out of date and was ignored.
+        """Add an announcement; return False if it was ignored.
 
-        It is out of date if a newer one of the endpoint is known, if this incarnation
-        has departed, or if a newer endpoint uses its address.
+        It is ignored if it is invalid, if a newer one of the endpoint is known, if this
+        incarnation has departed, or if a newer endpoint uses its address.
         """
         known = self._announcements.get(announcement.endpoint)
         if known is not None and announcement.recency <= known.recency:
             return announcement.recency == known.recency
+        is_equivalent = known is not None and announcement.is_equivalent_to(known)
+        check = has_valid_progress if is_equivalent else is_valid_announcement
+        if not check(announcement):
+            self._on_refused(announcement.endpoint)
+            return False
         departed = self._departures.get(announcement.endpoint)
         if departed and announcement.incarnation <= departed[0].incarnation:
             return False
@@ -105,7 +120,7 @@
         self._record_claim(known, announcement)
         self._announcements[announcement.endpoint] = announcement
         self._last_heard_ms[announcement.endpoint] = now_ms
-        if known is None or not announcement.is_equivalent_to(known):
+        if not is_equivalent:
             self._revision += 1
             self._changed_at[announcement.endpoint] = self._revision
             self._removed_at.pop(announcement.endpoint, None)
@@ -125,6 +140,9 @@
 
     def merge_departure(self, departure: Departure, now_ms: float) -> None:
         """Record a departure and remove the endpoint, unless it has started again."""
+        if not is_valid_departure(departure):
+            self._on_refused(departure.endpoint)
+            return
         known_departure = self._departures.get(departure.endpoint)
         if known_departure and known_departure[0].incarnation >= departure.incarnation:
             return
--- a/src/azurerelay/events/_events.py
+++ b/src/azurerelay/events/_events.py
@@ -207,7 +207,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AnnouncementRefused(Event):
-    """A heartbeat of an endpoint was rejected as invalid."""
+    """A heartbeat or deregistration was rejected as invalid.
+
+    Also an entry that another host has sent, or that was saved before a restart.
+    """
 
     endpoint: str
     reason: str
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -13,7 +13,12 @@
     SyncReply,
 )
 from azurerelay.discovery import Announcement, EndpointDirectory
-from azurerelay.events import DirectoryChanged, EventLog, SessionRefused
+from azurerelay.events import (
+    AnnouncementRefused,
+    DirectoryChanged,
+    EventLog,
+    SessionRefused,
+)
 from azurerelay.groups import GroupConnections, Topology
 from azurerelay.messages import Link
 from azurerelay.pooling import (
@@ -65,7 +70,7 @@
         self._timers = timers
         self._random = random_source
         self._events = events
-        self._directory = EndpointDirectory()
+        self._directory = EndpointDirectory(self._record_refused_entry)
         self._listed_endpoints: set[str] = set()
         self._groups: dict[str, GroupConnections] = {}
         self._routes: dict[str, Route] = {}
@@ -313,6 +318,13 @@
             self._reported_suspects = suspects
             self._control_follower.sync_now()
 
+    def _record_refused_entry(self, endpoint: str) -> None:
+        self._events.record(
+            AnnouncementRefused(
+                endpoint[:64], "an entry of a control host is out of range"
+            )
+        )
+
     def _record_directory_change(self, update: DirectoryUpdate) -> None:
         endpoints = ", ".join(
             f"{a.endpoint}@{a.address} {a.group}"
--- a/tests/test_attachment.py
+++ b/tests/test_attachment.py
@@ -243,7 +243,7 @@
                 Announcement(
                     f"e{number}",
                     GROUP,
-                    f"10.9.0.{number}:9000",
+                    f"10.9.{number // 250}.{number % 250}:9000",
                     "east-1",
                     3,
                     False,
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,7 +6,13 @@
 
 from result import Err
 
+from azurerelay.attachment import DirectoryMark, DirectoryUpdate, SyncReply
+from azurerelay.cluster._messages import DirectoryDigest
+from azurerelay.discovery import Announcement, Departure
+from azurerelay.events import AnnouncementRefused
 from azurerelay.platform import decode_announcement, decode_departure
+from tests.platform_rig import GROUP, PlatformRig
+from tests.test_cluster import announcement
 
 DEEP = b"[" * 20_000
 HEARTBEAT: dict[str, Any] = {
@@ -109,5 +115,75 @@
                 self.assertIsInstance(decode_departure("i-1", body), Err)
 
 
+def odd_announcements() -> tuple[Announcement, ...]:
+    """Return entries that earlier builds accepted, and could send and save."""
+    return (
+        announcement(endpoint="odd-1", address="10.9.0.8:99999"),
+        announcement(endpoint="odd-2", address="nowhere:1", is_primary=True),
+        announcement(endpoint="odd-3", slots=2**64 - 1),
+        announcement(endpoint="odd-4", incarnation=2**63),
+        announcement(endpoint="odd-5", sequence=2**63),
+        announcement(endpoint="odd-6", warmup_ms=-1),
+        announcement(endpoint="odd-7", group="ledger\r\nQUERY - WRITE a b"),
+        announcement(endpoint="odd 8"),
+        # An entry of a healthy endpoint, to take its place.
+        announcement(endpoint="ledger-1", incarnation=10**17),
+    )
+
+
+class EntriesOfEarlierBuildsTest(unittest.TestCase):
+    """Hosts of an earlier build send and save entries that this build refuses."""
+
+    def setUp(self) -> None:
+        self.rig = PlatformRig(entry_hosts=2)
+        self.rig.start()
+
+    def _assert_unchanged(self) -> None:
+        names = {server.name for server in self.rig.members(GROUP)}
+        for node in (*self.rig.controls.values(), *self.rig.entries.values()):
+            listed = {entry.endpoint for entry in node.directory.announcements}
+            self.assertEqual(listed, names)
+        for database in ("strict", "bounded", "own"):
+            reply = self.rig.run(self.rig.open(database), "READ a", 1_500.0)
+            self.assertIsNone(reply.error)
+
+    def test_odd_entries_in_a_digest_cost_nothing_but_themselves(self) -> None:
+        leader = self.rig.leader
+        assert leader is not None
+        digest = DirectoryDigest(
+            (*odd_announcements(), *leader.directory.announcements),
+            (Departure("ledger-2", 2**63), Departure("ledger-1", -1)),
+            2,
+        )
+        for node in self.rig.controls.values():
+            if node is not leader:
+                node.on_message(str(node.raft.leader), digest)
+        self.rig.timers.advance(2_500.0)
+        self._assert_unchanged()
+        refused = {e.endpoint for e in self.rig.events.of(AnnouncementRefused)}
+        self.assertEqual(len(refused), 10)
+
+    def test_odd_entries_of_a_control_host_do_not_reach_the_groups(self) -> None:
+        entry = self.rig.entries["10.1.0.1:7440"]
+        follower = entry.control_follower
+        update = DirectoryUpdate(
+            DirectoryMark(1, 1),
+            (*odd_announcements(), *entry.directory.announcements),
+            (Departure("ledger-2", 2**63),),
+        )
+        reply = SyncReply(1, 0.0, 2, None, update, (), ())
+        entry.on_message(str(follower.current_control_host), reply)
+        self.rig.timers.advance(2_500.0)
+        self._assert_unchanged()
+
+    def test_odd_entries_on_the_disk_cost_nothing_but_themselves(self) -> None:
+        address = self.rig.addresses[0]
+        self.rig.stop_control(address)
+        node = self.rig.start_control(address)
+        node.restore_directory(odd_announcements(), (Departure("ledger-2", 2**63),))
+        self.rig.timers.advance(5_000.0)
+        self._assert_unchanged()
+
+
 if __name__ == "__main__":
     unittest.main()
