The directory is saved and loaded whatever a single entry holds

Operators saw: after a report with a number beyond 64 bits a control host never saved its directory again, also not the departures that it acknowledged; after a restart it listed endpoints that had left. A single unreadable entry in directory.cache, or a file that could not be opened, cost the whole directory, or the start of the host.

Cause: the saving task caught DiskError only, so an OverflowError ended it; the file was decoded as one value; OSError on reading was not caught.

Change: an error while saving is logged and the next second tries again; an entry that cannot be encoded or decoded is left out alone, with one log line.

Evidence: three tests in test_hosts.DiskTest; before: OverflowError out of save_soon, PermissionError out of load, and no announcement left of two files with an odd entry.

--- a/src/azurerelay/hosts/_directory_cache.py
+++ b/src/azurerelay/hosts/_directory_cache.py
@@ -1,8 +1,9 @@
 """Cache file of the endpoint directory, read at the next start."""
 
 import asyncio
+from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, TypeVar
 
 import msgspec
 from absl import logging
@@ -10,6 +11,8 @@
 from azurerelay.discovery import Announcement, Departure, EndpointDirectory
 from azurerelay.storage import Disk, DiskError
 
+T = TypeVar("T")
+
 CACHE_FILE: Final = "directory.cache"
 SAVE_INTERVAL_S: Final = 1.0
 # An endpoint that leaves waits a second for its answer; a disk that hangs must not cost
@@ -25,8 +28,18 @@
     departures: tuple[Departure, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class _EncodedDirectory:
+    """A `SavedDirectory` whose entries are not decoded yet."""
+
+    announcements: tuple[msgspec.Raw, ...] = ()
+    departures: tuple[msgspec.Raw, ...] = ()
+
+
 # Earlier builds saved the announcements alone.
-_DECODER: Final = msgspec.msgpack.Decoder(SavedDirectory | tuple[Announcement, ...])
+_DECODER: Final = msgspec.msgpack.Decoder(_EncodedDirectory | tuple[msgspec.Raw, ...])
+_ANNOUNCEMENT_DECODER: Final = msgspec.msgpack.Decoder(Announcement)
+_DEPARTURE_DECODER: Final = msgspec.msgpack.Decoder(Departure)
 
 
 class DirectoryCache:
@@ -44,16 +57,22 @@
         self._lock = asyncio.Lock()
 
     def load(self) -> SavedDirectory:
-        """Return the saved directory; empty if the file is missing or corrupt."""
-        data = self._disk.read(CACHE_FILE)
-        if not data:
-            return SavedDirectory()
+        """Return the saved directory; empty if the file is missing or corrupt.
+
+        Entries that cannot be read are left out.
+        """
         try:
-            saved = _DECODER.decode(data)
-        except msgspec.MsgspecError as error:
+            data = self._disk.read(CACHE_FILE)
+            saved = _DECODER.decode(data) if data else _EncodedDirectory()
+        except (OSError, msgspec.MsgspecError, RecursionError) as error:
             logging.warning("ignoring corrupt file %s: %s", CACHE_FILE, error)
             return SavedDirectory()
-        return saved if isinstance(saved, SavedDirectory) else SavedDirectory(saved)
+        if not isinstance(saved, _EncodedDirectory):
+            saved = _EncodedDirectory(saved)
+        return SavedDirectory(
+            _decode_entries(saved.announcements, _ANNOUNCEMENT_DECODER),
+            _decode_entries(saved.departures, _DEPARTURE_DECODER),
+        )
 
     def start(self) -> None:
         """Start saving changes in the background."""
@@ -79,16 +98,60 @@
             await self._save()
 
     async def _save(self) -> None:
+        """Save the directory if it has changed; log an error, as the next call retries.
+
+        An error must not end the periodic task.
+        """
         async with self._lock:
             revision = self._directory.revision
             if revision == self._saved_revision:
                 return
-            saved = SavedDirectory(
-                self._directory.announcements, self._directory.departures
-            )
-            data = msgspec.msgpack.encode(saved)
             try:
+                data = _encode_directory(self._directory)
                 await asyncio.to_thread(self._disk.replace, CACHE_FILE, data)
                 self._saved_revision = revision
             except DiskError as error:
                 logging.warning("could not save the endpoint directory: %s", error)
+            except Exception:
+                logging.exception("could not save the endpoint directory")
+
+
+def _encode_directory(directory: EndpointDirectory) -> bytes:
+    announcements, departures = directory.announcements, directory.departures
+    try:
+        return msgspec.msgpack.encode(SavedDirectory(announcements, departures))
+    except Exception as error:
+        logging.warning(
+            "leaving out the entries of %s that cannot be encoded: %s",
+            CACHE_FILE,
+            error,
+        )
+    return msgspec.msgpack.encode(
+        SavedDirectory(
+            tuple(entry for entry in announcements if _is_encodable(entry)),
+            tuple(entry for entry in departures if _is_encodable(entry)),
+        )
+    )
+
+
+def _is_encodable(entry: Announcement | Departure) -> bool:
+    try:
+        msgspec.msgpack.encode(entry)
+    except Exception:
+        # The caller has logged that entries are left out.
+        return False
+    return True
+
+
+def _decode_entries(
+    entries: Iterable[msgspec.Raw], decoder: "msgspec.msgpack.Decoder[T]"
+) -> tuple[T, ...]:
+    decoded, unreadable = [], 0
+    for entry in entries:
+        try:
+            decoded.append(decoder.decode(entry))
+        except (msgspec.MsgspecError, RecursionError):
+            unreadable += 1
+    if unreadable:
+        logging.warning("ignoring %d unreadable entries of %s", unreadable, CACHE_FILE)
+    return tuple(decoded)
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -8,6 +8,7 @@
 import unittest
 from pathlib import Path
 from typing import Any
+from unittest.mock import Mock
 
 import msgspec
 from typer.testing import CliRunner
@@ -256,6 +257,56 @@
         disk.replace("directory.cache", earlier)
         self.assertEqual(cache.load(), SavedDirectory((announcement(),)))
 
+    def test_an_entry_that_cannot_be_read_costs_no_other_entry(self) -> None:
+        """One entry of another type made the host start with an empty directory."""
+        disk = MemoryDisk()
+        odd = {"endpoint": "odd", "slots": "three"}
+        for saved in (
+            {
+                "announcements": (odd, announcement(), 7),
+                "departures": ({"endpoint": 1}, Departure("e2", 7)),
+            },
+            (odd, announcement()),
+        ):
+            disk.replace("directory.cache", msgspec.msgpack.encode(saved))
+            loaded = DirectoryCache(disk, EndpointDirectory()).load()
+            self.assertEqual(loaded.announcements, (announcement(),))
+        nested = b"\x91" * 100_000
+        for data in (nested, b"\x82\xadannouncements\x91" + nested):
+            disk.replace("directory.cache", data)
+            loaded = DirectoryCache(disk, EndpointDirectory()).load()
+            self.assertEqual(loaded, SavedDirectory())
+
+    def test_a_cache_file_that_cannot_be_opened_does_not_end_the_host(self) -> None:
+        disk = MemoryDisk()
+        disk.read = Mock(side_effect=PermissionError("denied"))  # type: ignore[method-assign]
+        loaded = DirectoryCache(disk, EndpointDirectory()).load()
+        self.assertEqual(loaded, SavedDirectory())
+
+    def test_saving_goes_on_after_an_entry_that_cannot_be_encoded(self) -> None:
+        """One number beyond 64 bits ended the saving task of a control host."""
+        disk, directory = MemoryDisk(), EndpointDirectory()
+        directory.merge(announcement(), 0.0)
+        odd = announcement(endpoint="odd", slots=10**24)
+        directory._announcements["odd"] = odd
+        departures = (Departure("e2", 7),)
+
+        async def save() -> None:
+            cache = DirectoryCache(disk, directory)
+            with self.assertLogs("absl", "WARNING"):
+                await cache.save_soon()
+            self.assertEqual(cache.load(), SavedDirectory((announcement(),)))
+            directory.merge_departure(departures[0], 0.0)
+            disk.replace = Mock(  # type: ignore[method-assign]
+                side_effect=[ValueError("unexpected"), None]
+            )
+            with self.assertLogs("absl", "ERROR"):
+                await cache._save()
+            await cache._save()
+            self.assertEqual(disk.replace.call_count, 2)
+
+        asyncio.run(save())
+
     def test_a_departure_is_saved_before_it_is_acknowledged(self) -> None:
         disk, directory = MemoryDisk(), EndpointDirectory()
         directory.merge(announcement(), 0.0)
