A push that could not be sent is not noted as sent

Entry hosts saw: after a reply of their control host had failed, the next push left out what that reply had held; the host learned of it only with its next regular request, 0.5 s later.

Cause: _reply noted configuration and directory as sent before it sent them.

Change: it notes them after the send.

Evidence: test_a_push_that_could_not_be_sent_is_sent_with_the_next_one; before, the entry hosts didn't know of the draining endpoint 15 ms after the next push.

--- a/src/azurerelay/attachment/_entry_host_table.py
+++ b/src/azurerelay/attachment/_entry_host_table.py
@@ -207,30 +207,35 @@
         is_compact = host.request.accepts_compact_replies
         directory = self._directory_update_from(host.sent_directory, is_compact)
         change = self._configuration_change_from(host.sent_version)
-        if change is not None:
-            host.sent_version = change.version
-            host.version_sent_ms = self._timers.now_ms()
-        if directory is not None:
-            host.sent_directory = directory.mark
-            host.directory_sent_ms = self._timers.now_ms()
+        contents = UpdateContents(change, directory)
         packed = None
         if is_compact and _is_large(change, directory):
-            packed = self._pack(UpdateContents(change, directory))
-            change = directory = None
+            packed = self._pack(contents)
         self._link.send(
             name,
             SyncReply(
                 host.request.sequence,
                 min(1e9, self._state_age_ms()),
                 self._count_entry_hosts(),
-                change,
-                directory,
+                change if packed is None else None,
+                directory if packed is None else None,
                 self._control_hosts() if with_control_hosts else (),
                 self._proven_primaries(),
                 packed,
                 self._current.version if self._current else -1,
             ),
         )
+        self._record_sent(host, contents)
+
+    def _record_sent(self, host: _AttachedHost, contents: UpdateContents) -> None:
+        """Record what a host has once the reply arrives; called after the send."""
+        now_ms = self._timers.now_ms()
+        if contents.configuration is not None:
+            host.sent_version = contents.configuration.version
+            host.version_sent_ms = now_ms
+        if contents.directory is not None:
+            host.sent_directory = contents.directory.mark
+            host.directory_sent_ms = now_ms
 
     def _pack(self, contents: UpdateContents) -> bytes:
         """Return the compressed contents; hosts in the same state share them."""
--- a/tests/test_attachment.py
+++ b/tests/test_attachment.py
@@ -1,5 +1,6 @@
 """Tests of how entry hosts follow control hosts, on simulated time."""
 
+import contextlib
 import random
 import unittest
 from dataclasses import replace
@@ -105,6 +106,32 @@
         self.rig.timers.advance(500.0)
         self.assertEqual(self.pushed, [1] * 6)
 
+    def test_a_push_that_could_not_be_sent_is_sent_with_the_next_one(self) -> None:
+        """It was noted as sent, and the host lacked the change until it asked again."""
+        deliver, failures = self.rig.deliver, 0
+
+        def fail(sender: str, peer: str, message: Any) -> None:
+            nonlocal failures
+            if isinstance(message, SyncReply) and message.directory is not None:
+                failures += 1
+                raise OverflowError("unexpected")
+            deliver(sender, peer, message)
+
+        self.rig.deliver = fail  # type: ignore[method-assign]
+        self._drain(f"{GROUP}-3-2")
+        while not failures:
+            with contextlib.suppress(OverflowError):
+                self.rig.timers.advance(1.0)
+        self.rig.deliver = deliver  # type: ignore[method-assign]
+        for node in self.rig.controls.values():
+            with contextlib.suppress(OverflowError):
+                self.rig.timers.advance(20.0)
+            node.entry_hosts.push()
+        self.rig.timers.advance(15.0)
+        for entry in self.rig.entries.values():
+            known = entry.directory.get(f"{GROUP}-3-2")
+            self.assertTrue(known is not None and known.is_draining)
+
     def test_a_host_that_missed_pushes_gets_all_that_it_lacks(self) -> None:
         entry = self.rig.entries["10.1.0.1:7440"]
         control = str(entry.control_follower.current_control_host)
