A message that cannot be sent or decoded costs a link only itself

Entry hosts saw: with one number beyond 64 bits in the directory, each reply of a control host raised in the middle of the loop that sends to all hosts, so that hosts behind it got nothing. By reading: an answer to a sender whose name holds no address raised as well, and kept a ZeroMQ socket for good (1,023 at most); an unexpected error of a decoder left the messages behind unread.

Change: send() drops and counts a message that cannot be encoded, and logs it at most every 10 s; a peer without a usable address takes no socket; any error of a decoder counts as a malformed message.

--- a/src/azurerelay/runtime/_zmq_link.py
+++ b/src/azurerelay/runtime/_zmq_link.py
@@ -28,15 +28,17 @@
 # retried: the first packet to a host without power is lost, and TCP retransmits it
 # only after a second.
 CONNECT_TIMEOUT_MS: Final = 300
+MAX_LOGGED_LENGTH: Final = 100  # characters of a text that another host chose
 _FRAMES_PER_MESSAGE: Final = 2
 
 
 class ZmqLink:
     """Send and receive typed messages without delivery guarantees.
 
-    Sending never blocks: a message that does not fit into the peer's bounded send
-    queue is dropped and counted, and the code that sends messages which must arrive
-    repeats them. A received message that is malformed is dropped and counted too.
+    Sending never blocks and never raises: a message that does not fit into the peer's
+    bounded send queue, or cannot be encoded, is dropped and counted, and the code that
+    sends messages which must arrive repeats them. A received message that is malformed
+    is dropped and counted, too.
 
     The address of a peer is set by `set_peer_address`. With
     `peer_names_contain_addresses`, a peer without one is reached at its name, which is
@@ -99,7 +101,11 @@
 
     @property
     def dropped(self) -> int:
-        """Messages not sent: no known address or key for the peer, or a full queue."""
+        """Messages not sent.
+
+        The peer has no known address or key or its queue is full, or the message
+        cannot be encoded.
+        """
         return self._dropped
 
     @property
@@ -148,7 +154,9 @@
             self._dropped += 1
             return
         self._used_peers.add(peer)
-        frame = self._codec.encode(message)
+        frame = self._encode(message)
+        if frame is None:
+            return
         delay_s = self._delays_s.get(peer)
         if delay_s:
             loop = asyncio.get_running_loop()
@@ -156,6 +164,24 @@
         else:
             self._transmit(socket, frame)
 
+    def _encode(self, message: Any) -> bytes | None:
+        """Return the frame of a message; count and log one that cannot be encoded.
+
+        An error must not keep the sender from messages to other peers.
+        """
+        try:
+            return self._codec.encode(message)
+        except Exception:
+            self._dropped += 1
+            logging.log_every_n_seconds(
+                logging.ERROR,
+                "link dropped a %s that cannot be encoded",
+                10,
+                type(message).__name__,
+                exc_info=True,
+            )
+            return None
+
     def _transmit(self, socket: zmq.Socket[bytes], frame: bytes) -> None:
         if socket.closed:
             return
@@ -226,7 +252,12 @@
         socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_INTERVAL_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_INTERVAL_MS)
-        socket.connect(f"tcp://{address}")
+        try:
+            socket.connect(f"tcp://{address}")
+        except zmq.ZMQError:
+            # The name of a sender may be any text. The caller counts the message.
+            socket.close(linger=0)
+            return None
         self._sockets[peer] = socket
         return socket
 
@@ -259,7 +290,12 @@
             if not self._keys.is_trusted_key(sender, public_key):
                 self._untrusted_messages += 1
                 return
-        decoded = self._codec.decode(payload)
+        try:
+            decoded = self._codec.decode(payload)
+        except Exception as error:
+            # As in `_deliver`, the messages behind this one must be read.
+            self._count_malformed(repr(error)[:MAX_LOGGED_LENGTH])
+            return
         if isinstance(decoded, Err):
             self._count_malformed(decoded.err_value.reason)
             return
@@ -280,7 +316,7 @@
             logging.exception(
                 "handling a %s from %s failed; the message is dropped",
                 type(message).__name__,
-                sender[:100],
+                sender[:MAX_LOGGED_LENGTH],
             )
 
     def _count_malformed(self, reason: str) -> None:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -73,6 +73,53 @@
                 sender_link.send("receiver", GroupPosition(term, 1, "g"))
             await self._wait(lambda: received == [4])
 
+    async def test_messages_after_one_that_cannot_be_encoded_are_sent(self) -> None:
+        """A number beyond 64 bits ended the handler that sent it, half done."""
+        received: list[object] = []
+        sender_link, receiver_link = await self._link("sender"), await self._link(
+            "receiver"
+        )
+        sender_link.set_peer_address("receiver", receiver_link.address)
+        receiver_link.set_handler(lambda sender, message: received.append(message))
+        with self.assertLogs("absl", "ERROR"):
+            sender_link.send("receiver", GroupPosition(10**24, 1, "g"))
+        self.assertEqual(sender_link.dropped, 1)
+        sender_link.send("receiver", MESSAGE)
+        await self._wait(lambda: received == [MESSAGE])
+
+    async def test_answers_to_a_sender_without_an_address_take_no_socket(self) -> None:
+        """Each one kept a socket for good, until none was left for other peers."""
+        link = ZmqLink("a", free_address(), CODEC, peer_names_contain_addresses=True)
+        await link.start()
+        self.addAsyncCleanup(link.stop)
+        for number in range(1_100):
+            link.send(f"\N{REPLACEMENT CHARACTER} {number}", MESSAGE)
+        self.assertEqual((link.dropped, link.connection_count), (1_100, 0))
+        receiver = await self._link("receiver")
+        received: list[object] = []
+        receiver.set_handler(lambda sender, message: received.append(message))
+        link.send(receiver.address, MESSAGE)
+        await self._wait(lambda: received == [MESSAGE])
+
+    async def test_messages_behind_one_whose_decoder_fails_are_delivered(self) -> None:
+        class FailingCodec(TaggedCodec):
+            def decode(self, frame: bytes):
+                if b"odd" in frame:
+                    raise ValueError("unexpected")
+                return super().decode(frame)
+
+        received: list[object] = []
+        receiver_link = ZmqLink("b", free_address(), FailingCodec((GroupPosition,)))
+        await receiver_link.start()
+        self.addAsyncCleanup(receiver_link.stop)
+        sender_link = await self._link("sender")
+        sender_link.set_peer_address("receiver", receiver_link.address)
+        receiver_link.set_handler(lambda sender, message: received.append(message))
+        for message in (GroupPosition(1, 1, "odd"), MESSAGE):
+            sender_link.send("receiver", message)
+        await self._wait(lambda: received == [MESSAGE])
+        self.assertEqual(receiver_link.malformed, 1)
+
     async def test_connections_without_messages_are_closed_and_opened_again(
         self,
     ) -> None:
