Compressed contents that cannot be read harm no host

Seen: found by reading, as the class of fault of the odd entries. An entry of the log that is no zlib data raised an error on each control host each time it was applied, also after a restart; a command that could not be decoded changed nothing and was acknowledged as durable; a small compressed message could take all memory; deep nesting raised RecursionError in an entry host.

Evidence: test_an_unreadable_order_is_not_acknowledged_and_stops_no_host ended with zlib.error; test_a_small_message_cannot_take_all_memory saw no error; test_contents_that_are_nested_too_deeply_are_malformed raised RecursionError.

--- a/src/azurerelay/attachment/_packed_update.py
+++ b/src/azurerelay/attachment/_packed_update.py
@@ -31,5 +31,5 @@
     """Return the contents, or why they cannot be read."""
     try:
         return Ok(_DECODER.decode(decompress(data)))
-    except (zlib.error, msgspec.MsgspecError) as error:
+    except (zlib.error, msgspec.MsgspecError, RecursionError) as error:
         return Err(MalformedFrame(str(error)))
--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -1,11 +1,12 @@
 """The control host: replicated state, endpoint directory and entry hosts."""
 
 import random
+import zlib
 from collections.abc import Iterable
 from enum import Enum
 from typing import Any, Final
 
-from result import Ok
+from result import Err, Ok
 
 from azurerelay.attachment import (
     ATTACHMENT_MESSAGES,
@@ -49,7 +50,14 @@
 from azurerelay.events import AnnouncementRefused, EventLog, RoleChanged
 from azurerelay.groups import Topology
 from azurerelay.membership import COMMAND_CODEC, ClusterState, ReplaceConfiguration
-from azurerelay.messages import Link, Requester, TaggedCodec, compress, decompress
+from azurerelay.messages import (
+    Link,
+    MalformedFrame,
+    Requester,
+    TaggedCodec,
+    compress,
+    decompress,
+)
 from azurerelay.promotions import PromotionPort
 from azurerelay.routes import Configuration
 from azurerelay.statements import EndpointConnector
@@ -100,8 +108,15 @@
         self.on_applied: Any = lambda: None
 
     def apply(self, index: int, payload: bytes) -> Any:
-        """Apply a compressed command and report the change."""
-        outcome = self._state.apply(index, decompress(payload))
+        """Apply a compressed command and report the change.
+
+        A command that cannot be decompressed changes nothing, on any host.
+        """
+        try:
+            command = decompress(payload)
+        except zlib.error as error:
+            return Err(MalformedFrame(str(error)))
+        outcome = self._state.apply(index, command)
         self.on_applied()
         return outcome
 
@@ -337,15 +352,20 @@
     async def _propose(self, payload: bytes) -> bool:
         """Append a command as the leader and wait until it is applied.
 
-        Returns False if it is not known to be committed within the time limit, or if
-        the voter set is too small to survive the tolerated disk losses.
+        Returns False if it is not known to be committed within the time limit, if it
+        cannot be decoded and so changed nothing, or if the voter set is too small to
+        survive the tolerated disk losses.
         """
         if not self._raft.is_ready_leader or not self._majority_survives_disk_losses:
             return False
         outcome = await with_timeout(
             self._timers, self._raft.propose(payload), REQUEST_TIMEOUT_MS
         )
-        is_applied = isinstance(outcome, Ok) and isinstance(outcome.ok_value, Ok)
+        is_applied = (
+            isinstance(outcome, Ok)
+            and isinstance(outcome.ok_value, Ok)
+            and not isinstance(outcome.ok_value.ok_value, Err)
+        )
         return is_applied and self._majority_survives_disk_losses
 
     @property
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from typing import Any
 
 from azurerelay.cluster import (
     GroupHealth,
@@ -12,8 +13,10 @@
     next_voters,
     promotion_reason,
 )
+from azurerelay.cluster._messages import ProposalReply, ProposalRequest
 from azurerelay.consensus import FollowerProgress
 from azurerelay.discovery import Announcement, Departure, EndpointDirectory
+from azurerelay.messages import compress
 from azurerelay.statements import Position
 from tests.platform_rig import GROUP, PlatformRig, configuration
 
@@ -191,6 +194,32 @@
             self.assertEqual(entry.version, 3)
             self.assertEqual(entry.transaction_idle_ms, 3_000)
 
+    def test_an_unreadable_order_is_not_acknowledged_and_stops_no_host(self) -> None:
+        """An entry of the log that raised an error was applied again without end."""
+        assert self.rig.leader is not None
+        leader = str(self.rig.leader.raft.leader)
+        sender = min(self.rig.voters - {leader})
+        replies: list[Any] = []
+        deliver = self.rig.deliver
+
+        def record(sender: str, peer: str, message: Any) -> None:
+            if isinstance(message, ProposalReply):
+                replies.append(message)
+            deliver(sender, peer, message)
+
+        self.rig.deliver = record  # type: ignore[method-assign]
+        payloads = (b"odd", compress(b"odd"), compress(b"\x91" * 50_000))
+        for number, payload in enumerate(payloads):
+            request = ProposalRequest(number, payload)
+            self.rig.deliver(sender, leader, request)
+            self.rig.timers.advance(500.0)
+        self.assertEqual([reply.is_committed for reply in replies], [False] * 3)
+        self.assertTrue(self.rig.replace(configuration(9)))
+        self.rig.timers.advance(500.0)
+        for node in self.rig.controls.values():
+            assert node.state.configuration is not None
+            self.assertEqual(node.state.configuration.version, 9)
+
     def test_a_change_is_in_force_on_all_hosts_at_once_after_it_is_acknowledged(
         self,
     ) -> None:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -2,13 +2,17 @@
 import json
 import tempfile
 import unittest
+import zlib
 from pathlib import Path
 
 import zmq
 from bench.processes import free_address
+from result import Err
 
+from azurerelay.attachment._packed_update import unpack_update
 from azurerelay.daemons import LinkKeys, ZmqLink, load_link_keys, new_link_keys
-from azurerelay.messages import TaggedCodec
+from azurerelay.messages import TaggedCodec, compress, decompress
+from azurerelay.messages._compression import MAX_DECOMPRESSED_BYTES
 from azurerelay.sessions import GroupPosition
 
 CODEC = TaggedCodec((GroupPosition,))
@@ -169,6 +173,20 @@
         self.assertEqual(received, ["b"])
 
 
+class CompressionTest(unittest.TestCase):
+    def test_a_small_message_cannot_take_all_memory(self) -> None:
+        bomb = zlib.compress(bytes(MAX_DECOMPRESSED_BYTES + 1))
+        for data in (bomb, compress(b"abc")[:-3], b"x"):
+            with self.assertRaises(zlib.error):
+                decompress(data)
+        self.assertEqual(decompress(compress(b"abc")), b"abc")
+
+    def test_contents_that_are_nested_too_deeply_are_malformed(self) -> None:
+        self.assertIsInstance(
+            unpack_update(compress(b"\x81\xa1x" + b"\x91" * 100_000)), Err
+        )
+
+
 class KeyFileTest(unittest.TestCase):
     def test_new_key_file_is_valid_and_an_invalid_one_gives_all_findings(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
