Proofs and promotions go on after an unexpected error

Callers and operators saw nothing yet; found as the class of fault of the odd entries. An error in a leadership proof left the group marked as proving, so that no proof ran again and reads waited for a position in vain. A promotion order to a malformed address, or one that couldn't be encoded, never resolved its promise, and the failover of the group waited for it for ever.

Change: the flag is reset and the waiting reads get no position; an order that fails for any reason is logged and counts as not answered.

--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -371,10 +371,17 @@
 
     async def _run_proofs(self) -> None:
         self._is_proving = True
-        while self._next_proof is not None:
-            promise, self._next_proof = self._next_proof, None
-            promise.resolve(await self._prove_once())
-        self._is_proving = False
+        try:
+            while self._next_proof is not None:
+                promise, self._next_proof = self._next_proof, None
+                position: Position | None = None
+                try:
+                    position = await self._prove_once()
+                finally:
+                    promise.resolve(position)
+        finally:
+            # The next call starts a proof again, also after an unexpected error.
+            self._is_proving = False
 
     async def _prove_once(self) -> Position | None:
         pool = self.primary()
--- a/src/azurerelay/hosts/_promotion_client.py
+++ b/src/azurerelay/hosts/_promotion_client.py
@@ -45,11 +45,11 @@
             )
             promise.resolve(_NO_ANSWER)
             return
-        call = encode_promotion_order(order)
-        host, port = split_address(self._address)
         protocol = HttpClientProtocol(self._address, lambda: None)
         answer = _NO_ANSWER
         try:
+            call = encode_promotion_order(order)
+            host, port = split_address(self._address)
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 transport, _ = await self._loop.create_connection(
                     lambda: protocol, host, port
@@ -68,5 +68,8 @@
             logging.warning("promotion request timed out after %s s", CALL_TIMEOUT_S)
         except OSError as error:
             logging.warning("promotion request failed: %s", error)
+        except Exception:
+            # The failover of the group waits for this promise.
+            logging.exception("promotion request to %s failed", self._address)
         protocol.close()
         promise.resolve(answer)
