What cannot be connected to fails the attempt, whatever error it raises

Callers saw: an entry with port 99999, a host name or a port of 5,000 digits raised OverflowError, UnicodeError or ValueError in the task that connects. Its promise was never resolved, so the pool counted a connection as being opened until the endpoint was removed, and the control leader never asked it again.

Change: the connector resolves the promise with ConnectFailed after any error; pools and the status client also end an attempt whose connector fails.

--- a/src/azurerelay/cluster/_endpoint_status_client.py
+++ b/src/azurerelay/cluster/_endpoint_status_client.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from result import Err
+from result import Err, Result
 
 from azurerelay.cluster._primary_contact import PrimaryContact
 from azurerelay.discovery import Announcement, EndpointDirectory
@@ -129,7 +129,12 @@
         """Open a connection; return the failure, or None if it is open."""
         key = (endpoint.endpoint, endpoint.incarnation)
         self._connecting.add(key)
-        outcome = await self._connector.connect(endpoint)
+        outcome: Result[EndpointSession, ConnectFailed]
+        try:
+            outcome = await self._connector.connect(endpoint)
+        except Exception as error:
+            # The connections to other endpoints are opened by the same loop.
+            outcome = Err(ConnectFailed(f"unexpected error: {error!r}"))
         self._connecting.discard(key)
         if isinstance(outcome, Err):
             return outcome.err_value
--- a/src/azurerelay/hosts/_endpoint_client.py
+++ b/src/azurerelay/hosts/_endpoint_client.py
@@ -157,9 +157,10 @@
         endpoint: Announcement,
         resolve: Callable[[Result[EndpointSession, ConnectFailed]], object],
     ) -> None:
-        host, port = split_address(endpoint.address)
+        """Open a session; resolve the promise whatever happens."""
         protocol = EndpointProtocol()
         try:
+            host, port = split_address(endpoint.address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await self._open_connection(protocol, host, port)
                 started = await as_future(protocol.start_session(endpoint))
@@ -173,6 +174,11 @@
             reason = error.strerror or str(error)
             resolve(Err(ConnectFailed(reason, is_unreachable=is_unreachable)))
             return
+        except Exception as error:
+            # Addresses that cannot be connected to raise errors of many types.
+            protocol.close()
+            resolve(Err(ConnectFailed(f"unexpected error: {error!r}"[:200])))
+            return
         if isinstance(started, Err):
             # An endpoint at its connection limit may close the connection without a
             # reply; one that is down would not have accepted it.
--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -13,7 +13,7 @@
 from azurerelay.pooling._connection_share import ConnectionShare, idle_timeout_ms
 from azurerelay.pooling._pooled_session import PooledSession
 from azurerelay.pooling._session_profile import SessionProfile
-from azurerelay.statements import ConnectFailed, EndpointConnector
+from azurerelay.statements import ConnectFailed, EndpointConnector, EndpointSession
 from azurerelay.timing import Promise, TimerService, spawn
 
 # Delay before a lost endpoint is tried again; it doubles with each failure up to the
@@ -313,7 +313,11 @@
     async def _open_connection(self) -> None:
         self._connecting += 1
         started_ms = self._timers.now_ms()
-        outcome = await self._connector.connect(self._endpoint)
+        outcome: Result[EndpointSession, ConnectFailed]
+        try:
+            outcome = await self._connector.connect(self._endpoint)
+        except Exception as error:
+            outcome = Err(ConnectFailed(f"unexpected error: {error!r}"))
         self._connecting -= 1
         if isinstance(outcome, Ok):
             session = PooledSession(self._endpoint.endpoint, outcome.ok_value)
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -33,8 +33,15 @@
     JsonEventLog,
 )
 from azurerelay.hosts._metrics_service import MetricsService
+from azurerelay.hosts._promotion_client import HttpPromotionClient
+from azurerelay.promotions import PromotionOrder
 from azurerelay.runtime import as_future
-from azurerelay.statements import NOT_RUN_ERRORS, EndpointError, RunStatement
+from azurerelay.statements import (
+    NOT_RUN_ERRORS,
+    ConnectFailed,
+    EndpointError,
+    RunStatement,
+)
 from azurerelay.storage import MemoryDisk
 from azurerelay.telemetry import Meters
 from azurerelay.timing import ManualTimerService
@@ -43,6 +50,19 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 LOCAL = "127.0.0.1"
+ODD_ADDRESSES = (
+    "",
+    "nowhere",
+    f"{LOCAL}:",
+    f"{LOCAL}:99999",
+    f"{LOCAL}:{10**30}",
+    f"{LOCAL}:{'9' * 5_000}",
+    f"{LOCAL}:x",
+    "a..b:80",
+    f"{'x' * 300}.y:80",
+    "\ud800:80",
+    "a\0b:80",
+)
 
 
 def refused_statement(number: int) -> StatementRefused:
@@ -469,6 +489,40 @@
         server.close()
         await asyncio.sleep(0)
 
+    def test_an_address_that_cannot_be_connected_to_resolves_the_promise(self) -> None:
+        """A pool counted such an attempt as under way for ever."""
+        asyncio.run(self._connect_to_odd_addresses())
+
+    async def _connect_to_odd_addresses(self) -> None:
+        loop = asyncio.get_running_loop()
+        connector = TcpEndpointConnector(loop)
+        for address in ODD_ADDRESSES:
+            with self.subTest(address[:30]):
+                outcome = await asyncio.wait_for(
+                    as_future(connector.connect(announcement(address=address))), 10.0
+                )
+                self.assertIsInstance(outcome.err_value, ConnectFailed)
+                self.assertFalse(outcome.err_value.is_unreachable)
+
+    def test_a_promotion_order_to_an_odd_address_gets_an_answer(self) -> None:
+        """The failover of a group waited for the answer for ever."""
+        asyncio.run(self._promote_at_odd_addresses())
+
+    async def _promote_at_odd_addresses(self) -> None:
+        loop = asyncio.get_running_loop()
+        order = PromotionOrder("s1", "i-1", "core-1", 42)
+        orders = [(address, order) for address in ODD_ADDRESSES]
+        with self.assertLogs("absl", "WARNING"):
+            for address, odd_order in (
+                *orders,
+                (f"{LOCAL}:1", PromotionOrder("s1", "i\ud800", "core-1", 42)),
+            ):
+                client = HttpPromotionClient(address, loop)
+                answer = await asyncio.wait_for(
+                    as_future(client.promote(odd_order)), 10.0
+                )
+                self.assertFalse(answer.is_answered)
+
     def test_split_pipelined_and_malformed_http_requests(self) -> None:
         asyncio.run(self._serve_http())
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -3,6 +3,7 @@
 import json
 import unittest
 from typing import Any
+from unittest.mock import patch
 
 from result import Err
 
@@ -11,7 +12,8 @@
 from azurerelay.discovery import Announcement, Departure
 from azurerelay.events import AnnouncementRefused
 from azurerelay.platform import decode_announcement, decode_departure
-from tests.platform_rig import GROUP, PlatformRig
+from azurerelay.timing import Promise
+from tests.platform_rig import GROUP, FakeConnector, PlatformRig
 from tests.test_cluster import announcement
 
 DEEP = b"[" * 20_000
@@ -185,5 +187,50 @@
         self._assert_unchanged()
 
 
+class ConnectorErrorTest(unittest.TestCase):
+    def test_an_error_of_the_connector_costs_only_that_endpoint(self) -> None:
+        """An unexpected error kept a connection counted as being opened for ever."""
+        connect = FakeConnector.connect
+        is_odd = True
+
+        def fail(connector: FakeConnector, endpoint: Announcement) -> Promise[Any]:
+            if not is_odd or endpoint.endpoint != f"{GROUP}-2":
+                return connect(connector, endpoint)
+            if rig.random.random() < 0.5:
+                raise OverflowError("port must be 0-65535.")
+            promise: Promise[Any] = Promise()
+            rig.timers.call_later(
+                1.0, lambda: promise.fail(UnicodeError("label too long"))
+            )
+            return promise
+
+        rig = PlatformRig(entry_hosts=2)
+        with patch.object(FakeConnector, "connect", fail):
+            rig.start()
+            for _ in range(20):
+                reply = rig.run(rig.open("bounded"), "READ a", 1_500.0)
+                self.assertIsNone(reply.error)
+                rig.timers.advance(100.0)
+            is_odd = False
+            rig.timers.advance(3_000.0)
+            for node in rig.entries.values():
+                pool = node._groups[GROUP]._members[f"{GROUP}-2"].pool
+                self.assertEqual(pool.size, pool.open_connection_count)
+                self.assertTrue(pool.is_usable)
+            assert rig.leader is not None
+            sessions = rig.leader._promotion_controller._status_client._sessions
+            self.assertIn((f"{GROUP}-2", 1), sessions)
+
+    def test_proofs_of_the_primary_go_on_after_an_unexpected_error(self) -> None:
+        """All reads that need a newer position would have waited in vain."""
+        rig = PlatformRig(entry_hosts=1)
+        rig.start()
+        group = next(iter(rig.entries.values()))._groups[GROUP]
+        with patch.object(group, "_prove_once", side_effect=ValueError("unexpected")):
+            with self.assertRaises(ValueError):
+                group.prove_primary()
+        self.assertIsNotNone(rig.wait(group.prove_primary()))
+
+
 if __name__ == "__main__":
     unittest.main()
