Odd fields of configuration orders are refused with 400

Operators saw: an order with a number beyond 64 bits, or nested deeply, was answered with 500 by each control host; its operator sends it again and again. A number of 2^63 or more was acknowledged. A path_prefix that is no text was compared by its printed form.

Cause: numbers had no upper bound, RecursionError passed the decoder.

Change: numbers fit a signed 64-bit integer, names have at most 1,024 characters (also in heartbeats, so that each service can have endpoints), a path_prefix is a text. Unknown fields may hold anything that can be read.

--- a/src/azurerelay/discovery/__init__.py
+++ b/src/azurerelay/discovery/__init__.py
@@ -6,6 +6,7 @@
 from azurerelay.discovery._endpoint_directory import EndpointDirectory
 from azurerelay.discovery._field_limits import (
     MAX_DURATION_MS,
+    MAX_NAME_LENGTH,
     MAX_PORT,
     MAX_SEQUENCE,
     MAX_SLOTS,
@@ -17,6 +18,7 @@
 
 __all__ = [
     "MAX_DURATION_MS",
+    "MAX_NAME_LENGTH",
     "MAX_PORT",
     "MAX_SEQUENCE",
     "MAX_SLOTS",
--- a/src/azurerelay/discovery/_field_limits.py
+++ b/src/azurerelay/discovery/_field_limits.py
@@ -8,7 +8,7 @@
 import re
 from typing import Final
 
-MAX_NAME_LENGTH: Final = 255  # characters
+MAX_NAME_LENGTH: Final = 1_024  # characters
 MAX_SLOTS: Final = 1_000_000
 MAX_DURATION_MS: Final = 366 * 24 * 3_600 * 1_000
 MAX_UNIX_MS: Final = 253_402_300_799_999  # the end of the year 9999
--- a/src/azurerelay/platform/_configuration_codec.py
+++ b/src/azurerelay/platform/_configuration_codec.py
@@ -5,6 +5,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from azurerelay.discovery import MAX_NAME_LENGTH
+from azurerelay.platform._json_object import decode_json_object
 from azurerelay.routes import Configuration, Consistency, DatabaseGroup, Route
 from azurerelay.settings import Finding
 
@@ -15,6 +17,8 @@
 }
 DEFAULT_TRANSACTION_IDLE_MS: Final = 3_000  # default in the platform's documentation
 MAX_FINDINGS: Final = 50
+MAX_NUMBER: Final = 2**63 - 1  # the largest signed 64-bit number
+_DEFAULT_PATH_PREFIX: Final = "/"
 
 
 class _FieldReader:
@@ -30,8 +34,11 @@
     def text(self, source: dict[str, Any], key: str, place: str) -> str:
         """Return a non-empty string; report a finding and return "" otherwise."""
         value = source.get(key)
-        if not isinstance(value, str) or not value:
-            self.report(f"{place}.{key}", "must be a text that is not empty")
+        if not isinstance(value, str) or not 0 < len(value) <= MAX_NAME_LENGTH:
+            self.report(
+                f"{place}.{key}",
+                f"must be a text that is not empty, up to {MAX_NAME_LENGTH} characters",
+            )
             return ""
         return value
 
@@ -43,13 +50,16 @@
         minimum: int,
         default: int | None = None,
     ) -> int:
-        """Return an integer of at least `minimum`.
+        """Return an integer from `minimum` to `MAX_NUMBER`.
 
         Any other value is reported, and `minimum` returned in its place.
         """
         value = source.get(key, default)
-        if type(value) is not int or value < minimum:
-            self.report(f"{place}.{key}", f"must be a whole number from {minimum} on")
+        if type(value) is not int or not minimum <= value <= MAX_NUMBER:
+            self.report(
+                f"{place}.{key}",
+                f"must be a whole number from {minimum} to {MAX_NUMBER}",
+            )
             return minimum
         return value
 
@@ -69,12 +79,10 @@
     body: bytes,
 ) -> Result[Configuration, tuple[Finding, ...]]:
     """Decode and check a document; the error holds up to `MAX_FINDINGS` findings."""
-    try:
-        document = msgspec.json.decode(body)
-    except msgspec.MsgspecError as error:
-        return Err((Finding("$", f"cannot be read: {error}"),))
-    if not isinstance(document, dict):
-        return Err((Finding("$", "must be an object"),))
+    decoded = decode_json_object(body)
+    if isinstance(decoded, Err):
+        return Err((Finding("$", decoded.err_value),))
+    document = decoded.ok_value
     findings: list[Finding] = []
     reader = _FieldReader(findings)
     route_items = reader.objects(document, "routes")
@@ -148,7 +156,11 @@
         place = f"$.routes[{number}]"
         if route.group not in group_names:
             reader.report(f"{place}.service", f"no service {route.group!r}")
-        key = (route.database, str(item.get("path_prefix", "/")))
+        prefix = item.get("path_prefix", _DEFAULT_PATH_PREFIX)
+        if not isinstance(prefix, str):
+            reader.report(f"{place}.path_prefix", "must be a text")
+            continue
+        key = (route.database, prefix)
         if key in matched_prefixes:
             reader.report(
                 place, f"another route has host {key[0]!r}, prefix {key[1]!r}"
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from azurerelay.discovery import Announcement
+from azurerelay.membership import COMMAND_CODEC, ReplaceConfiguration
 from azurerelay.platform import (
     LineSplitter,
     MalformedStatement,
@@ -248,6 +249,52 @@
                     sorted(expected_places),
                 )
 
+    def test_a_document_with_an_odd_field_is_rejected_with_its_json_path(self) -> None:
+        """It was answered with 500, and sent again to all control hosts in turn."""
+        route, service = document()["routes"][0], document()["services"][0]
+        numbers = ("timeout_ms", "target_latency_ms", "priority", "max_attempts")
+        cases: list[tuple[str, dict[str, Any]]] = []
+        for value in (10**24, 2**63, -1, 1.5, True, "1", [1]):
+            cases.append(("$.version", document(version=value)))
+            limits = {"transaction_idle_ms": value}
+            cases.append(("$.limits.transaction_idle_ms", document(limits=limits)))
+            for key in (*numbers, "max_staleness_ms"):
+                changed = document(routes=[route | {key: value}])
+                cases.append((f"$.routes[0].{key}", changed))
+            for key in ("max_connections", "sync_replicas"):
+                changed = document(services=[service | {key: value}])
+                cases.append((f"$.services[0].{key}", changed))
+        for text in ("x" * 1_025, "", None, 7, ["a"]):
+            for key in ("name", "host", "service"):
+                changed = document(routes=[route | {key: text}])
+                cases.append((f"$.routes[0].{key}", changed))
+        for prefix in (None, 7, {"a": 1}):
+            changed = document(routes=[route | {"path_prefix": prefix}])
+            cases.append(("$.routes[0].path_prefix", changed))
+        for place, odd_document in cases:
+            with self.subTest(place=place, document=str(odd_document)[:40]):
+                rejected = decode_configuration(json.dumps(odd_document).encode())
+                self.assertIn(place, {f.place for f in rejected.err_value})
+
+    def test_a_document_that_is_nested_too_deeply_is_rejected(self) -> None:
+        body = json.dumps(document()).encode()
+        for data in (b"[" * 50_000, body[:-1] + b', "x": ' + b"[" * 50_000):
+            self.assertIsInstance(decode_configuration(data), Err)
+
+    def test_documents_at_the_limits_are_accepted(self) -> None:
+        route = document()["routes"][0]
+        for changed in (
+            document(version=2**63 - 1),
+            document(routes=[route | {"timeout_ms": 2**63 - 1}]),
+            document(routes=[route | {"host": "x" * 1_024}]),
+            document(routes=[route, route | {"name": "r-2", "path_prefix": ""}]),
+            document(unknown={"a": [[[10**30]]]}, limits={}),
+        ):
+            decoded = decode_configuration(json.dumps(changed).encode()).ok_value
+            frame = COMMAND_CODEC.encode(ReplaceConfiguration(1, "operator", decoded))
+            read_back = COMMAND_CODEC.decode(frame).ok_value
+            self.assertEqual(read_back.configuration, decoded)
+
     @PROPERTY_SETTINGS
     @given(st.integers(0, 500))
     def test_a_truncated_document_is_rejected(self, length: int) -> None:
