An odd reply of an endpoint costs its connection only

A primary that answers with a position beyond 64 bits made each reply of the control hosts that pass it on fail to encode, for as long as it did; a position of 5,000 digits raised ValueError in the event loop; digits of other scripts passed; a reply without end took memory without bound, and an error text of a megabyte went into each log line.

Change: positions are ASCII digits within a signed 64-bit integer. A reply with another position or of more than 16 million characters closes the connection; `-` and none mean no position, as before. Error texts are cut at 4,096.

Evidence: five tests in EndpointCodecTest failed before.

--- a/src/azurerelay/platform/_endpoint_codec.py
+++ b/src/azurerelay/platform/_endpoint_codec.py
@@ -1,5 +1,6 @@
 """Codec of the line protocol between relay and endpoints."""
 
+import re
 from functools import singledispatch
 from typing import Any, Final
 
@@ -38,6 +39,12 @@
     "FAILED": EndpointError.FAILED,
     "TIMEOUT": EndpointError.TIMED_OUT,
 }
+# Larger than the replies of any statement; limits the memory that an endpoint can take.
+MAX_REPLY_LENGTH: Final = 16 * 1024 * 1024  # characters
+MAX_ERROR_TEXT_LENGTH: Final = 4_096  # characters; a longer text is cut
+MAX_POSITION_NUMBER: Final = 2**63 - 1  # the largest signed 64-bit number
+_POSITION: Final = re.compile(r"([0-9]{1,19})\.([0-9]{1,19})")
+_NO_POSITION: Final = ("", "-")
 _STATUS_RECEIVED_INDEX: Final = 2  # the last received position in a status row
 
 
@@ -99,11 +106,15 @@
 
 
 def parse_position(text: str) -> Position | None:
-    """Parse `TERM.NUMBER`; return None for `-` and any other text."""
-    term, _, number = text.partition(".")
-    if term.isdecimal() and number.isdecimal():
-        return Position(int(term), int(number))
-    return None
+    """Parse `TERM.NUMBER`; return None for `-` and any other text.
+
+    Control hosts pass positions on in messages, which hold no larger numbers.
+    """
+    match = _POSITION.fullmatch(text)
+    if match is None:
+        return None
+    position = Position(int(match[1]), int(match[2]))
+    return position if max(position) <= MAX_POSITION_NUMBER else None
 
 
 class ReplyAssembler:
@@ -115,12 +126,16 @@
         self._signature: str | None = None
         self._error: EndpointError | None = None
         self._error_text = ""
+        self._length = 0
 
     def feed(self, line: str) -> Result[EndpointReply | None, str]:
         """Add a line; return the reply if the line completes it, otherwise None.
 
         The error is a violation of the protocol.
         """
+        self._length += len(line)
+        if self._length > MAX_REPLY_LENGTH:
+            return Err(f"a reply of more than {MAX_REPLY_LENGTH} characters")
         word, _, rest = line.partition(" ")
         if word == "DATAROW" and not self._has_outcome:
             self._rows.append(rest)
@@ -129,7 +144,7 @@
         elif word == "ERROR" and not self._has_outcome:
             code, _, text = rest.partition(" ")
             self._error = _ERRORS_BY_CODE.get(code, EndpointError.OTHER)
-            self._error_text = text or code
+            self._error_text = (text or code)[:MAX_ERROR_TEXT_LENGTH]
         elif word == "READY":
             return self._build_reply(rest)
         else:
@@ -141,10 +156,13 @@
         return self._signature is not None or self._error is not None
 
     def _build_reply(self, rest: str) -> Result[EndpointReply | None, str]:
-        word, _, position = rest.partition(" ")
+        word, _, position_text = rest.partition(" ")
         state = _STATES_BY_CODE.get(word)
         if state is None:
             return Err(f"unknown state {word[:20]!r}")
+        position = parse_position(position_text)
+        if position is None and position_text not in _NO_POSITION:
+            return Err(f"unreadable position {position_text[:40]!r}")
         return Ok(
             EndpointReply(
                 tuple(self._rows) if self._error is None else (),
@@ -152,7 +170,7 @@
                 self._error,
                 self._error_text,
                 state,
-                parse_position(position),
+                position,
                 self._received_position(),
             )
         )
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -206,8 +206,38 @@
         self.assertEqual(status.position, Position(3, 1204))
 
     def test_invalid_positions_are_none(self) -> None:
-        for text in ("-", "", "3", "3.x", "-1.2", ".4"):
+        for text in ("-", "", "3", "3.x", "-1.2", ".4", "3.4.5", "٣.٤", " 3.4"):
             self.assertIsNone(parse_position(text))
+        for number in (2**63, 10**24, "9" * 5_000):
+            self.assertIsNone(parse_position(f"3.{number}"))
+            self.assertIsNone(parse_position(f"{number}.3"))
+        largest = 2**63 - 1
+        self.assertEqual(parse_position(f"3.{largest}"), Position(3, largest))
+
+    def test_a_reply_with_an_odd_position_is_invalid(self) -> None:
+        """Control hosts could not encode the position in any of their replies."""
+        for text in (f"3.{10**24}", f"{2**63}.1", "3." + "9" * 5_000, "3.x", "٣.٤"):
+            for lines in (("COMPLETE s",), ("ERROR BUSY x",), ()):
+                reply = self._assemble(*lines, f"READY I {text}")
+                self.assertIsInstance(reply, Err)
+
+    def test_an_odd_position_in_a_status_row_is_no_position(self) -> None:
+        """The endpoint is then no candidate for a promotion."""
+        for field in (f"3.{10**24}", "3." + "9" * 5_000, "-", "x"):
+            row = f"DATAROW replica 3 {field} 0 12 2 17"
+            lines = (row, "COMPLETE -", "READY I 3.1204")
+            self.assertIsNone(self._assemble(*lines, is_status=True).ok_value.received)
+
+    def test_a_reply_without_end_is_invalid(self) -> None:
+        assembler = ReplyAssembler()
+        line = "DATAROW " + "x" * 1_000_000
+        for _ in range(16):
+            self.assertIsNone(assembler.feed(line).ok_value)
+        self.assertIsInstance(assembler.feed(line), Err)
+
+    def test_a_long_error_text_is_cut(self) -> None:
+        reply = self._assemble("ERROR FAILED " + "x" * 1_000_000, "READY I -").ok_value
+        self.assertEqual(len(reply.error_text), 4_096)
 
 
 class ConfigurationCodecTest(unittest.TestCase):
