Callers' database names, request IDs and error texts are bounded

Operators saw: found by reading. A caller that opens a session for a database with a name of a megabyte had that name in the reply and in a SessionRefused line, up to 20 a second; likewise request IDs, and names of statements that are not prepared, in replies longer than a message may be.

Change: a database name of more than 1,024 characters (the longest that a route can have) or none, and a request ID of more than 256, are MALFORMED and close the connection; error texts are cut at 4,096. Texts of statements stay as long as a message may be.

Evidence: test_names_that_are_too_long_for_a_log_line_are_errors; three of its cases were accepted before.

--- a/src/azurerelay/platform/_caller_codec.py
+++ b/src/azurerelay/platform/_caller_codec.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from azurerelay.discovery import MAX_NAME_LENGTH
 from azurerelay.statements import (
     Begin,
     CallerError,
@@ -44,6 +45,10 @@
 # Stands for the signature in replies that the entry host gives without an endpoint. It
 # is reserved as a request ID, because entry hosts use it for their own commands.
 _NO_ENDPOINT: Final = "-"
+# No route has a longer name, and request IDs go into log lines.
+MAX_DATABASE_LENGTH: Final = MAX_NAME_LENGTH
+MAX_REQUEST_ID_LENGTH: Final = 256  # characters
+MAX_ERROR_LENGTH: Final = 4_096  # characters
 LINE_TOO_LONG_ERROR: Final = "ERROR TOOLONG the message is too long\r\n"
 
 
@@ -77,12 +82,17 @@
         request_id, _, text = rest.partition(" ")
         if not request_id or request_id == _NO_ENDPOINT:
             return Err("a statement needs an id")
+        if len(request_id) > MAX_REQUEST_ID_LENGTH:
+            return Err(f"an id has at most {MAX_REQUEST_ID_LENGTH} characters")
         parsed = _parse_statement(request_id, text)
         if isinstance(parsed, Err):
             return Ok(MalformedStatement(request_id, parsed.err_value))
         return Ok(parsed.ok_value)
     if word == "START" and rest:
-        return Ok(OpenSession(rest.partition(" ")[0]))
+        database = rest.partition(" ")[0]
+        if not 0 < len(database) <= MAX_DATABASE_LENGTH:
+            return Err(f"a database has 1 to {MAX_DATABASE_LENGTH} characters")
+        return Ok(OpenSession(database))
     if word == "TERMINATE" and not rest:
         return Ok(EndSession())
     return Err(f"unknown message {word[:20]!r}")
@@ -94,8 +104,11 @@
 
 
 def encode_error_line(error: CallerError, text: str) -> str:
-    """Return an error line; an empty text defaults to the name of the error."""
-    return f"ERROR {_ERROR_CODES[error]} {text or error.value}\r\n"
+    """Return an error line; an empty text defaults to the name of the error.
+
+    A long text is cut: it may hold a name as long as a message may be.
+    """
+    return f"ERROR {_ERROR_CODES[error]} {text[:MAX_ERROR_LENGTH] or error.value}\r\n"
 
 
 def encode_caller_reply(reply: CallerReply) -> str:
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -13,6 +13,7 @@
 from azurerelay.platform import (
     LineSplitter,
     MalformedStatement,
+    OpenSession,
     ReplyAssembler,
     decode_announcement,
     decode_caller_line,
@@ -21,6 +22,7 @@
     decode_promotion_status,
     encode_caller_reply,
     encode_command,
+    encode_error_line,
     encode_promotion_order,
     encode_session_start,
     parse_host_settings,
@@ -154,6 +156,23 @@
             with self.subTest(line):
                 self.assertIsInstance(decode_caller_line(line), Err)
 
+    def test_names_that_are_too_long_for_a_log_line_are_errors(self) -> None:
+        """Each refused caller wrote its database name into the log, up to 1 MiB."""
+        for line in (
+            f"START {'x' * 1_025} u1",
+            "START  u1",
+            f"QUERY {'x' * 257} READ a",
+        ):
+            with self.subTest(line[:20]):
+                self.assertIsInstance(decode_caller_line(line), Err)
+        opened = decode_caller_line(f"START {'x' * 1_024} {'u' * 5_000}").ok_value
+        self.assertEqual(opened, OpenSession("x" * 1_024))
+        long_write = f"WRITE a {'x' * 1_000_000}"
+        unknown = encode_error_line(CallerError.UNKNOWN_NAME, "x" * 1_000_000)
+        self.assertLess(len(unknown), 5_000)
+        statement = decode_caller_line(f"QUERY {'q' * 256} {long_write}").ok_value
+        self.assertEqual(statement, Write("q" * 256, long_write))
+
     def test_replies_are_encoded(self) -> None:
         success = CallerReply(SessionState.IDLE, ("r",), "sig", position=Position(3, 4))
         self.assertEqual(
