Odd values of the settings file are findings with their path

Operators saw: found by reading. A heartbeat interval of 0 expired all endpoints at once, one of 1e300 none; ports out of range and malformed addresses ended the host later, with an exception instead of a finding; deep nesting in an unknown field raised RecursionError, which in a running host ended the task that watches the settings file.

Change: addresses, seeds, ports, names and durations are checked when the file is read. A host that runs refuses such a file and keeps its settings; one that starts prints the findings, as for a value of another type.

--- a/src/azurerelay/platform/_host_settings.py
+++ b/src/azurerelay/platform/_host_settings.py
@@ -6,11 +6,17 @@
 import msgspec
 from result import Err, Ok, Result
 
+from azurerelay.discovery import MAX_DURATION_MS, MAX_PORT, is_name, is_word
 from azurerelay.settings import Finding
 
 SETTINGS_VARIABLE: Final = "AZURERELAY_NODE_FILE"
 
 
+MIN_HEARTBEAT_INTERVAL_MS: Final = 1
+MAX_DISK_LOSSES: Final = 1_000
+_MS_PER_S: Final = 1_000
+
+
 class _Listen(msgspec.Struct):
     """Listen addresses; which ones are set depends on the role."""
 
@@ -92,6 +98,11 @@
         document = msgspec.json.decode(data, type=_Document)
     except msgspec.MsgspecError as error:
         return Err((Finding(place, str(error)),))
+    except RecursionError:
+        return Err((Finding(place, "cannot be read: nested too deeply"),))
+    problems = _find_problems(document)
+    if problems:
+        return Err(tuple(Finding(f"{place}: {path}", text) for path, text in problems))
     port = document.internal_port_range[0]
     return Ok(
         HostSettings(
@@ -109,10 +120,71 @@
             is_bootstrap=document.bootstrap,
             heartbeat_interval_ms=document.heartbeat_interval_ms,
             max_disk_losses=document.fault_tolerance.machines,
-            grace_period_ms=document.bounds.grace_period_s * 1_000.0,
+            grace_period_ms=document.bounds.grace_period_s * _MS_PER_S,
             data_folder=document.data_directory,
             promotion_address=(
                 document.cloud_api.address if document.cloud_api else None
             ),
         )
     )
+
+
+def _find_problems(document: _Document) -> list[tuple[str, str]]:
+    """Return the JSON path and the text of each problem with the values."""
+    listen = document.listen_addresses
+    names = {
+        "$.node_name": document.node_name,
+        "$.ip_address": document.ip_address,
+        "$.zone": document.zone,
+    }
+    addresses: dict[str, str | None] = {
+        "$.listen_addresses.frontend": listen.frontend,
+        "$.listen_addresses.readiness_address": listen.readiness_address,
+        "$.listen_addresses.control_plane": listen.control_plane,
+        "$.cloud_api.address": (
+            document.cloud_api.address if document.cloud_api else None
+        ),
+    }
+    addresses |= {f"$.seeds[{n}]": seed for n, seed in enumerate(document.seeds)}
+    ranges: dict[str, tuple[float, float, float]] = {
+        "$.heartbeat_interval_ms": (
+            document.heartbeat_interval_ms,
+            MIN_HEARTBEAT_INTERVAL_MS,
+            MAX_DURATION_MS,
+        ),
+        "$.bounds.grace_period_s": (
+            document.bounds.grace_period_s,
+            0,
+            MAX_DURATION_MS / _MS_PER_S,
+        ),
+        "$.fault_tolerance.machines": (
+            document.fault_tolerance.machines,
+            0,
+            MAX_DISK_LOSSES,
+        ),
+    }
+    for number, port in enumerate(document.internal_port_range):
+        ranges[f"$.internal_port_range[{number}]"] = (port, 1, MAX_PORT)
+    return [
+        *(
+            (p, "must be a printable text")
+            for p, text in names.items()
+            if not is_name(text)
+        ),
+        *(
+            (path, "must be HOST:PORT")
+            for path, address in addresses.items()
+            if address is not None and not _is_address(address)
+        ),
+        *(
+            (path, f"must be from {low} to {high}")
+            for path, (value, low, high) in ranges.items()
+            if not low <= value <= high
+        ),
+    ]
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    is_port = port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))
+    return is_word(host) and is_port and 1 <= int(port) <= MAX_PORT
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -377,6 +377,22 @@
         self.assertIsNone(apply_change(configuration(9), change))
 
 
+SETTINGS: dict[str, Any] = {
+    "node_name": "core-1",
+    "serves": ["control_plane"],
+    "ip_address": "10.1.0.11",
+    "zone": "a",
+    "zones": {"a": "r"},
+    "listen_addresses": {"control_plane": "10.1.0.11:8782"},
+    "internal_port_range": [7440, 7455],
+    "seeds": ["10.1.0.11:8782"],
+    "bootstrap": True,
+    "heartbeat_interval_ms": 1200,
+    "fault_tolerance": {"machines": 2, "zones": 0},
+    "new": 1,
+}
+
+
 class CallsTest(unittest.TestCase):
     def test_heartbeats_are_decoded_and_invalid_ones_rejected(self) -> None:
         valid = {
@@ -424,29 +440,46 @@
         self.assertFalse(decode_promotion_status(429).is_done)
 
     def test_platform_settings_are_parsed(self) -> None:
-        parsed = parse_host_settings(
-            json.dumps(
-                {
-                    "node_name": "core-1",
-                    "serves": ["control_plane"],
-                    "ip_address": "10.1.0.11",
-                    "zone": "a",
-                    "zones": {"a": "r"},
-                    "listen_addresses": {"control_plane": "10.1.0.11:8782"},
-                    "internal_port_range": [7440, 7455],
-                    "seeds": ["10.1.0.11:8782"],
-                    "bootstrap": True,
-                    "heartbeat_interval_ms": 1200,
-                    "fault_tolerance": {"machines": 2, "zones": 0},
-                    "new": 1,
-                }
-            ).encode(),
-            "file",
-        ).ok_value
+        parsed = parse_host_settings(json.dumps(SETTINGS).encode(), "file").ok_value
         self.assertEqual(parsed.seed_addresses, ("10.1.0.11:7440",))
         self.assertEqual(parsed.max_disk_losses, 2)
         self.assertIsInstance(parse_host_settings(b"{}", "file"), Err)
 
+    def test_odd_settings_are_findings_with_their_json_path(self) -> None:
+        """A host that runs keeps its settings then; one that starts says why not."""
+        cases: list[tuple[str, dict[str, Any]]] = [
+            ("$.heartbeat_interval_ms", {"heartbeat_interval_ms": value})
+            for value in (0, -1, 1e300, 10**18)
+        ]
+        for port in (0, -1, 65_536, 10**18):
+            cases += [
+                ("$.internal_port_range[0]", {"internal_port_range": [port, 7455]}),
+                ("$.internal_port_range[1]", {"internal_port_range": [7440, port]}),
+            ]
+        for address in ("", "nowhere", "10.1.0.11:", "10.1.0.11:99999", ":80", "a:٨٠"):
+            cases += [
+                ("$.seeds[1]", {"seeds": ["10.1.0.11:8782", address]}),
+                ("$.cloud_api.address", {"cloud_api": {"address": address}}),
+                (
+                    "$.listen_addresses.frontend",
+                    {"listen_addresses": {"frontend": address}},
+                ),
+            ]
+        cases += [
+            ("$.node_name", {"node_name": "a\r\nb"}),
+            ("$.zone", {"zone": ""}),
+            ("$.ip_address", {"ip_address": ""}),
+            ("$.bounds.grace_period_s", {"bounds": {"grace_period_s": 1e300}}),
+            ("$.fault_tolerance.machines", {"fault_tolerance": {"machines": -1}}),
+        ]
+        for path, changes in cases:
+            with self.subTest(path=path, changes=str(changes)[:40]):
+                body = json.dumps(SETTINGS | changes).encode()
+                findings = parse_host_settings(body, "file").err_value
+                self.assertEqual([f.place for f in findings], [f"file: {path}"])
+        nested = json.dumps(SETTINGS).encode()[:-1] + b', "x": ' + b"[" * 50_000
+        self.assertIsInstance(parse_host_settings(nested, "file"), Err)
+
 
 if __name__ == "__main__":
     unittest.main()
