Unexpected errors are counted, rate limited, and end neither log nor watch

An error that repeats with each message wrote a traceback each time and crowded out the lines that tell its cause; no metric showed that it happened. An event with a number beyond 64 bits or a broken character raised an error in whatever had recorded it. An error of a reload ended the task that watches the settings file.

Change: program log records have the limit of events, 20 lines a second for each place in the program, the rest are counted (EventsLeftOut); the new metric azurerelay_log_records_total{level} counts all. What JSON cannot hold is written as text. The watch task logs the error and goes on.

--- a/src/azurerelay/hosts/_json_event_log.py
+++ b/src/azurerelay/hosts/_json_event_log.py
@@ -50,29 +50,23 @@
 
     @property
     def left_out_counts(self) -> dict[str, int]:
-        """Number of events not written in the current window, by event class.
+        """Number of lines not written in the current window.
 
-        `queue_full` counts lines of any kind that did not fit into the queue.
+        The key is the event class, or the place of a program log record. `queue_full`
+        counts lines of any kind that did not fit into the queue.
         """
         return dict(self._left_out_counts)
 
     def record(self, event: Event) -> None:
         """Write an event, or only count it beyond the rate limit of its class."""
-        now_ms = self._timers.now_ms()
-        if now_ms - self._window_ms >= WINDOW_MS:
-            self._begin_window(now_ms)
         event_name = type(event).__name__
         self._meters.count("events_total", event=event_name)
         max_lines = (
             REFUSAL_LINES_PER_S if isinstance(event, StatementRefused) else LINES_PER_S
         )
-        if self._written_counts.get(event_name, 0) >= max_lines:
-            self._left_out_counts[event_name] = (
-                self._left_out_counts.get(event_name, 0) + 1
-            )
+        if not self._may_write(event_name, max_lines):
             self._meters.count("events_left_out_total", event=event_name)
             return
-        self._written_counts[event_name] = self._written_counts.get(event_name, 0) + 1
         line: dict[str, Any] = {
             "time_ms": self._timers.wall_clock_ms(),
             "host": self._host,
@@ -81,12 +75,19 @@
         for field in fields(event):
             value = getattr(event, field.name)
             line[field.name] = round(value, 1) if isinstance(value, float) else value
-        self._enqueue_line(msgspec.json.encode(line) + b"\n")
+        self._enqueue_line(_encode_line(line))
 
     def write_log_record(
         self, level: str, message: str, location: str, error: str
     ) -> None:
-        """Write a program log record; no rate limit applies."""
+        """Write a program log record.
+
+        It is only counted beyond the rate limit of its place in the program, so that an
+        error that repeats leaves room for the lines that tell its cause.
+        """
+        self._meters.count("log_records_total", level=level)
+        if not self._may_write(location, LINES_PER_S):
+            return
         line = {
             "time_ms": self._timers.wall_clock_ms(),
             "host": self._host,
@@ -96,7 +97,7 @@
         }
         if error:
             line["error"] = error
-        self._enqueue_line(msgspec.json.encode(line) + b"\n")
+        self._enqueue_line(_encode_line(line))
 
     def flush(self) -> None:
         """Write queued lines until the queue is empty or a write would block."""
@@ -115,6 +116,16 @@
                 return
             self._queued_lines.popleft()
 
+    def _may_write(self, kind: str, max_lines: int) -> bool:
+        """Count a line of a kind; False beyond the limit of the current window."""
+        now_ms = self._timers.now_ms()
+        if now_ms - self._window_ms >= WINDOW_MS:
+            self._begin_window(now_ms)
+        is_allowed = self._written_counts.get(kind, 0) < max_lines
+        counts = self._written_counts if is_allowed else self._left_out_counts
+        counts[kind] = counts.get(kind, 0) + 1
+        return is_allowed
+
     def _begin_window(self, now_ms: float) -> None:
         left_out_counts, self._left_out_counts = self._left_out_counts, {}
         self._window_ms = now_ms
@@ -126,7 +137,7 @@
                 "event": "EventsLeftOut",
                 "counts": left_out_counts,
             }
-            self._enqueue_line(msgspec.json.encode(line) + b"\n")
+            self._enqueue_line(_encode_line(line))
 
     def _enqueue_line(self, line: bytes) -> None:
         if len(self._queued_lines) >= MAX_QUEUED_LINES:
@@ -138,6 +149,18 @@
         self.flush()
 
 
+def _encode_line(line: dict[str, Any]) -> bytes:
+    """Encode a line; values that JSON cannot hold are written as text."""
+    try:
+        return msgspec.json.encode(line) + b"\n"
+    except (OverflowError, UnicodeEncodeError):
+        texts = {
+            key: str(value).encode(errors="backslashreplace").decode()
+            for key, value in line.items()
+        }
+        return msgspec.json.encode(texts) + b"\n"
+
+
 class _EventLogHandler(standard_logging.Handler):
     """Logging handler that forwards records to the event log."""
 
--- a/src/azurerelay/hosts/_run.py
+++ b/src/azurerelay/hosts/_run.py
@@ -127,14 +127,26 @@
             # No SIGHUP arrived; poll the file.
             pass
         reload_requested.clear()
-        loaded = load_host_settings(file)
-        if isinstance(loaded, Err):
-            text = "; ".join(str(finding) for finding in loaded.err_value)
-            events.record(ProcessChanged("settings refused", text))
-        elif loaded.ok_value != settings:
-            settings = loaded.ok_value
-            host.reload(settings)
-            events.record(ProcessChanged("settings reloaded", str(file)))
+        try:
+            settings = _reload_settings(file, settings, host, events)
+        except Exception:
+            # The task goes on: a later version of the file may be readable.
+            logging.exception("could not reload the settings file %s", file)
+
+
+def _reload_settings(
+    file: Path, settings: HostSettings, host: Host, events: JsonEventLog
+) -> HostSettings:
+    """Apply the settings file if it has changed; return the settings in use."""
+    loaded = load_host_settings(file)
+    if isinstance(loaded, Err):
+        text = "; ".join(str(finding) for finding in loaded.err_value)
+        events.record(ProcessChanged("settings refused", text))
+        return settings
+    if loaded.ok_value != settings:
+        host.reload(loaded.ok_value)
+        events.record(ProcessChanged("settings reloaded", str(file)))
+    return loaded.ok_value
 
 
 def _log_loop_exception(
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -8,7 +8,7 @@
 import unittest
 from pathlib import Path
 from typing import Any
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 import msgspec
 from typer.testing import CliRunner
@@ -21,6 +21,7 @@
     explain_request,
     parse_log_line,
 )
+from azurerelay.hosts import _run
 from azurerelay.hosts._caller_server import CallerServer
 from azurerelay.hosts._directory_cache import DirectoryCache, SavedDirectory
 from azurerelay.hosts._disk_identity import ensure_disk_identity
@@ -131,6 +132,31 @@
             written = sum(line["event"] == event_name for line in lines)
             self.assertLessEqual(written, 8 * limit, event_name)
 
+    def test_an_error_that_repeats_is_counted_and_leaves_room_for_other_lines(
+        self,
+    ) -> None:
+        """Its tracebacks filled the queue, and the lines that tell its cause lacked."""
+        for _ in range(500):
+            self.log.write_log_record("error", "unexpected", "_zmq_link.py:7", "x" * 99)
+        self.log.write_log_record("error", "other", "_zmq_link.py:8", "")
+        lines = os.read(self.reader, 1_000_000).decode().splitlines()
+        self.assertEqual(len(lines), LINES_PER_S + 1)
+        self.assertIn("other", lines[-1])
+        counters = self.meters.counters
+        self.assertEqual(counters["log_records_total", (("level", "error"),)], 501)
+        self.timers.advance(1_001.0)
+        self.log.record(refused_statement(0))
+        left_out = json.loads(os.read(self.reader, 1_000_000).decode().splitlines()[0])
+        self.assertEqual(left_out["counts"], {"_zmq_link.py:7": 480})
+
+    def test_values_that_json_cannot_hold_are_written_as_text(self) -> None:
+        """The error ended whatever had recorded the event."""
+        self.log.record(SessionRefused("db\ud800", "no route", 10**24, 0.0))
+        self.log.write_log_record("error", "bad \ud800", "a.py:1", "")
+        first, second = os.read(self.reader, 10_000).decode().splitlines()
+        self.assertEqual(json.loads(first)["configuration_version"], str(10**24))
+        self.assertEqual(json.loads(second)["message"], "bad \\ud800")
+
     def test_a_full_pipe_does_not_block_and_dropped_lines_are_counted(self) -> None:
         for _ in range(400):
             self.timers.advance(1_001.0)
@@ -240,6 +266,30 @@
         self.assertIn("$.node_name", result.output)
 
 
+class SettingsWatchTest(unittest.TestCase):
+    def test_the_settings_file_is_watched_after_a_reload_that_failed(self) -> None:
+        """An unexpected error ended the task, and later versions were not read."""
+        asyncio.run(self._reload_three_times())
+
+    async def _reload_three_times(self) -> None:
+        host, reload_requested = Mock(), asyncio.Event()
+        host.reload.side_effect = [ValueError("unexpected"), None]
+        loaded = [Mock(ok_value=number) for number in range(4)]
+        timers = ManualTimerService()
+        events = JsonEventLog("h", timers, Meters(), os.open(os.devnull, os.O_WRONLY))
+        with patch.object(_run, "load_host_settings", side_effect=loaded):
+            watch = asyncio.create_task(
+                _run._watch_settings(Path("f"), Mock(), host, events, reload_requested)
+            )
+            with self.assertLogs("absl", "ERROR"):
+                for calls in (1, 2):
+                    reload_requested.set()
+                    while host.reload.call_count < calls and not watch.done():
+                        await asyncio.sleep(0)
+            self.assertEqual(host.reload.call_count, 2)
+            watch.cancel()
+
+
 class DiskTest(unittest.TestCase):
     def test_an_empty_disk_gets_a_new_identity(self) -> None:
         disk = MemoryDisk()
