--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -8,12 +8,13 @@
 from result import Err
 
 from azurerelay.attachment import DirectoryMark, DirectoryUpdate, SyncReply
+from azurerelay.cluster import CONTROL_LINK_CODEC
 from azurerelay.cluster._messages import DirectoryDigest
 from azurerelay.discovery import Announcement, Departure
 from azurerelay.events import AnnouncementRefused
 from azurerelay.platform import decode_announcement, decode_departure
 from azurerelay.timing import Promise
-from tests.platform_rig import GROUP, FakeConnector, PlatformRig
+from tests.platform_rig import GROUP, FakeConnector, PlatformRig, configuration
 from tests.test_cluster import announcement
 
 DEEP = b"[" * 20_000
@@ -187,6 +188,92 @@
         self._assert_unchanged()
 
 
+class CodecRig(PlatformRig):
+    """A rig whose links carry encoded messages, and whose endpoints send JSON."""
+
+    def deliver(self, sender: str, peer: str, message: Any) -> None:
+        frame = CONTROL_LINK_CODEC.encode(message)
+        super().deliver(sender, peer, CONTROL_LINK_CODEC.decode(frame).ok_value)
+
+    def post_heartbeat(self, endpoint: str, body: bytes) -> bool:
+        """Send a heartbeat to a control host; return whether it was accepted."""
+        node = self.random.choice(list(self.controls.values()))
+        decoded = decode_announcement(endpoint, body)
+        if decoded.is_ok():
+            node.receive_heartbeat(decoded.ok_value)
+        return decoded.is_ok()
+
+    def post_departure(self, endpoint: str, body: bytes) -> Promise[bool] | None:
+        """Send a deregistration to a control host."""
+        node = self.random.choice(list(self.controls.values()))
+        decoded = decode_departure(endpoint, body)
+        if isinstance(decoded, Err):
+            return None
+        return node.deregister(endpoint, decoded.ok_value)
+
+
+class OddHeartbeatsTest(unittest.TestCase):
+    def test_endpoints_stay_served_and_may_leave_among_odd_heartbeats(self) -> None:
+        """One odd report kept all later changes from the entry hosts."""
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                self._serve_among_odd_heartbeats(CodecRig(seed=seed))
+
+    def _serve_among_odd_heartbeats(self, rig: CodecRig) -> None:
+        rig.start()
+        rig.timers.call_every(20.0, lambda: self._send_odd_reports(rig))
+        rig.timers.call_every(60.0, lambda: self._send_odd_departures(rig))
+        sessions = [
+            rig.open(database, entry)
+            for database in ("strict", "bounded", "own")
+            for entry in (1, 2, 3)
+        ]
+
+        def run_reads(duration_ms: float) -> None:
+            end_ms = rig.timers.now_ms() + duration_ms
+            while rig.timers.now_ms() < end_ms:
+                replies = [rig.send(s, "READ a", 1_500.0) for s in sessions]
+                rig.timers.advance(100.0)
+                for reply in replies:
+                    self.assertIsNone(rig.wait(reply).error)
+
+        run_reads(5_000.0)
+        left = rig.replicas()[0]
+        left.is_draining = True
+        acknowledged = rig.send_heartbeat(left)
+        assert acknowledged is not None
+        self.assertTrue(rig.wait(acknowledged, 1_000.0))
+        run_reads(1_000.0)
+        for entry in rig.entries.values():
+            known = entry.directory.get(left.name)
+            self.assertTrue(known is not None and known.is_draining)
+        left.is_up = False
+        body = json.dumps({"born": left.incarnation}).encode()
+        departed = rig.post_departure(left.name, body)
+        assert departed is not None
+        self.assertTrue(rig.wait(departed, 1_000.0))
+        self.assertTrue(rig.replace(configuration(2)))
+        run_reads(1_000.0)
+        good = {server.name for server in rig.members(GROUP)} - {left.name}
+        for entry in rig.entries.values():
+            self.assertEqual(entry.listed_endpoints, good)
+            self.assertEqual(entry.version, 2)
+        self.assertEqual(rig.stale_reads, [])
+
+    def _send_odd_reports(self, rig: CodecRig) -> None:
+        """Send an odd report under a new name, and one in the name of an endpoint."""
+        key, value = rig.random.choice(ODD_FIELDS)
+        fields = {"database_role": rig.random.choice(("primary", "replica"))}
+        body = heartbeat(**(fields | {key: value}))
+        for endpoint in (f"odd-{rig.random.randrange(9)}", f"{GROUP}-2"):
+            rig.post_heartbeat(endpoint, body)
+        rig.post_heartbeat("odd", body[:-1] + b',"x":' + DEEP)
+
+    def _send_odd_departures(self, rig: CodecRig) -> None:
+        for body in (b"{", DEEP, b'{"born": 1000000000000000000000000}'):
+            rig.post_departure(f"{GROUP}-3", body)
+
+
 class ConnectorErrorTest(unittest.TestCase):
     def test_an_error_of_the_connector_costs_only_that_endpoint(self) -> None:
         """An unexpected error kept a connection counted as being opened for ever."""
