Reads and proofs no longer wait for an endpoint that was never reached

Callers saw: a valid entry whose address never answers held up one read in each retry, for the 0.9 s of the attempt to connect, as long as its heartbeats came. If it claimed to be the primary, the newest claim was tried first after each retry delay, so that statements which need the primary waited again and again, or were refused with BUSY.

Cause: a lost endpoint was usable again after its retry delay, and a caller's statement made the attempt.

Change: while another endpoint can serve a read, lost ones without a connection are tried in the background; of the endpoints that claim to be the primary, a lost one without a connection is tried only if all are lost. An endpoint that is no longer the primary says so, and the next claim is tried, as before.

The first attempt of each host still costs up to 0.9 s.

--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -219,11 +219,24 @@
         """Return the pool of the endpoint that should serve a read, None if none can.
 
         `required` is the position that its log must have, and `excluded` the names of
-        endpoints to leave out.
+        endpoints to leave out. Lost endpoints are tried again in the background while
+        another one can serve the read.
         """
         primary = self.primary()
         primary_name = primary.endpoint.endpoint if primary else None
         now_ms = self._timers.now_ms()
+        usable = {
+            name: member
+            for name, member in self._members.items()
+            if name not in excluded
+            and member.pool.is_usable
+            and (member.draining_since_ms is None or name == primary_name)
+            and self._accepts_work(member, now_ms)
+        }
+        reached = {n: m for n, m in usable.items() if not m.pool.is_unreached}
+        if reached:
+            for name in usable.keys() - reached.keys():
+                usable[name].pool.open_standby_connection()
         candidates = [
             ReadCandidate(
                 name,
@@ -238,11 +251,7 @@
                 member.lag.lag_ms(now_ms),
                 name == primary_name,
             )
-            for name, member in self._members.items()
-            if name not in excluded
-            and member.pool.is_usable
-            and (member.draining_since_ms is None or name == primary_name)
-            and self._accepts_work(member, now_ms)
+            for name, member in (reached or usable).items()
         ]
         age_ms = self._samples.age_ms(required, now_ms)
         chosen = choose_endpoint(
@@ -269,7 +278,11 @@
     # The primary
 
     def primary(self) -> EndpointPool | None:
-        """Return the pool of the endpoint that is most likely the primary, or None."""
+        """Return the pool of the endpoint that is most likely the primary, or None.
+
+        A lost endpoint is chosen only if all that claim to be the primary are lost. One
+        that is no longer the primary says so, and the next claim is tried.
+        """
         now_ms = self._timers.now_ms()
         accepting = [
             self._members[name].pool
@@ -277,7 +290,8 @@
             if name in self._members and self._accepts_work(self._members[name], now_ms)
         ]
         usable = [pool for pool in accepting if pool.is_usable]
-        return usable[0] if usable else None
+        reached = [pool for pool in usable if not pool.is_unreached]
+        return next(iter(reached or usable), None)
 
     def record_not_primary(self, endpoint: str) -> None:
         """Record that an endpoint says that it is not the primary."""
--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -163,6 +163,11 @@
         is_refused = self._timers.now_ms() < self._reopen_at_ms
         return is_refused or len(self._checked_out) >= self._share.limit
 
+    @property
+    def is_unreached(self) -> bool:
+        """Whether the endpoint is lost and there is no open connection to it."""
+        return self._failing_since_ms is not None and not self.open_connection_count
+
     @property
     def failing_ms(self) -> float:
         """The time since the endpoint was recorded as lost; 0 if it is not lost."""
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -14,7 +14,13 @@
 from azurerelay.events import AnnouncementRefused
 from azurerelay.platform import decode_announcement, decode_departure
 from azurerelay.timing import Promise
-from tests.platform_rig import GROUP, FakeConnector, PlatformRig, configuration
+from tests.platform_rig import (
+    GROUP,
+    FakeConnector,
+    FakeServer,
+    PlatformRig,
+    configuration,
+)
 from tests.test_cluster import announcement
 
 DEEP = b"[" * 20_000
@@ -274,6 +280,85 @@
             rig.post_departure(f"{GROUP}-3", body)
 
 
+class SilentAddressTest(unittest.TestCase):
+    """A valid entry may name an address from which no answer ever comes."""
+
+    def _check_reads(self, role: str) -> None:
+        rig = PlatformRig()
+        rig.start()
+        odd = FakeServer(rig, "odd", "other", "10.9.250.1:9000", "east-1", log=[])
+        odd.is_up, odd.is_silent = False, True
+        rig.servers["odd"] = odd
+
+        def send_heartbeat() -> None:
+            odd.sequence += 1
+            entry = announcement(
+                endpoint="odd",
+                address=odd.address,
+                is_primary=role == "primary",
+                sequence=odd.sequence,
+            )
+            rig.controls[rig.addresses[odd.sequence % 5]].receive_heartbeat(entry)
+
+        send_heartbeat()
+        rig.timers.call_every(1_200.0, send_heartbeat)
+        sessions = [
+            rig.open(database, entry)
+            for database in ("strict", "bounded", "own")
+            for entry in (1, 2, 3)
+        ]
+        slow_rounds = failed_rounds = 0
+        for _ in range(100):
+            started_ms = rig.timers.now_ms()
+            replies = [
+                rig.wait(reply)
+                for reply in [rig.send(s, "READ a", 1_500.0) for s in sessions]
+            ]
+            slow_rounds += rig.timers.now_ms() - started_ms > 200.0
+            failed_rounds += any(reply.error is not None for reply in replies)
+            rig.timers.advance(50.0)
+        # Each host learns by one attempt that the endpoint does not answer.
+        self.assertLessEqual(slow_rounds, len(rig.entries))
+        self.assertLessEqual(failed_rounds, 1 if role == "primary" else 0)
+        self.assertEqual(rig.promotions.orders, [])
+
+    def test_reads_do_not_wait_for_a_replica_that_never_answers(self) -> None:
+        """Each attempt to connect to it held up a read for 0.9 s."""
+        self._check_reads("replica")
+
+    def test_reads_do_not_wait_for_a_primary_that_never_answers(self) -> None:
+        """A newer claim to be the primary was tried first after each delay."""
+        self._check_reads("primary")
+
+    def test_a_lost_endpoint_is_used_again_once_it_answers(self) -> None:
+        rig = PlatformRig(entry_hosts=2)
+        rig.start()
+        session = rig.open("bounded", 2)
+
+        def readers() -> set[str]:
+            rig.runs.clear()
+            for _ in range(60):
+                rig.run(session, "READ a", 1_500.0)
+                rig.timers.advance(50.0)
+            return {run.endpoint for run in rig.runs}
+
+        nearest = rig.servers[f"{GROUP}-2"]
+        self.assertIn(nearest.name, readers())
+        nearest.crash()
+        self.assertNotIn(nearest.name, readers())
+        nearest.restart()
+        rig.send_heartbeat(nearest)
+        self.assertIn(nearest.name, readers())
+        # Also without a new start, after its address could not be reached.
+        nearest.unreachable_from = {"10.1.0.2:7440"}
+        for fake_session in list(nearest.sessions):
+            fake_session.disconnect(False)
+        readers()
+        self.assertNotIn(nearest.name, readers())
+        nearest.unreachable_from.clear()
+        self.assertIn(nearest.name, readers())
+
+
 class ConnectorErrorTest(unittest.TestCase):
     def test_an_error_of_the_connector_costs_only_that_endpoint(self) -> None:
         """An unexpected error kept a connection counted as being opened for ever."""
