The HTTP interface rejects numbers and addresses that no message holds

Announcements with terms and positions beyond 64 bits or ports out of range got 202, and statements with such parameters were run, although no message on a link can hold them; 1e999 became a null for the endpoint. An endpoint's answer with such a number was taken, and one that was nested deeply raised RecursionError after its timer was cancelled, so that its call never ended; a port above 65535 raised OverflowError likewise.

Change: such bodies get 400 with the finding, such answers count as lost.

Evidence: tests in test_entry_api and test_operator_api; before, 15 odd bodies or requests were taken, 15 odd answers were decoded and one raised RecursionError.

--- a/src/azurerelay/daemons/_endpoint_wire.py
+++ b/src/azurerelay/daemons/_endpoint_wire.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err, Ok
 
+from azurerelay.daemons._wire_numbers import MAX_INTEGER
 from azurerelay.endpoints import (
     BeginCall,
     CallResult,
@@ -61,12 +62,26 @@
 
 
 def decode_result(status: int, body: bytes) -> CallResult:
-    """Return the result in a response; a LOST failure if it cannot be decoded."""
+    """Return the result in a response; a LOST failure if it cannot be decoded.
+
+    Also if it holds a term or a position that cannot be passed on to other hosts.
+    """
     try:
         if status == STATUS_OK:
-            return Ok(_ANSWER_DECODER.decode(body))
+            answer = _ANSWER_DECODER.decode(body)
+            numbers = (
+                answer.term,
+                answer.position,
+                answer.log_term,
+                answer.synced_term,
+                answer.transaction or 0,
+            )
+            if min(numbers) < 0 or max(numbers) > MAX_INTEGER:
+                detail = "unreadable answer: a number is out of range"
+                return Err(EndpointFailure(FailureKind.LOST, detail))
+            return Ok(answer)
         if status == STATUS_REFUSED:
             return Err(_FAILURE_DECODER.decode(body))
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return Err(EndpointFailure(FailureKind.LOST, f"unreadable answer: {error}"))
     return Err(EndpointFailure(FailureKind.LOST, f"unexpected status {status}"))
--- a/src/azurerelay/daemons/_http_endpoint_port.py
+++ b/src/azurerelay/daemons/_http_endpoint_port.py
@@ -155,7 +155,7 @@
                 await loop.create_connection(
                     lambda: protocol, host.strip("[]"), int(port)
                 )
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             detail = f"{address}: {error or 'no connection in time'}"
             return Err(EndpointFailure(FailureKind.UNREACHABLE, detail))
         self._protocols.add(protocol)
--- a/src/azurerelay/daemons/_operator_api.py
+++ b/src/azurerelay/daemons/_operator_api.py
@@ -14,6 +14,7 @@
 from azurerelay.control import ControlNode
 from azurerelay.daemons._problem import problem_response, request_problem
 from azurerelay.daemons._process_settings import TokenSettings, validation_findings
+from azurerelay.daemons._wire_numbers import MAX_INTEGER, NUMBER_CHECK
 from azurerelay.membership import ChangeOutcome, ChangeSettings, ChangeStatus
 from azurerelay.requests import Outcome
 from azurerelay.runtime import as_future
@@ -40,11 +41,13 @@
     )
 
     change_id: Annotated[str, pydantic.Field(min_length=1, max_length=100)]
-    based_on: Annotated[int, pydantic.Field(ge=0)]
+    based_on: Annotated[int, pydantic.Field(ge=0, le=MAX_INTEGER)]
     reason: Annotated[str, pydantic.Field(min_length=1, max_length=1_000)]
     path: Annotated[str, pydantic.Field(min_length=1, max_length=200)]
     author: Annotated[str, pydantic.Field(min_length=1, max_length=100)] = ""
-    set: dict[str, bool | int | str] = field(default_factory=dict)
+    set: dict[str, Annotated[bool | int | str, NUMBER_CHECK]] = field(
+        default_factory=dict
+    )
     unset: list[str] = field(default_factory=list)
 
 
--- a/src/azurerelay/daemons/_standin_daemon.py
+++ b/src/azurerelay/daemons/_standin_daemon.py
@@ -51,7 +51,7 @@
             return web.Response(status=HTTPStatus.NOT_FOUND)
         try:
             call = decoder.decode(await request.read())
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             return web.Response(status=HTTPStatus.BAD_REQUEST, text=str(error))
         transport = request.transport
         # An isolated endpoint answers only knobs calls, which can end the isolation.
--- a/tests/test_entry_api.py
+++ b/tests/test_entry_api.py
@@ -6,6 +6,8 @@
 from aiohttp.test_utils import TestClient, TestServer
 
 from azurerelay.daemons import EntryApi, HttpServer, not_found
+from azurerelay.daemons._endpoint_wire import decode_result
+from azurerelay.endpoints import FailureKind
 from azurerelay.membership import ClusterState, EndpointAnnouncement
 from azurerelay.messages import TaggedCodec
 from azurerelay.requests import CallerAnswer, CallerRequest, ErrorCode, Outcome
@@ -43,6 +45,29 @@
         self.announced.append(announcement)
 
 
+class EndpointAnswerTest(unittest.TestCase):
+    def test_an_answer_with_an_odd_number_or_deep_nesting_is_lost(self) -> None:
+        """Its term went into messages that could not be encoded."""
+        answer = {
+            "term": 1,
+            "position": 2,
+            "log_term": 1,
+            "synced_term": 1,
+            "role": "replica",
+        }
+        self.assertTrue(decode_result(200, json.dumps(answer).encode()).is_ok())
+        bodies = [
+            json.dumps(answer | {key: number}).encode()
+            for key in ("term", "position", "log_term", "synced_term", "transaction")
+            for number in (10**24, 2**63, -1)
+        ]
+        bodies.append(json.dumps(answer).encode()[:-1] + b',"x":' + b"[" * 50_000)
+        for body in bodies:
+            with self.subTest(body[-40:]):
+                failure = decode_result(200, body).err_value
+                self.assertIs(failure.kind, FailureKind.LOST)
+
+
 class EntryApiTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.node = _Node()
@@ -103,6 +128,13 @@
             ("{", {}, ["$"]),
             ("[" * 5_000, {}, ["$"]),
             ({**READ, "parameters": [[1]]}, {}, ["$.parameters[0]"]),
+            ({**READ, "parameters": [10**24]}, {}, ["$.parameters[0]"]),
+            ({**READ, "parameters": ["k", -(2**63) - 1]}, {}, ["$.parameters[1]"]),
+            (
+                '{"kind": "read", "statement": "get", "parameters": [1e999]}',
+                {},
+                ["$.parameters[0]"],
+            ),
             (write, {}, ["body:$.idempotent"]),
             (READ, {"Azurerelay-Session": "broken"}, ["Azurerelay-Session"]),
             (
@@ -171,10 +203,20 @@
         response = await self.client.put("/v1/endpoints/e-1", data=json.dumps(body))
         self.assertEqual(response.status, 202)
         self.assertEqual(self.node.announced[0].endpoint.presence.value, "leaving")
-        response = await self.client.put(
-            "/v1/endpoints/e-1", data=json.dumps({**body, "slots": 0})
-        )
-        self.assertEqual(response.status, 400)
+        odd_fields = [{"slots": 0}]
+        odd_fields += [{"term": number} for number in (2**63, 10**24, -1)]
+        odd_fields += [{"position": number} for number in (2**63, 10**24, -1)]
+        odd_fields += [
+            {"address": address}
+            for address in ("10.0.0.1:99999", "10.0.0.1:0", "nowhere", "a b:80", "a:٨٠")
+        ]
+        for odd_field in odd_fields:
+            with self.subTest(odd_field):
+                response = await self.client.put(
+                    "/v1/endpoints/e-1", data=json.dumps({**body, **odd_field})
+                )
+                self.assertEqual(response.status, 400)
+        self.assertEqual(len(self.node.announced), 1)
 
     async def test_only_readyz_fails_when_the_node_is_not_ready(self) -> None:
         self.assertEqual((await self.client.get("/readyz")).status, 200)
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -27,6 +27,27 @@
         return Promise.of(None)
 
 
+class OddChangeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_change_with_a_number_beyond_64_bits_is_rejected(self) -> None:
+        """No message to another control host can hold it."""
+        token = TokenSettings(name="op", sha256=hashlib.sha256(b"secret").hexdigest())
+        node: Any = _UnconfirmedNode()
+        api = OperatorApi(node, [token], ManualTimerService())
+        app = web.Application(middlewares=[api.authenticate])
+        app.add_routes(api.routes())
+        async with TestClient(TestServer(app)) as client:
+            for odd in (
+                {"based_on": 10**24},
+                {"set": {"reads.max_staleness_ms": 2**63}},
+            ):
+                response = await client.post(
+                    "/v1/settings/changes",
+                    json=CHANGE | odd,
+                    headers={"Authorization": "Bearer secret"},
+                )
+                self.assertEqual(response.status, 400)
+
+
 class UnconfirmedChangeTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_change_without_confirmation_is_not_said_to_have_not_run(
         self,
