--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -13,7 +13,7 @@
 from azurerelay.pooling._connection_share import ConnectionShare, idle_timeout_ms
 from azurerelay.pooling._pooled_session import PooledSession
 from azurerelay.pooling._session_profile import SessionProfile
-from azurerelay.statements import ConnectFailed, EndpointConnector
+from azurerelay.statements import ConnectFailed, EndpointConnector, EndpointSession
 from azurerelay.timing import Promise, TimerService, spawn
 
 # Delay before a lost endpoint is tried again; it doubles with each failure up to the
@@ -163,6 +163,11 @@
         is_refused = self._timers.now_ms() < self._reopen_at_ms
         return is_refused or len(self._checked_out) >= self._share.limit
 
+    @property
+    def is_unreached(self) -> bool:
+        """Whether the endpoint is lost and there is no open connection to it."""
+        return self._failing_since_ms is not None and not self.open_connection_count
+
     @property
     def failing_ms(self) -> float:
         """The time since the endpoint was recorded as lost; 0 if it is not lost."""
@@ -329,7 +334,11 @@
     async def _open_connection(self) -> None:
         self._connecting += 1
         started_ms = self._timers.now_ms()
-        outcome = await self._connector.connect(self._endpoint)
+        outcome: Result[EndpointSession, ConnectFailed]
+        try:
+            outcome = await self._connector.connect(self._endpoint)
+        except Exception as error:
+            outcome = Err(ConnectFailed(f"unexpected error: {error!r}"))
         self._connecting -= 1
         if isinstance(outcome, Ok):
             session = PooledSession(self._endpoint.endpoint, outcome.ok_value)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -2,13 +2,17 @@
 import json
 import tempfile
 import unittest
+import zlib
 from pathlib import Path
 
 import zmq
 from bench.processes import free_address
+from result import Err
 
+from azurerelay.attachment._packed_update import unpack_update
 from azurerelay.daemons import LinkKeys, ZmqLink, load_link_keys, new_link_keys
-from azurerelay.messages import TaggedCodec
+from azurerelay.messages import TaggedCodec, compress, decompress
+from azurerelay.messages._compression import MAX_DECOMPRESSED_BYTES
 from azurerelay.sessions import GroupPosition
 
 CODEC = TaggedCodec((GroupPosition,))
@@ -73,6 +77,53 @@
                 sender_link.send("receiver", GroupPosition(term, 1, "g"))
             await self._wait(lambda: received == [4])
 
+    async def test_messages_after_one_that_cannot_be_encoded_are_sent(self) -> None:
+        """A number beyond 64 bits ended the handler that sent it, half done."""
+        received: list[object] = []
+        sender_link, receiver_link = await self._link("sender"), await self._link(
+            "receiver"
+        )
+        sender_link.set_peer_address("receiver", receiver_link.address)
+        receiver_link.set_handler(lambda sender, message: received.append(message))
+        with self.assertLogs("absl", "ERROR"):
+            sender_link.send("receiver", GroupPosition(10**24, 1, "g"))
+        self.assertEqual(sender_link.dropped, 1)
+        sender_link.send("receiver", MESSAGE)
+        await self._wait(lambda: received == [MESSAGE])
+
+    async def test_answers_to_a_sender_without_an_address_take_no_socket(self) -> None:
+        """Each one kept a socket for good, until none was left for other peers."""
+        link = ZmqLink("a", free_address(), CODEC, peer_names_contain_addresses=True)
+        await link.start()
+        self.addAsyncCleanup(link.stop)
+        for number in range(1_100):
+            link.send(f"\N{REPLACEMENT CHARACTER} {number}", MESSAGE)
+        self.assertEqual((link.dropped, link.connection_count), (1_100, 0))
+        receiver = await self._link("receiver")
+        received: list[object] = []
+        receiver.set_handler(lambda sender, message: received.append(message))
+        link.send(receiver.address, MESSAGE)
+        await self._wait(lambda: received == [MESSAGE])
+
+    async def test_messages_behind_one_whose_decoder_fails_are_delivered(self) -> None:
+        class FailingCodec(TaggedCodec):
+            def decode(self, frame: bytes):
+                if b"odd" in frame:
+                    raise ValueError("unexpected")
+                return super().decode(frame)
+
+        received: list[object] = []
+        receiver_link = ZmqLink("b", free_address(), FailingCodec((GroupPosition,)))
+        await receiver_link.start()
+        self.addAsyncCleanup(receiver_link.stop)
+        sender_link = await self._link("sender")
+        sender_link.set_peer_address("receiver", receiver_link.address)
+        receiver_link.set_handler(lambda sender, message: received.append(message))
+        for message in (GroupPosition(1, 1, "odd"), MESSAGE):
+            sender_link.send("receiver", message)
+        await self._wait(lambda: received == [MESSAGE])
+        self.assertEqual(receiver_link.malformed, 1)
+
     async def test_connections_without_messages_are_closed_and_opened_again(
         self,
     ) -> None:
@@ -122,6 +173,20 @@
         self.assertEqual(received, ["b"])
 
 
+class CompressionTest(unittest.TestCase):
+    def test_a_small_message_cannot_take_all_memory(self) -> None:
+        bomb = zlib.compress(bytes(MAX_DECOMPRESSED_BYTES + 1))
+        for data in (bomb, compress(b"abc")[:-3], b"x"):
+            with self.assertRaises(zlib.error):
+                decompress(data)
+        self.assertEqual(decompress(compress(b"abc")), b"abc")
+
+    def test_contents_that_are_nested_too_deeply_are_malformed(self) -> None:
+        self.assertIsInstance(
+            unpack_update(compress(b"\x81\xa1x" + b"\x91" * 100_000)), Err
+        )
+
+
 class KeyFileTest(unittest.TestCase):
     def test_new_key_file_is_valid_and_an_invalid_one_gives_all_findings(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
