An entry of an unconfigured group takes no other endpoint's place

Such a report at the address, or under the id, of a healthy endpoint and with a newer start time replaced it in the directories of all hosts for as long as its heartbeats came.

Cause: the newer incarnation won an address, and the newer sequence an id, whatever the group.

Change: control and entry hosts tell their directories which groups are configured. An announcement of another group replaces none of theirs, and gives way to one of theirs; it is kept, since a later version may name its service. An address that goes over to another configured group changes hands as before.

Evidence: UnconfiguredGroupTest; before, both replicas of the group were gone from all hosts after 20 s.

--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -524,6 +524,7 @@
     def _on_applied(self) -> None:
         configuration = self._state.configuration
         if configuration is not None:
+            self._directory.set_groups(group.name for group in configuration.groups)
             self._entry_hosts.set_configuration(configuration)
 
     def _on_role_change(self) -> None:
--- a/src/azurerelay/discovery/_endpoint_directory.py
+++ b/src/azurerelay/discovery/_endpoint_directory.py
@@ -27,6 +27,9 @@
     Entries with a field out of range are ignored as well, whatever their source: a
     host of an earlier build may send them, or may have saved them. `on_refused` is
     called with the name of the endpoint.
+
+    Once `set_groups` has named the configured groups, an announcement of another group
+    replaces none of theirs, neither by its name nor by its address.
     """
 
     def __init__(self, on_refused: Callable[[str], object] = lambda _: None) -> None:
@@ -42,6 +45,7 @@
         self._departed_at: dict[str, int] = {}
         self._removed_at: dict[str, int] = {}
         self._oldest_base = 0
+        self._groups: frozenset[str] | None = None
 
     @property
     def revision(self) -> int:
@@ -58,6 +62,10 @@
         """The endpoints that departed recently."""
         return tuple(departure for departure, _ in self._departures.values())
 
+    def set_groups(self, groups: Iterable[str]) -> None:
+        """Set the names of the configured groups."""
+        self._groups = frozenset(groups)
+
     def get(self, endpoint: str) -> Announcement | None:
         """Return the newest announcement of an endpoint, or None if it is unknown."""
         return self._announcements.get(endpoint)
@@ -100,11 +108,16 @@
         """Add an announcement; return False if it was ignored.
 
         It is ignored if it is invalid, if a newer one of the endpoint is known, if this
-        incarnation has departed, or if a newer endpoint uses its address.
+        incarnation has departed, or if a newer endpoint uses its address. One of a
+        configured group counts as newer than one of another group.
         """
         known = self._announcements.get(announcement.endpoint)
-        if known is not None and announcement.recency <= known.recency:
-            return announcement.recency == known.recency
+        is_configured = self._is_configured(announcement)
+        if known is not None and is_configured == self._is_configured(known):
+            if announcement.recency <= known.recency:
+                return announcement.recency == known.recency
+        elif known is not None and not is_configured:
+            return False
         is_equivalent = known is not None and announcement.is_equivalent_to(known)
         check = has_valid_progress if is_equivalent else is_valid_announcement
         if not check(announcement):
@@ -114,7 +127,8 @@
         if departed and announcement.incarnation <= departed[0].incarnation:
             return False
         for other in self._sharing_address(announcement):
-            if other.incarnation > announcement.incarnation:
+            rank = self._is_configured(other), other.incarnation
+            if rank > (is_configured, announcement.incarnation):
                 return False
             self._remove(other.endpoint)
         self._record_claim(known, announcement)
@@ -174,6 +188,9 @@
                 del self._departed_at[name]
         return silent
 
+    def _is_configured(self, announcement: Announcement) -> bool:
+        return self._groups is None or announcement.group in self._groups
+
     def _sharing_address(self, announcement: Announcement) -> tuple[Announcement, ...]:
         return tuple(
             other
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -238,6 +238,7 @@
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._routes = {route.database: route for route in configuration.routes}
         names = {group.name for group in configuration.groups}
+        self._directory.set_groups(names)
         for name in list(self._groups):
             if name not in names:
                 self._groups.pop(name).close()
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -10,7 +10,7 @@
 from azurerelay.attachment import DirectoryMark, DirectoryUpdate, SyncReply
 from azurerelay.cluster import CONTROL_LINK_CODEC
 from azurerelay.cluster._messages import DirectoryDigest
-from azurerelay.discovery import Announcement, Departure
+from azurerelay.discovery import Announcement, Departure, EndpointDirectory
 from azurerelay.events import AnnouncementRefused
 from azurerelay.platform import decode_announcement, decode_departure
 from azurerelay.timing import Promise
@@ -280,6 +280,54 @@
             rig.post_departure(f"{GROUP}-3", body)
 
 
+class UnconfiguredGroupTest(unittest.TestCase):
+    """An entry of a service that isn't configured came from another writer."""
+
+    def test_an_entry_of_an_unconfigured_group_replaces_no_other(self) -> None:
+        """A newer one took a healthy endpoint's place by its address or its name."""
+        rig = PlatformRig(entry_hosts=2)
+        rig.start()
+        second, third = rig.replicas()
+
+        def send_odd() -> None:
+            for node in rig.controls.values():
+                for fields in (
+                    {"endpoint": "odd", "address": second.address},
+                    {"endpoint": third.name, "address": "10.9.250.1:9000"},
+                ):
+                    entry = announcement(
+                        group="stock", incarnation=99, sequence=10**9, **fields
+                    )
+                    node.receive_heartbeat(entry)
+
+        rig.timers.call_every(500.0, send_odd)
+        rig.timers.advance(20_000.0)
+        names = {server.name for server in rig.members(GROUP)}
+        for host in (*rig.controls.values(), *rig.entries.values()):
+            listed = {entry.endpoint for entry in host.directory.group(GROUP)}
+            self.assertEqual(listed, names)
+
+    def test_an_endpoint_takes_its_place_back_once_its_group_is_configured(
+        self,
+    ) -> None:
+        directory = EndpointDirectory()
+        entry = announcement()
+        for odd in (
+            announcement(group="stock", incarnation=99),
+            announcement(endpoint="odd", group="stock", incarnation=99),
+        ):
+            directory.merge(odd, 0.0)
+            directory.set_groups([GROUP])
+            self.assertTrue(directory.merge(entry, 0.0))
+            self.assertEqual(directory.announcements, (entry,))
+            self.assertFalse(directory.merge(odd, 0.0))
+            # The address goes over to another group that is configured.
+            directory.set_groups([GROUP, "stock"])
+            self.assertTrue(directory.merge(odd, 0.0))
+            self.assertEqual(directory.announcements, (odd,))
+            directory = EndpointDirectory()
+
+
 class SilentAddressTest(unittest.TestCase):
     """A valid entry may name an address from which no answer ever comes."""
 
