A drain that runs out of time answers the requests that are left

Callers of the HTTP interface whose request outlasted `drain_s` lost their connection without an answer: `EntryNode.drain` returned False, and the process stopped. Hosts that had forwarded a request to the stopping one waited for their whole time-out.

A drain now ends by answering them: `unknown` for commits and for writes, `not_run` for reads, and for statements of its own transactions, which it doesn't commit any more: later requests, those of transactions included, are refused. A request that has waited without being sent gets `unknown` as well; its caller may resend it with its key.

Evidence: tests/test_planned_stop.py, EntryNodeDrainTest.

--- a/src/azurerelay/entry/_entry_node.py
+++ b/src/azurerelay/entry/_entry_node.py
@@ -1,6 +1,8 @@
 """Request routing, forwarding and draining of an entry host."""
 
+import itertools
 import random
+from dataclasses import dataclass
 from typing import Any, Final
 
 import msgspec
@@ -51,6 +53,8 @@
 # remaining time if that is longer, before another host is tried.
 FORWARD_ATTEMPT_MS: Final = 1_500.0
 DRAIN_POLL_MS: Final = 10.0
+# How long the answers to requests that a drain gives up may take to leave this host.
+LAST_ANSWERS_MS: Final = 300.0
 # A draining host treats control as unreachable after this time without an answer.
 CONTROL_UNREACHABLE_AFTER_MS: Final = 3_000.0
 # Delay before the serving hosts of a group are tried again.
@@ -59,6 +63,14 @@
 FIRST_REQUEST_ID_LIMIT: Final = 2**32
 
 
+@dataclass(frozen=True, slots=True)
+class _PendingRequest:
+    """A request in progress, from a caller or another host."""
+
+    request: CallerRequest
+    answer: Promise[CallerAnswer]
+
+
 class EntryNode:
     """Answer requests for any group, on this host or through a serving host."""
 
@@ -108,7 +120,10 @@
             self._counters,
         )
         self._in_flight = 0
+        self._pending: dict[int, _PendingRequest] = {}
+        self._pending_numbers = itertools.count()
         self._is_draining = False
+        self._has_given_up = False
 
     @property
     def name(self) -> str:
@@ -183,7 +198,8 @@
 
         It may stop when no request, transaction or unsent answer is left and no
         handover to another host is pending. While control is unreachable, pending
-        handovers are not waited for.
+        handovers are not waited for. On a timeout all requests that are left are
+        answered with what is known of them.
         """
         self.start_draining()
         deadline_ms = self._timers.now_ms() + timeout_ms
@@ -195,8 +211,54 @@
             if is_idle and not self._sender.pending_count and not must_wait:
                 return True
             await sleep(self._timers, DRAIN_POLL_MS)
+        self._give_up()
+        last_ms = self._timers.now_ms() + LAST_ANSWERS_MS
+        while self._sender.pending_count and self._timers.now_ms() < last_ms:
+            await sleep(self._timers, DRAIN_POLL_MS)
         return False
 
+    def _give_up(self) -> None:
+        """Answer all requests in progress, and refuse all further ones.
+
+        Endpoints may still run statements and commits that have been sent. Open
+        transactions are not committed any more.
+        """
+        self._has_given_up = True
+        pending, self._pending = self._pending, {}
+        for entry in pending.values():
+            entry.answer.resolve(self._given_up_answer(entry.request))
+
+    def _given_up_answer(self, request: CallerRequest) -> CallerAnswer:
+        """Return the answer to a request that may have been sent to an endpoint."""
+        detail = f"host {self.name} has stopped before there was an answer"
+        if request.operation is Operation.COMMIT:
+            return CallerAnswer(Outcome.UNKNOWN, detail=detail)
+        transaction = request.transaction
+        if transaction is not None and transaction_host(transaction) == self.name:
+            detail += "; the transaction is rolled back"
+            return CallerAnswer(Outcome.NOT_RUN, ErrorCode.TRANSACTION_GONE, detail)
+        return _unanswered(request, detail)
+
+    def _until_given_up(
+        self, request: CallerRequest, answer: Promise[CallerAnswer]
+    ) -> Promise[CallerAnswer]:
+        """Return the answer to a request, or what is known of it on giving up."""
+        if answer.is_done:
+            return answer
+        number = next(self._pending_numbers)
+        outcome: Promise[CallerAnswer] = Promise()
+        self._pending[number] = _PendingRequest(request, outcome)
+
+        def finish() -> None:
+            self._pending.pop(number, None)
+            try:
+                outcome.resolve(answer.value)
+            except Exception as error:
+                outcome.fail(error)
+
+        answer.add_callback(finish)
+        return outcome
+
     def on_message(self, sender: str, message: Any) -> None:
         """Dispatch a message from another host by its type."""
         match message:
@@ -216,17 +278,19 @@
     async def _handle(self, request: CallerRequest) -> CallerAnswer:
         self._in_flight += 1
         try:
-            answer = await self._route(request)
+            answer = await self._until_given_up(request, spawn(self._route(request)))
         finally:
             self._in_flight -= 1
         self._outcome_counts[answer.outcome] += 1
         return answer
 
     async def _route(self, request: CallerRequest) -> CallerAnswer:
+        if self._has_given_up:
+            return self._draining_answer()
         if request.transaction is not None:
             return await self._route_transaction(request, request.transaction)
         if self._is_draining:
-            return _refused(ErrorCode.DRAINING, f"host {self.name} is shutting down")
+            return self._draining_answer()
         if request.group not in self._state.groups:
             detail = f"group {request.group!r} is not known"
             return _refused(ErrorCode.NO_ROUTE, detail)
@@ -296,10 +360,7 @@
         outcome = await self._forwarder.forward(host, request, timeout_ms)
         if isinstance(outcome, Ok):
             return outcome.ok_value
-        detail = f"no answer from serving host {host}"
-        if request.operation in (Operation.READ, Operation.BEGIN):
-            return CallerAnswer(Outcome.NOT_RUN, detail=detail)
-        return CallerAnswer(Outcome.UNKNOWN, detail=detail)
+        return _unanswered(request, f"no answer from serving host {host}")
 
     def _choose_serving_host(self, group: str, tried: set[str]) -> str | None:
         """Return the best serving host not tried yet, or None.
@@ -326,12 +387,30 @@
         return (is_remote, self._forwarder.estimated_load(host), host)
 
     async def _answer_forwarded(self, sender: str, message: ForwardRequest) -> None:
-        answer = await self._group_servers.handle(message.request)
+        request = message.request
+        if self._has_given_up:
+            answer = self._draining_answer()
+        else:
+            handled = spawn(self._group_servers.handle(request))
+            answer = await self._until_given_up(request, handled)
         data = msgspec.msgpack.encode(answer)
         self._sender.send(
             sender, message.request_id, data, self._group_servers.in_flight
         )
 
+    def _draining_answer(self) -> CallerAnswer:
+        return _refused(ErrorCode.DRAINING, f"host {self.name} is shutting down")
+
+
+def _unanswered(request: CallerRequest, detail: str) -> CallerAnswer:
+    """Return the answer to a request that an endpoint may or may not have run.
+
+    A read has no effects, and a transaction that nobody knows of is rolled back.
+    """
+    if request.operation in (Operation.READ, Operation.BEGIN):
+        return CallerAnswer(Outcome.NOT_RUN, detail=detail)
+    return CallerAnswer(Outcome.UNKNOWN, detail=detail)
+
 
 def _refused(code: ErrorCode, detail: str) -> CallerAnswer:
     return CallerAnswer(Outcome.NOT_RUN, code, detail, retry_after_ms=500)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -13,6 +13,7 @@
 from unittest.mock import patch
 
 from azurerelay.cluster import OrderOutcome
+from azurerelay.endpoints import KnobsCall
 from azurerelay.events import NullEventLog
 from azurerelay.hosts._control_host import EXIT_MARGIN_MS, ControlHost
 from azurerelay.hosts._entry_host import EntryHost
@@ -23,9 +24,11 @@
 )
 from azurerelay.platform import SETTINGS_VARIABLE, HostSettings
 from azurerelay.relay import RelayNode
+from azurerelay.requests import CallerAnswer, Operation, Outcome
 from azurerelay.runtime import Application
 from azurerelay.telemetry import Meters
-from azurerelay.timing import Promise
+from azurerelay.timing import Promise, spawn
+from tests.support import GROUP, Rig
 
 LOCAL = "127.0.0.1"
 # The metrics port is fixed, so each run of the tests has an IP address of its own.
@@ -173,6 +176,110 @@
         self.assertTrue(response.startswith(b"HTTP/1.1 200 "), response)
 
 
+class EntryNodeDrainTest(unittest.TestCase):
+    """An entry host whose endpoint holds requests for longer than the drain time."""
+
+    DRAIN_MS = 1_000.0
+    TIMEOUT_MS = 60_000.0
+
+    def setUp(self) -> None:
+        self.rig = Rig()
+        serving = self.rig.system.leader.state.groups[GROUP].serving
+        self.serving = serving[0]
+        self.forwarding = next(e for e in self.rig.system.entries if e not in serving)
+
+    def _send(
+        self, entry: str, operation: Operation, statement: str = "", **fields: Any
+    ) -> Promise[CallerAnswer | None]:
+        fields.setdefault("timeout_ms", self.TIMEOUT_MS)
+        parameters = {"put": ("k", 1), "get": ("k",)}.get(statement, ())
+        return self.rig.send(entry, operation, statement, *parameters, **fields)
+
+    def _set_knobs(self, **knobs: Any) -> None:
+        for standin in self.rig.system.standins.values():
+            standin.request(KnobsCall(**knobs))
+
+    def _send_all(self, entry: str) -> dict[str, Promise[CallerAnswer | None]]:
+        """Send requests of all kinds that the endpoints do not answer."""
+        # A commit then waits for a majority to receive it.
+        self._set_knobs(is_replication_cut=True)
+        self.rig.timers.advance(2_000.0)
+        begun = [self.rig.call(entry, Operation.BEGIN).transaction for _ in range(2)]
+        for name in begun:
+            self.rig.write(entry, "put", "a", 1, transaction=name)
+        self._set_knobs(service_ms=2 * self.TIMEOUT_MS)
+        write, read = Operation.WRITE, Operation.READ
+        sent = {
+            "idempotent write": self._send(entry, write, "put", is_idempotent=True),
+            "write with key": self._send(entry, write, "put", idempotency_key="k"),
+            "read": self._send(entry, read, "get"),
+            "write in transaction": self._send(
+                entry, write, "put", transaction=begun[0]
+            ),
+            "commit": self._send(entry, Operation.COMMIT, transaction=begun[1]),
+        }
+        self.rig.timers.advance(200.0)
+        self.assertFalse(any(promise.is_done for promise in sent.values()))
+        return sent
+
+    def _drain(self, entry: str) -> None:
+        node = self.rig.system.entries[entry]
+        is_idle = self.rig.wait(spawn(node.drain(self.DRAIN_MS)))
+        self.assertFalse(is_idle)
+        self.rig.timers.advance(50.0)
+
+    def _outcomes(
+        self, sent: dict[str, Promise[CallerAnswer | None]]
+    ) -> dict[str, Outcome | None]:
+        outcomes: dict[str, Outcome | None] = {}
+        for name, promise in sent.items():
+            answer = promise.value if promise.is_done else None
+            outcomes[name] = answer.outcome if answer else None
+        return outcomes
+
+    def test_requests_past_the_drain_time_get_a_true_outcome(self) -> None:
+        sent = self._send_all(self.serving)
+        self._drain(self.serving)
+        self.assertEqual(
+            self._outcomes(sent),
+            {
+                "idempotent write": Outcome.UNKNOWN,
+                "write with key": Outcome.UNKNOWN,
+                "read": Outcome.NOT_RUN,
+                "write in transaction": Outcome.NOT_RUN,
+                "commit": Outcome.UNKNOWN,
+            },
+        )
+
+    def test_requests_forwarded_to_another_host_get_a_true_outcome(self) -> None:
+        sent = self._send_all(self.forwarding)
+        self._drain(self.forwarding)
+        self.assertEqual(
+            self._outcomes(sent),
+            {
+                "idempotent write": Outcome.UNKNOWN,
+                "write with key": Outcome.UNKNOWN,
+                "read": Outcome.NOT_RUN,
+                # The transaction is still open at the other host.
+                "write in transaction": Outcome.UNKNOWN,
+                "commit": Outcome.UNKNOWN,
+            },
+        )
+
+    def test_a_transaction_given_up_in_a_drain_is_not_committed(self) -> None:
+        name = self.rig.call(self.serving, Operation.BEGIN).transaction
+        self._set_knobs(service_ms=2 * self.DRAIN_MS)
+        write = self._send(self.serving, Operation.WRITE, "put", transaction=name)
+        self._drain(self.serving)
+        assert write.value is not None
+        self.assertEqual(write.value.outcome, Outcome.NOT_RUN)
+        self.rig.timers.advance(3 * self.DRAIN_MS)
+        for entry in (self.serving, self.forwarding):
+            commit = self._send(entry, Operation.COMMIT, transaction=name)
+            answer = self.rig.wait(commit)
+            self.assertEqual(answer.outcome, Outcome.NOT_RUN)
+
+
 # A host whose hooks print their names and send signals to their own process.
 SIGNALLED_HOST = """
 import os, signal, sys
