A write that may have run isn't said not to have run after a retry

Callers of an idempotent write got `not_run` though an earlier attempt had been sent to an endpoint and its answer lost, as when the endpoint or the serving host stops: the outcome of the last attempt (no primary, no route, overloaded) was passed on as that of the request.

WritePath and EntryNode remember an attempt without an answer: a later refusal then ends the request with `unknown`.

Evidence: tests/test_planned_stop.py, LostAnswerTest.

--- a/src/azurerelay/entry/_entry_node.py
+++ b/src/azurerelay/entry/_entry_node.py
@@ -2,7 +2,7 @@
 
 import itertools
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Final
 
 import msgspec
@@ -318,7 +318,8 @@
     async def _route_to_serving_host(self, request: CallerRequest) -> CallerAnswer:
         """Try the group's serving hosts until one handles the request or time is up.
 
-        A request that got no answer is sent to another host only if that is safe.
+        A request that got no answer is sent to another host only if that is safe. It
+        may have run then, whatever the other hosts say.
         """
         if self._group_servers.is_serving(request.group):
             answer = await self._group_servers.handle(request)
@@ -326,13 +327,14 @@
                 return answer
         deadline_ms = self._timers.now_ms() + request.timeout_ms
         tried: set[str] = set()
+        lost: CallerAnswer | None = None
         last_answer = _refused(
             ErrorCode.NO_ROUTE, f"group {request.group} has no serving host"
         )
         while True:
             remaining_ms = deadline_ms - self._timers.now_ms()
             if remaining_ms <= 0:
-                return last_answer
+                return _with_lost_answer(last_answer, lost)
             host = self._choose_serving_host(request.group, tried)
             if host is None:
                 tried.clear()
@@ -347,8 +349,10 @@
             # Only `_forward_once` returns answers that are not done and have no code.
             is_unanswered = answer.code is ErrorCode.NONE and not answer.is_done
             if not is_declined and not (is_unanswered and _is_resendable(request)):
-                return answer
+                return _with_lost_answer(answer, lost)
             last_answer = answer
+            if answer.outcome is Outcome.UNKNOWN:
+                lost = answer
 
     async def _forward_once(
         self, host: str, request: CallerRequest, remaining_ms: float
@@ -412,6 +416,16 @@
     return CallerAnswer(Outcome.UNKNOWN, detail=detail)
 
 
+def _with_lost_answer(answer: CallerAnswer, lost: CallerAnswer | None) -> CallerAnswer:
+    """Return an answer, or that of an earlier attempt that may have run.
+
+    The answer that a request has not run is true of the last attempt only.
+    """
+    if lost is None or answer.outcome is not Outcome.NOT_RUN:
+        return answer
+    return replace(lost, detail=f"{lost.detail}; then {answer.detail}")
+
+
 def _refused(code: ErrorCode, detail: str) -> CallerAnswer:
     return CallerAnswer(Outcome.NOT_RUN, code, detail, retry_after_ms=500)
 
--- a/src/azurerelay/serving/_write_path.py
+++ b/src/azurerelay/serving/_write_path.py
@@ -116,6 +116,7 @@
         context = self._context
         backoff = Backoff(context.policy.retry_backoff_ms, context.random_source)
         primary_wait_deadline_ms = self._channels.primary_wait_deadline_ms(deadline_ms)
+        lost: CallerAnswer | None = None
         while True:
             term = context.record.term
             outcome = await self._try_once(
@@ -126,8 +127,14 @@
                 context.counters.writes += 1
                 return outcome.ok_value
             failed = outcome.err_value
+            if failed.outcome is Outcome.UNKNOWN:
+                lost = failed
             is_past_deadline = context.now_ms() >= primary_wait_deadline_ms
             if is_past_deadline or not self._may_retry(request, failed, term, backoff):
+                if lost is not None and lost is not failed:
+                    # The last attempt has not run, but an earlier one may have.
+                    detail = f"{lost.detail}; then {failed.detail}"
+                    failed = replace(lost, detail=detail)
                 context.counters.unknown_outcomes += failed.outcome is Outcome.UNKNOWN
                 return failed
             context.counters.retries += 1
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -280,6 +280,46 @@
             self.assertEqual(answer.outcome, Outcome.NOT_RUN)
 
 
+class LostAnswerTest(unittest.TestCase):
+    """A write whose answer is lost, and which cannot be sent again."""
+
+    def setUp(self) -> None:
+        self.rig = Rig()
+        self.serving = self.rig.system.leader.state.groups[GROUP].serving
+        for standin in self.rig.system.standins.values():
+            standin.request(KnobsCall(service_ms=400.0))
+
+    def _write(self, entry: str, **fields: Any) -> Promise[CallerAnswer | None]:
+        promise = self.rig.send(entry, Operation.WRITE, "put", "k", 1, **fields)
+        self.rig.timers.advance(100.0)
+        return promise
+
+    def _kill_endpoints(self) -> None:
+        for name in (self.rig.primary, *self.rig.replicas):
+            self.rig.system.kill_endpoint(name)
+
+    def test_a_write_that_may_have_run_is_not_refused_as_not_run_after_a_retry(
+        self,
+    ) -> None:
+        promise = self._write(self.serving[0], is_idempotent=True)
+        self._kill_endpoints()
+        self.assertIs(self.rig.wait(promise).outcome, Outcome.UNKNOWN)
+
+    def test_a_write_that_a_stopped_host_may_have_run_is_not_refused_as_not_run(
+        self,
+    ) -> None:
+        entries = self.rig.system.entries
+        forwarding = next(e for e in entries if e not in self.serving)
+        for fields in ({"is_idempotent": True}, {"idempotency_key": "k"}):
+            with self.subTest(fields):
+                self.setUp()
+                promise = self._write(forwarding, **fields)
+                self._kill_endpoints()
+                for name in self.serving:
+                    self.rig.system.kill_entry(name)
+                self.assertIs(self.rig.wait(promise).outcome, Outcome.UNKNOWN)
+
+
 # A host whose hooks print their names and send signals to their own process.
 SIGNALLED_HOST = """
 import os, signal, sys
