A write in a transaction without an answer may have run

Callers who sent a write of a transaction through another host than the one that holds the transaction got `not_run` when the answer was lost on the link. The transaction stayed open, with the write in it, and a commit after that committed what had been said not to have run.

Such a write ends with `unknown` now; reads and rollbacks are as before.

Evidence: test_a_write_in_a_transaction_of_a_silent_host_may_be_committed. Before: the write `not_run`, the commit `done`, and the row is read afterwards. Now: `unknown`. Found while looking for untrue outcomes around a stop; when a host stops, its transactions are rolled back, and it says so.

--- a/src/azurerelay/entry/_entry_node.py
+++ b/src/azurerelay/entry/_entry_node.py
@@ -312,6 +312,9 @@
         if request.operation is Operation.COMMIT:
             detail = f"no answer from {host} to the commit"
             return CallerAnswer(Outcome.UNKNOWN, ErrorCode.ENDPOINT_LOST, detail)
+        if request.operation is Operation.WRITE:
+            detail = f"no answer from {host}; the transaction may hold the write"
+            return CallerAnswer(Outcome.UNKNOWN, ErrorCode.ENDPOINT_LOST, detail)
         detail = f"no answer from {host}; nothing of the transaction is committed yet"
         return CallerAnswer(Outcome.NOT_RUN, ErrorCode.ENDPOINT_LOST, detail)
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -26,6 +26,7 @@
 from azurerelay.relay import RelayNode
 from azurerelay.requests import CallerAnswer, Operation, Outcome
 from azurerelay.runtime import Application
+from azurerelay.serving import transaction_host
 from azurerelay.telemetry import Meters
 from azurerelay.timing import Promise, spawn
 from tests.support import GROUP, Rig
@@ -319,6 +320,22 @@
                     self.rig.system.kill_entry(name)
                 self.assertIs(self.rig.wait(promise).outcome, Outcome.UNKNOWN)
 
+    def test_a_write_in_a_transaction_of_a_silent_host_may_be_committed(self) -> None:
+        entries = self.rig.system.entries
+        forwarding = next(e for e in entries if e not in self.serving)
+        begun = self.rig.call(forwarding, Operation.BEGIN)
+        transaction = begun.transaction
+        assert transaction is not None
+        link = (transaction_host(transaction), forwarding)
+        promise = self._write(forwarding, transaction=transaction, timeout_ms=900.0)
+        self.rig.system.network.cut(*link)
+        answer = self.rig.wait(promise)
+        self.rig.system.network.heal(forwarding)
+        committed = self.rig.call(forwarding, Operation.COMMIT, transaction=transaction)
+        read = self.rig.read(forwarding, "get", "k", after=committed)
+        self.assertEqual((committed.outcome, read.rows), (Outcome.DONE, ((1,),)))
+        self.assertIs(answer.outcome, Outcome.UNKNOWN)
+
 
 # A host whose hooks print their names and send signals to their own process.
 SIGNALLED_HOST = """
