Requests that have arrived are answered when an HTTP server of a daemon stops

Callers and operators of the HTTP interface whose connection waited in the kernel's queue, or whose request on a kept-alive connection had arrived but was not read yet, got a reset or an empty response when the server stopped.

HttpServer.stop takes the connections in the queue before it closes the listening socket, and reads what has arrived before it closes idle connections. HttpService of the hosts uses the same functions (runtime/_listener.py).

Evidence: tests/test_planned_stop.py, HttpServerStopTest. Before: test_a_connection_opened_late_is_answered ended with ConnectionResetError, and test_a_request_on_a_kept_alive_connection_is_answered got no byte.

--- a/src/azurerelay/daemons/_http_server.py
+++ b/src/azurerelay/daemons/_http_server.py
@@ -1,13 +1,22 @@
 """An aiohttp server as a component of an application."""
 
+import asyncio
+import socket
 from collections.abc import Iterable
 from http import HTTPStatus
+from typing import Final
 
 from aiohttp import hdrs, web
 from aiohttp.typedefs import Handler, Middleware
 
 from azurerelay.daemons._http_limits import MAX_BODY_BYTES, MAX_HEADER_BYTES
 from azurerelay.daemons._problem import problem_response, request_problem
+from azurerelay.runtime import accept_queued, open_listener
+
+# How long a stopping server reads requests that have arrived, and then waits for their
+# answers.
+READ_ARRIVED_S: Final = 0.01
+LAST_ANSWERS_S: Final = 1.0
 
 
 class HttpServer:
@@ -25,6 +34,7 @@
         self._routes = list(routes)
         self._middlewares = tuple(middlewares)
         self._runner: web.AppRunner | None = None
+        self._listener: socket.socket | None = None
         self._is_draining = False
 
     @property
@@ -49,14 +59,12 @@
             access_log=None,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
-            shutdown_timeout=1.0,
+            shutdown_timeout=LAST_ANSWERS_S,
         )
         await self._runner.setup()
         host, _, port = self._address.rpartition(":")
-        site = web.TCPSite(
-            self._runner, host.strip("[]"), int(port), reuse_address=True
-        )
-        await site.start()
+        self._listener = open_listener(host.strip("[]"), int(port))
+        await web.SockSite(self._runner, self._listener).start()
 
     async def drain(self) -> None:
         """Keep serving, but close each connection after its next response.
@@ -67,9 +75,24 @@
         self._is_draining = True
 
     async def stop(self) -> None:
-        """Close the listening socket and all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        """Answer all requests that have arrived, then close all connections.
+
+        Connections that the kernel has accepted are served, too: their clients may
+        have sent a request.
+        """
+        runner, self._runner = self._runner, None
+        if runner is None or runner.server is None or self._listener is None:
+            return
+        self._is_draining = True
+        loop = asyncio.get_running_loop()
+        accepted = accept_queued(self._listener)
+        for site in list(runner.sites):
+            await site.stop()
+        for client in accepted:
+            await loop.connect_accepted_socket(runner.server, client)
+        # Requests that the kernel has received are read meanwhile.
+        await asyncio.sleep(READ_ARRIVED_S)
+        await runner.cleanup()
 
     async def _close_when_draining(
         self, request: web.Request, response: web.StreamResponse
--- a/src/azurerelay/hosts/_http_service.py
+++ b/src/azurerelay/hosts/_http_service.py
@@ -13,6 +13,7 @@
 from absl import logging
 
 from azurerelay.hosts._sockets import set_socket_options, split_address
+from azurerelay.runtime import accept_queued, open_listener
 
 # Large enough for a configuration with thousands of routes.
 MAX_BODY_BYTES: Final = 8 * 1024 * 1024
@@ -248,7 +249,7 @@
 
     async def start(self) -> None:
         """Bind the address and start serving."""
-        self._listener = socket.create_server(split_address(self._address))
+        self._listener = open_listener(*split_address(self._address))
         self._server = await asyncio.get_running_loop().create_server(
             self._create_protocol, sock=self._listener
         )
@@ -284,19 +285,11 @@
             connection.abort()
 
     async def _stop_accepting(self) -> None:
-        """Accept the connections in the queue of the kernel, and close the socket.
-
-        Closing the socket resets the connections that are still in its queue.
-        """
+        """Accept the connections in the queue of the kernel, and close the socket."""
         if self._server is None or self._listener is None:
             return
         loop = asyncio.get_running_loop()
-        accepted = []
-        while True:
-            try:
-                accepted.append(self._listener.accept()[0])
-            except OSError:
-                break
+        accepted = accept_queued(self._listener)
         self._server.close()
         self._server = None
         for client in accepted:
--- a/src/azurerelay/runtime/__init__.py
+++ b/src/azurerelay/runtime/__init__.py
@@ -8,6 +8,7 @@
     HttpResponse,
 )
 from azurerelay.runtime._key_set import KeySet
+from azurerelay.runtime._listener import accept_queued, open_listener
 from azurerelay.runtime._structured_logging import configure_logging
 from azurerelay.runtime._zmq_link import ZmqLink
 
@@ -20,6 +21,8 @@
     "HttpResponse",
     "KeySet",
     "ZmqLink",
+    "accept_queued",
     "as_future",
     "configure_logging",
+    "open_listener",
 ]
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -12,7 +12,10 @@
 from typing import Any
 from unittest.mock import patch
 
+from aiohttp import web
+
 from azurerelay.cluster import OrderOutcome
+from azurerelay.daemons._http_server import HttpServer
 from azurerelay.endpoints import KnobsCall
 from azurerelay.events import NullEventLog
 from azurerelay.hosts._control_host import EXIT_MARGIN_MS, ControlHost
@@ -571,6 +574,58 @@
         serve(scenario, fail)
 
 
+class HttpServerStopTest(unittest.IsolatedAsyncioTestCase):
+    """The HTTP server of the daemons, with requests under way when it stops."""
+
+    async def asyncSetUp(self) -> None:
+        self.release = asyncio.Event()
+        routes = [web.get("/ready", self._answer), web.get("/held", self._hold)]
+        self.server = HttpServer("test", f"{LOCAL}:0", routes)
+        await self.server.start()
+        runner: Any = self.server._runner
+        self.port = runner.addresses[0][1]
+
+    async def _answer(self, request: web.Request) -> web.Response:
+        return web.Response(text="ready")
+
+    async def _hold(self, request: web.Request) -> web.Response:
+        await self.release.wait()
+        return web.Response(text="held")
+
+    async def test_a_connection_opened_late_is_answered(self) -> None:
+        await self.server.drain()
+        # Blocks the event loop, so that the server cannot accept it yet.
+        client = socket.create_connection((LOCAL, self.port))
+        client.sendall(raw_request("GET", "/ready"))
+        await self.server.stop()
+        reader, writer = await asyncio.open_connection(sock=client)
+        answer = await read_to_end(reader)
+        self.assertIn(b"200 OK", answer)
+        self.assertIn(b"Connection: close", answer)
+        writer.close()
+
+    async def test_a_request_on_a_kept_alive_connection_is_answered(self) -> None:
+        reader, writer = await asyncio.open_connection(LOCAL, self.port)
+        writer.write(raw_request("GET", "/ready"))
+        await reader.readuntil(b"ready")
+        await self.server.drain()
+        writer.write(raw_request("GET", "/ready"))
+        await self.server.stop()
+        self.assertIn(b"200 OK", await read_to_end(reader))
+        writer.close()
+
+    async def test_a_request_in_progress_is_answered(self) -> None:
+        reader, writer = await asyncio.open_connection(LOCAL, self.port)
+        writer.write(raw_request("GET", "/held"))
+        await asyncio.sleep(0.02)
+        stop = asyncio.create_task(self.server.stop())
+        await asyncio.sleep(0.02)
+        self.release.set()
+        await stop
+        self.assertIn(b"held", await read_to_end(reader))
+        writer.close()
+
+
 async def echo_path(request: HttpRequest) -> HttpServerResponse:
     return HttpServerResponse(200, request.path.encode())
 
