A control host that stops answers operators whose calls have no outcome

Operators who changed a setting, or read the settings, the audit trail or the status, while a control host without a majority stopped, lost their connection without an answer: the HTTP server gave each handler one second and cancelled it. Their client could not tell a change that may be accepted from one that was never read.

OperatorApi is a component of the application now: its drain waits for up to three seconds, as long as a control host waits for its leader, and then answers: 504 with outcome `unknown` for a change, 503 for reads.

Evidence: tests/test_planned_stop.py, OperatorApiStopTest. Without the component in the application, as before, all four requests got an empty response; now 504 with `unknown` for the change, and 503 for the three reads.

--- a/src/azurerelay/daemons/_control_daemon.py
+++ b/src/azurerelay/daemons/_control_daemon.py
@@ -95,4 +95,4 @@
         [*api.routes(), *metrics.routes()],
         (problem_middleware, api.authenticate),
     )
-    return Application(settings.name, (link, port, component, server))
+    return Application(settings.name, (link, port, component, api, server))
--- a/src/azurerelay/daemons/_operator_api.py
+++ b/src/azurerelay/daemons/_operator_api.py
@@ -1,10 +1,11 @@
 """The HTTP API of a control host for operators."""
 
+import asyncio
 import hashlib
 import hmac
 from dataclasses import dataclass, field, replace
 from http import HTTPStatus
-from typing import Annotated, ClassVar, Final
+from typing import Annotated, Any, ClassVar, Final, TypeVar
 
 import msgspec
 import pydantic
@@ -18,9 +19,14 @@
 from azurerelay.requests import Outcome
 from azurerelay.runtime import as_future
 from azurerelay.settings import Assignment, Finding, check_path
-from azurerelay.timing import TimerService
+from azurerelay.timing import Promise, TimerService
+
+T = TypeVar("T")
 
 DEFAULT_AUDIT_PAGE_SIZE: Final = 1_000
+# How long requests in progress may take once the host is to stop; as long as a control
+# host waits for its leader.
+DRAIN_LIMIT_S: Final = 3.0
 _HTTP_STATUS: Final = {
     ChangeStatus.ACCEPTED: HTTPStatus.OK,
     ChangeStatus.CONFLICT: HTTPStatus.CONFLICT,
@@ -63,6 +69,46 @@
         self._node = node
         self._tokens = tokens
         self._timers = timers
+        self._calls: set[asyncio.Future[Any]] = set()
+        self._has_given_up = False
+
+    @property
+    def name(self) -> str:
+        """The component's name in log lines."""
+        return "operator requests"
+
+    async def start(self) -> None:
+        """Do nothing; the HTTP server passes the requests on."""
+
+    async def drain(self) -> None:
+        """Wait for the outcomes of requests, and answer those that have none in time.
+
+        A change without an outcome is answered with `unknown`.
+        """
+        if self._calls:
+            await asyncio.wait(self._calls, timeout=DRAIN_LIMIT_S)
+        self._has_given_up = True
+        for call in tuple(self._calls):
+            call.cancel()
+
+    async def stop(self) -> None:
+        """Do nothing; the HTTP server closes the connections."""
+
+    async def _outcome(self, promise: Promise[T], without_outcome: T) -> T:
+        """Return the outcome of a call of the node, or what stands for none."""
+        if self._has_given_up:
+            return without_outcome
+        call = as_future(promise)
+        self._calls.add(call)
+        call.add_done_callback(self._calls.discard)
+        await asyncio.wait((call,))
+        return without_outcome if call.cancelled() else call.result()
+
+    def _unavailable_response(self) -> web.Response:
+        title = "no leader: a majority of the control hosts cannot be reached"
+        if self._has_given_up:
+            title = "this control host is stopping: ask another one"
+        return problem_response(request_problem(HTTPStatus.SERVICE_UNAVAILABLE, title))
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the API."""
@@ -121,8 +167,8 @@
         return web.Response(text="ready\n")
 
     async def _settings(self, request: web.Request) -> web.Response:
-        if not await as_future(self._node.read_barrier()):
-            return _no_leader_response()
+        if not await self._outcome(self._node.read_barrier(), False):
+            return self._unavailable_response()
         path = request.query.get("path")
         nodes = self._node.state.settings.nodes
         selected = [node for node in nodes if path is None or node.path == path]
@@ -136,8 +182,8 @@
         if finding is not None:
             problem = request_problem(HTTPStatus.BAD_REQUEST, "bad path", (finding,))
             return problem_response(problem)
-        if not await as_future(self._node.read_barrier()):
-            return _no_leader_response()
+        if not await self._outcome(self._node.read_barrier(), False):
+            return self._unavailable_response()
         state = self._node.state
         settings = state.settings.effective(path)
         return _json_response(
@@ -163,14 +209,14 @@
             assignments=tuple(Assignment(k, v) for k, v in body.set.items()),
             unset=tuple(body.unset),
         )
-        outcome = await as_future(self._node.change_settings(change))
+        outcome = await self._outcome(self._node.change_settings(change), None)
         if outcome is None:
             return _unknown_outcome_response()
         return _change_response(outcome)
 
     async def _audit(self, request: web.Request) -> web.Response:
-        if not await as_future(self._node.read_barrier()):
-            return _no_leader_response()
+        if not await self._outcome(self._node.read_barrier(), False):
+            return self._unavailable_response()
         query = request.query
         findings: list[Finding] = []
         since_ms = _integer_parameter(query.get("since_ms"), "since_ms", findings)
@@ -193,8 +239,10 @@
         )
 
     async def _status(self, request: web.Request) -> web.Response:
-        status = await as_future(self._node.status())
-        return _no_leader_response() if status is None else _json_response(status)
+        status = await self._outcome(self._node.status(), None)
+        return (
+            self._unavailable_response() if status is None else _json_response(status)
+        )
 
 
 def _integer_parameter(
@@ -214,11 +262,6 @@
     )
 
 
-def _no_leader_response() -> web.Response:
-    title = "no leader: a majority of the control hosts cannot be reached"
-    return problem_response(request_problem(HTTPStatus.SERVICE_UNAVAILABLE, title))
-
-
 def _unknown_outcome_response() -> web.Response:
     title = "the change may or may not be accepted: send it again with the same id"
     return problem_response(
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,6 +1,7 @@
 """Tests of what callers, operators and endpoints see while a host stops as planned."""
 
 import asyncio
+import hashlib
 import os
 import socket
 import subprocess
@@ -16,6 +17,8 @@
 
 from azurerelay.cluster import OrderOutcome
 from azurerelay.daemons._http_server import HttpServer
+from azurerelay.daemons._operator_api import OperatorApi
+from azurerelay.daemons._process_settings import TokenSettings
 from azurerelay.endpoints import KnobsCall
 from azurerelay.events import NullEventLog
 from azurerelay.hosts._control_host import EXIT_MARGIN_MS, ControlHost
@@ -31,7 +34,7 @@
 from azurerelay.runtime import Application
 from azurerelay.serving import transaction_host
 from azurerelay.telemetry import Meters
-from azurerelay.timing import Promise, spawn
+from azurerelay.timing import ManualTimerService, Promise, spawn
 from tests.support import GROUP, Rig
 
 LOCAL = "127.0.0.1"
@@ -626,6 +629,67 @@
         writer.close()
 
 
+class _SilentControlNode:
+    """A control node without an outcome for any call."""
+
+    def __init__(self) -> None:
+        self.called = asyncio.Event()
+
+    def _call(self, *arguments: object) -> Promise[Any]:
+        self.called.set()
+        return Promise()
+
+    change_settings = read_barrier = status = _call
+
+
+class OperatorApiStopTest(unittest.IsolatedAsyncioTestCase):
+    """A control host of the project that stops while operators wait."""
+
+    CHANGE = (
+        b'{"change_id": "c1", "based_on": 0, "reason": "test", "path": "/",'
+        b' "set": {"reads.max_staleness_ms": 500}}'
+    )
+
+    async def _stop_during(self, method: str, path: str, body: bytes = b"") -> bytes:
+        """Return the response to a request that a stopping host has no outcome for."""
+        token = TokenSettings(name="op", sha256=hashlib.sha256(b"secret").hexdigest())
+        node: Any = _SilentControlNode()
+        api = OperatorApi(node, [token], ManualTimerService())
+        server = HttpServer(
+            "operators", f"{LOCAL}:0", api.routes(), (api.authenticate,)
+        )
+        application = Application("test", (api, server))
+        await application.start()
+        runner: Any = server._runner
+        reader, writer = await asyncio.open_connection(LOCAL, runner.addresses[0][1])
+        authorization = b"HTTP/1.1\r\nAuthorization: Bearer secret"
+        request = raw_request(method, path, body)
+        writer.write(request.replace(b"HTTP/1.1", authorization, 1))
+        await node.called.wait()
+        await application.drain()
+        await application.stop()
+        response = await read_to_end(reader)
+        writer.close()
+        return response
+
+    async def asyncSetUp(self) -> None:
+        limit = patch("azurerelay.daemons._operator_api.DRAIN_LIMIT_S", 0.05)
+        limit.start()
+        self.addCleanup(limit.stop)
+
+    async def test_a_change_given_up_in_a_stop_has_an_unknown_outcome(self) -> None:
+        response = await self._stop_during("POST", "/v1/settings/changes", self.CHANGE)
+        self.assertTrue(response.startswith(b"HTTP/1.1 504 "), response)
+        self.assertIn(b'"outcome":"unknown"', response)
+
+    async def test_reads_given_up_in_a_stop_are_refused(self) -> None:
+        for path in ("/v1/settings", "/v1/audit", "/v1/status"):
+            with self.subTest(path):
+                response = await self._stop_during("GET", path)
+                self.assertTrue(response.startswith(b"HTTP/1.1 503 "), response)
+                self.assertIn(b"Connection: close", response)
+
+
 async def echo_path(request: HttpRequest) -> HttpServerResponse:
     return HttpServerResponse(200, request.path.encode())
 
