A SIGHUP drains a daemon instead of ending it

Callers, operators and endpoints of a daemon that got SIGHUP, as when its terminal closes or an operator expects it to read its settings again, were cut off: the signal has no handler, and ends the process, also during a drain. The daemon drains and stops as with SIGTERM now.

Evidence: test_a_daemon_that_gets_a_sighup_drains_and_stops. Before: exit status -1 after the step "start". Now: 0 after "start", "drain", "stop", with more signals in each step.

--- a/src/azurerelay/daemons/_run.py
+++ b/src/azurerelay/daemons/_run.py
@@ -14,14 +14,16 @@
 
 
 async def run_until_signal(build: Awaitable[Application]) -> int:
-    """Run an application until SIGTERM or SIGINT, then drain and stop it.
+    """Run an application until SIGTERM, SIGINT or SIGHUP, then drain and stop it.
 
-    Returns the exit status: 0, or 1 if the start fails with an OSError.
+    Further signals change nothing. The settings file is read at the start only, so a
+    SIGHUP, which would end the process otherwise, stops it in the same way. Returns the
+    exit status: 0, or 1 if the start fails with an OSError.
     """
     application = await build
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
+    for signal_number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         loop.add_signal_handler(signal_number, stop_requested.set)
     loop.set_exception_handler(_log_exception)
     try:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -424,6 +424,36 @@
                 self.assertEqual(steps, [*expected, "stop server", "stop link"])
 
 
+# An application that sends signals to its own process in each of its hooks.
+SIGNALLED_DAEMON = """
+import asyncio, os, signal, sys
+from azurerelay.daemons import run_until_signal
+from azurerelay.runtime import Application
+
+class Component:
+    name = "component"
+
+    async def start(self):
+        self.step("start", signal.SIGHUP)
+
+    async def drain(self):
+        self.step("drain", signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+    async def stop(self):
+        self.step("stop", signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+    def step(self, name, *numbers):
+        print(name, flush=True)
+        for number in numbers:
+            os.kill(os.getpid(), number)
+
+async def build():
+    return Application("test", (Component(),))
+
+sys.exit(asyncio.run(run_until_signal(build())))
+"""
+
+
 class SignalTest(unittest.TestCase):
     """A host process that gets signals at every moment of its life."""
 
@@ -448,6 +478,16 @@
     ) -> None:
         self.assertEqual(self._run(), (0, ["build", "start", "drain", "stop"]))
 
+    def test_a_daemon_that_gets_a_sighup_drains_and_stops(self) -> None:
+        process = subprocess.run(
+            [sys.executable, "-c", SIGNALLED_DAEMON],
+            capture_output=True,
+            text=True,
+            timeout=HANG_GUARD_S,
+        )
+        steps = process.stdout.splitlines()
+        self.assertEqual((process.returncode, steps), (0, ["start", "drain", "stop"]))
+
     def test_an_error_in_a_drain_does_not_skip_the_stop(self) -> None:
         self.assertEqual(self._run("fail"), (0, ["build", "start", "drain", "stop"]))
 
