Tests of stopping processes wait longer for a busy machine

The test runs a process within a guard of 10 s against hanging. Shown by a run: with 60 busy processes the start of one such test took 63 s by the wall clock. The guard is no bound of what is tested; it is 120 s now.

--- a/tests/test_service_stop.py
+++ b/tests/test_service_stop.py
@@ -42,7 +42,8 @@
 HOST_IP = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}.1"
 CONTROL_PORT = 7441
 READINESS_PORT = 7443
-HANG_GUARD_S = 10.0
+# Guards against tests that hang; a process may take a minute to start beside others.
+HANG_GUARD_S = 120.0
 SETTINGS_FILE = """{"node_name": "e1", "serves": ["frontend"], "zone": "a",
 "zones": {"a": "r"}, "ip_address": "127.0.0.1", "listen_addresses": {},
 "internal_port_range": [7440, 7450], "seeds": [], "bootstrap": false,
