--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -195,7 +195,7 @@
 
     def refuse_callers(self, reason: str) -> None:
         """Fail all requests of callers that wait for a connection; proofs go on."""
-        for member in self._members.values():
+        for member in list(self._members.values()):
             member.pool.refuse_callers(ConnectFailed(reason))
         self._notify()
 
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -152,7 +152,7 @@
         Statements that endpoints have go on.
         """
         self._accepts_transactions = self._accepts_statements = False
-        for group in self._groups.values():
+        for group in list(self._groups.values()):
             group.refuse_callers(HOST_STOPS)
         self._configured.resolve(None)
 
@@ -163,7 +163,7 @@
         """
         self.refuse_statements()
         self._has_ended_statements = True
-        for group in self._groups.values():
+        for group in list(self._groups.values()):
             group.abort()
 
     def stop(self) -> None:
