--- a/tests/test_entry_api.py
+++ b/tests/test_entry_api.py
@@ -7,10 +7,12 @@
 
 from azurerelay.daemons import EntryApi, HttpServer, not_found
 from azurerelay.daemons._endpoint_wire import decode_result
+from azurerelay.daemons._http_endpoint_port import HttpEndpointPort
 from azurerelay.endpoints import FailureKind
 from azurerelay.membership import ClusterState, EndpointAnnouncement
 from azurerelay.messages import TaggedCodec
 from azurerelay.requests import CallerAnswer, CallerRequest, ErrorCode, Outcome
+from azurerelay.runtime import as_future
 from azurerelay.sessions import GroupPosition, SessionToken, decode_token, encode_token
 from azurerelay.timing import Promise
 
@@ -68,6 +70,20 @@
                 self.assertIs(failure.kind, FailureKind.LOST)
 
 
+class EndpointPortTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_connection_to_an_odd_address_fails(self) -> None:
+        """The promise of a connection to a port above 65535 was never resolved."""
+        port = HttpEndpointPort()
+        await port.start()
+        self.addAsyncCleanup(port.stop)
+        for address in ("127.0.0.1:99999", "127.0.0.1:x", "", "a..b:80", "127.0.0.1:"):
+            with self.subTest(address):
+                outcome = await asyncio.wait_for(
+                    as_future(port.connect(address, 1_000.0)), 10.0
+                )
+                self.assertIs(outcome.err_value.kind, FailureKind.UNREACHABLE)
+
+
 class EntryApiTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.node = _Node()
