Entry hosts follow control where an endpoint replaces a newer announcement

An endpoint at the address of one that was gone, in a group that a later version configures, was refused by the directories of entry hosts for good: these never expire, and the gone endpoint was of a configured group.

Change: the rule on configured groups is applied on control hosts only. Entry hosts forget an endpoint that control lists in another group now, and one that it no longer lists, at the address of one that it does.

Evidence: test_an_endpoint_of_a_group_that_is_added_later_may_reuse_an_address; before, no entry host listed the endpoint. The test of the opposite order, an endpoint that replaces an earlier entry of an unconfigured group, passed before and after.

--- a/src/azurerelay/discovery/_endpoint_directory.py
+++ b/src/azurerelay/discovery/_endpoint_directory.py
@@ -170,6 +170,11 @@
         ):
             self._remove(departure.endpoint)
 
+    def forget(self, endpoint: str) -> None:
+        """Remove an endpoint; also an older announcement of it is then accepted."""
+        if endpoint in self._announcements:
+            self._remove(endpoint)
+
     def expire(self, limit_ms: float, now_ms: float) -> tuple[str, ...]:
         """Remove endpoints that were silent for longer than the limit.
 
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -224,8 +224,9 @@
             for departure in update.departures:
                 for group in self._groups.values():
                     group.remove_departed(departure.endpoint, departure.incarnation)
-            self._directory.merge_all(update.announcements, update.departures, now_ms)
             self._update_listed_endpoints(update)
+            self._forget_replaced_endpoints(update)
+            self._directory.merge_all(update.announcements, update.departures, now_ms)
             if self._directory.revision != previous_revision:
                 self._record_directory_change(update)
         configuration = self._control_follower.configuration
@@ -238,7 +239,6 @@
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._routes = {route.database: route for route in configuration.routes}
         names = {group.name for group in configuration.groups}
-        self._directory.set_groups(names)
         for name in list(self._groups):
             if name not in names:
                 self._groups.pop(name).close()
@@ -264,6 +264,22 @@
         self._listed_endpoints -= set(update.removed)
         self._listed_endpoints |= {a.endpoint for a in update.announcements}
 
+    def _forget_replaced_endpoints(self, update: DirectoryUpdate) -> None:
+        """Forget what control has replaced by an announcement that may be older.
+
+        That is an endpoint that control now lists in another group, and one that it no
+        longer lists, at the address of one that it does.
+        """
+        addresses = {a.address for a in update.announcements}
+        for announcement in update.announcements:
+            known = self._directory.get(announcement.endpoint)
+            if known is not None and known.group != announcement.group:
+                self._directory.forget(announcement.endpoint)
+        for known in self._directory.announcements:
+            is_listed = known.endpoint in self._listed_endpoints
+            if not is_listed and known.address in addresses:
+                self._directory.forget(known.endpoint)
+
     def _update_groups(self) -> None:
         """Pass the endpoints that control lists and connection shares to the groups."""
         configuration = self._control_follower.configuration
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -13,6 +13,8 @@
 from azurerelay.discovery import Announcement, Departure, EndpointDirectory
 from azurerelay.events import AnnouncementRefused
 from azurerelay.platform import decode_announcement, decode_departure
+from azurerelay.routes import DatabaseGroup
+from azurerelay.statements import Position
 from azurerelay.timing import Promise
 from tests.platform_rig import (
     GROUP,
@@ -307,6 +309,65 @@
             listed = {entry.endpoint for entry in host.directory.group(GROUP)}
             self.assertEqual(listed, names)
 
+    def _entry_names(self, rig: PlatformRig, group: str) -> list[set[str]]:
+        return [
+            {entry.endpoint for entry in host.directory.group(group)}
+            & host.listed_endpoints
+            for host in rig.entries.values()
+        ]
+
+    def test_an_endpoint_replaces_an_earlier_entry_of_an_unconfigured_group(
+        self,
+    ) -> None:
+        """Entry hosts kept the newer one, and never used the endpoint."""
+        rig = PlatformRig(entry_hosts=2)
+        rig.start()
+        address = "10.9.200.1:9000"
+        started = FakeServer(rig, "new", GROUP, address, "east-1", log=[Position(3, 1)])
+        started.applied = 1
+        for node in rig.controls.values():
+            for name in ("odd", "new"):
+                odd = announcement(
+                    endpoint=name, group="stock", address=address, incarnation=99
+                )
+                node.receive_heartbeat(odd)
+                rig.timers.advance(1_000.0)
+        rig.servers["new"] = started
+        rig.send_heartbeat(started)
+        rig.timers.advance(3_000.0)
+        names = {server.name for server in rig.members(GROUP)}
+        self.assertEqual(len(names), 4)
+        self.assertEqual(self._entry_names(rig, GROUP), [names] * 2)
+
+    def test_an_endpoint_of_a_group_that_is_added_later_may_reuse_an_address(
+        self,
+    ) -> None:
+        rig = PlatformRig(entry_hosts=2)
+        rig.start()
+        gone = rig.replicas()[0]
+        gone.crash()
+        seq = 0
+
+        def send_heartbeat() -> None:
+            nonlocal seq
+            seq += 1
+            new = announcement(
+                endpoint="new",
+                group="stock",
+                address=gone.address,
+                incarnation=99,
+                sequence=seq,
+            )
+            rig.controls[rig.addresses[seq % 5]].receive_heartbeat(new)
+
+        rig.timers.call_every(1_200.0, send_heartbeat)
+        rig.timers.advance(20_000.0)
+        groups = (*configuration().groups, DatabaseGroup("stock", 45, 0))
+        self.assertTrue(rig.replace(configuration(2, groups=groups)))
+        rig.timers.advance(3_000.0)
+        self.assertEqual(self._entry_names(rig, "stock"), [{"new"}] * 2)
+        self.assertNotIn(gone.name, self._entry_names(rig, GROUP)[0])
+
     def test_an_endpoint_takes_its_place_back_once_its_group_is_configured(
         self,
     ) -> None:
