A reply that belongs to another command proves nothing

After a doubled reply to SET, a read or write was reported as done without a signature, and a COMMIT as done by the doubled reply to the write before it.

Cause: a leadership proof sends BEGIN and ROLLBACK together, and replies are matched to commands by their order alone. A replaced primary refuses the BEGIN; if that reply is lost and the connection stays open, the reply to ROLLBACK, which succeeds, was taken for a proof. contact_primary did the same, and its session is shared with STATUS.

Change: ReplyQueue matches the replies of every connection to an endpoint and checks that each can be the one to its command, by the state, rows and signature that it states. The first that cannot be ends the connection; so does a reply among data that arrived before its command was sent. A proof is a BEGIN that left a transaction open followed by a ROLLBACK that ended it: both replies come back together, so a proof takes one round trip as before. Reads that wait for a proof are placed while its connection still counts as in use, as before. An endpoint whose reply was lost is alive: the discarded proof is logged (ProofDiscarded) and raises no suspicion. A reply without an outcome is unreadable, except to START.

The stand-in of tests/platform_rig.py now matches replies by order through the same queue, and states a row in its reply to STATUS, as the protocol does.

--- a/src/azurerelay/cluster/_endpoint_status_client.py
+++ b/src/azurerelay/cluster/_endpoint_status_client.py
@@ -90,17 +90,28 @@
         return reply.received if reply.is_success else session.position
 
     async def contact_primary(self, endpoint: Announcement) -> PrimaryContact:
-        """Open and roll back a read-write transaction, which only a primary accepts."""
+        """Open and roll back a read-write transaction, which only a primary accepts.
+
+        Both replies are needed: a reply to BEGIN alone may belong to an earlier one.
+        """
         key = (endpoint.endpoint, endpoint.incarnation)
         session = self._sessions.get(key)
         if session is None or not session.is_open:
             return await self._contact_by_connecting(endpoint)
         begun = session.request(BeginTransaction())
-        session.request(RollbackTransaction())
+        rolled_back = session.request(RollbackTransaction())
         answer = await with_timeout(self._timers, begun, CONTACT_TIMEOUT_MS)
-        if isinstance(answer, Err) or isinstance(answer.ok_value, Err):
+        if isinstance(answer, Err):
             session.close()
             return PrimaryContact.SILENT
+        if isinstance(answer.ok_value, Err):
+            session.close()
+            is_alive = answer.ok_value.err_value.is_mismatch
+            return PrimaryContact.ANSWERED if is_alive else PrimaryContact.SILENT
+        ended = await with_timeout(self._timers, rolled_back, CONTACT_TIMEOUT_MS)
+        if isinstance(ended, Err) or isinstance(ended.ok_value, Err):
+            session.close()
+            return PrimaryContact.ANSWERED
         reply = answer.ok_value.ok_value
         if reply.is_success:
             return PrimaryContact.PROVEN
--- a/src/azurerelay/events/_events.py
+++ b/src/azurerelay/events/_events.py
@@ -92,6 +92,18 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class ProofDiscarded(Event):
+    """A request for a leadership proof got replies that prove nothing.
+
+    The connection is closed, and the endpoint counts as alive.
+    """
+
+    endpoint: str
+    group: str
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionRefused(Event):
     """A connection to an endpoint could not be opened after `waited_ms`."""
--- a/src/azurerelay/events/_explanation.py
+++ b/src/azurerelay/events/_explanation.py
@@ -17,6 +17,7 @@
         "EndpointLost",
         "EndpointRegained",
         "PrimaryProven",
+        "ProofDiscarded",
         "PromotionDecided",
         "PromotionAnswered",
         "ControlHostChosen",
--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -6,7 +6,7 @@
 from functools import partial
 from typing import Final
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from azurerelay.discovery import Announcement
 from azurerelay.events import (
@@ -15,6 +15,7 @@
     EndpointRegained,
     EventLog,
     PrimaryProven,
+    ProofDiscarded,
 )
 from azurerelay.groups._primary_tracker import PrimaryTracker
 from azurerelay.groups._suspected_primary import SuspectedPrimary
@@ -38,6 +39,7 @@
     EndpointError,
     EndpointReply,
     Position,
+    ReplyPromise,
     RollbackTransaction,
 )
 from azurerelay.timing import Promise, TimerService, spawn, with_timeout
@@ -59,8 +61,6 @@
 SETTLING_MS: Final = 3_500.0
 PROOF_PRIORITY: Final = -1  # before all callers
 
-CommandPromise = Promise[Result[EndpointReply, ConnectionLost]]
-
 
 @dataclass(slots=True)
 class _Member:
@@ -387,69 +387,112 @@
         self._is_proving = True
         while self._next_proof is not None:
             promise, self._next_proof = self._next_proof, None
-            promise.resolve(await self._prove_once())
+            await self._prove_once(promise)
         self._is_proving = False
 
-    async def _prove_once(self) -> Position | None:
+    async def _prove_once(self, proof: Promise[Position | None]) -> None:
+        """Ask the primary for a proof; resolve `proof` with its position, or None."""
         pool = self.primary()
         if pool is None:
-            return None
+            proof.resolve(None)
+            return
         endpoint = pool.endpoint.endpoint
         wait_ms = (
             PROOF_TIMEOUT_MS if pool.open_connection_count else PROOF_CONNECT_TIMEOUT_MS
         )
         granted = await pool.acquire(PROOF_PRIORITY, SessionProfile(), wait_ms)
         if isinstance(granted, Err):
-            if self._is_aborted:
-                return None
-            failure = granted.err_value
-            if failure.is_at_limit:
-                self._clear_suspicion(endpoint)
-            elif not pool.open_connection_count:
-                # Another endpoint may answer at the address of one that is gone.
-                is_certain = failure.is_unreachable or failure.error is not None
-                self._record_failed_proof(endpoint, is_certain)
-            return None
+            self._record_missing_connection(pool, granted.err_value)
+            proof.resolve(None)
+            return
         session = granted.ok_value
         sent_ms = self._timers.now_ms()
         begin_reply = session.send(BeginTransaction())
         # Sent without waiting, so that a proof takes one packet each way. An endpoint
         # that opened no transaction answers this command, too.
         rollback_reply = session.send(RollbackTransaction())
-        outcome = await with_timeout(self._timers, begin_reply, PROOF_TIMEOUT_MS)
-        if isinstance(outcome, Err) or isinstance(outcome.ok_value, Err):
+        begun = await self._wait_for_reply(begin_reply)
+        if isinstance(begun, Err):
             session.close()
             pool.release(session)
-            if self._is_aborted:
-                return None
-            self._record_failed_proof(endpoint, True)
-            self._record_endpoint_loss(
-                pool, "no answer to a request for a leadership proof"
-            )
-            return None
-        spawn(self._end_proof(pool, session, rollback_reply))
-        reply = outcome.ok_value.ok_value
-        if reply.error is EndpointError.NOT_PRIMARY:
-            self.record_not_primary(endpoint)
+            self._record_missing_reply(pool, begun.err_value)
+            proof.resolve(None)
+            return
+        reply = begun.ok_value
         if not reply.is_success or reply.position is None:
-            return None
-        self._record_proof(endpoint, sent_ms, reply.position)
-        member = self._members.get(endpoint)
-        if member is not None:
-            member.position = reply.position
-        return reply.position
+            if reply.error is EndpointError.NOT_PRIMARY:
+                self.record_not_primary(endpoint)
+            proof.resolve(None)
+            spawn(self._release_after_rollback(pool, session, rollback_reply))
+            return
+        # A copy of an earlier reply to BEGIN is followed by another reply to BEGIN.
+        position = None
+        if await self._wait_for_rollback(session, rollback_reply):
+            position = reply.position
+            self._record_proof(endpoint, sent_ms, position)
+            member = self._members.get(endpoint)
+            if member is not None:
+                member.position = position
+        # Reads that waited for the proof choose their endpoints while the connection
+        # still counts as in use, so that they do not all prefer the primary.
+        proof.resolve(position)
+        pool.release(session)
 
-    async def _end_proof(
-        self, pool: EndpointPool, session: PooledSession, rollback_reply: CommandPromise
+    def _record_missing_connection(
+        self, pool: EndpointPool, failure: ConnectFailed
     ) -> None:
-        """Return the connection to its pool once the transaction is rolled back.
+        if self._is_aborted:
+            return
+        endpoint = pool.endpoint.endpoint
+        if failure.is_at_limit:
+            self._clear_suspicion(endpoint)
+        elif not pool.open_connection_count:
+            # Another endpoint may answer at the address of one that is gone.
+            is_certain = failure.is_unreachable or failure.error is not None
+            self._record_failed_proof(endpoint, is_certain)
+
+    def _record_missing_reply(self, pool: EndpointPool, lost: ConnectionLost) -> None:
+        if self._is_aborted:
+            return
+        endpoint = pool.endpoint.endpoint
+        if lost.is_mismatch:
+            self._events.record(ProofDiscarded(endpoint, self._name, lost.reason))
+            return
+        self._record_failed_proof(endpoint, True)
+        self._record_endpoint_loss(
+            pool, "no answer to a request for a leadership proof"
+        )
 
-        A connection without an answer to the rollback is closed.
+    async def _release_after_rollback(
+        self, pool: EndpointPool, session: PooledSession, rollback_reply: ReplyPromise
+    ) -> None:
+        await self._wait_for_rollback(session, rollback_reply)
+        pool.release(session)
+
+    async def _wait_for_rollback(
+        self, session: PooledSession, rollback_reply: ReplyPromise
+    ) -> bool:
+        """Return whether the transaction of a proof is rolled back.
+
+        A connection without a reply to the rollback is closed: the reply to the BEGIN
+        may then belong to another command.
         """
-        outcome = await with_timeout(self._timers, rollback_reply, PROOF_TIMEOUT_MS)
+        rolled_back = await self._wait_for_reply(rollback_reply)
+        if isinstance(rolled_back, Ok):
+            return True
+        session.close()
+        if not self._is_aborted:
+            reason = rolled_back.err_value.reason
+            self._events.record(ProofDiscarded(session.endpoint, self._name, reason))
+        return False
+
+    async def _wait_for_reply(
+        self, reply: ReplyPromise
+    ) -> Result[EndpointReply, ConnectionLost]:
+        outcome = await with_timeout(self._timers, reply, PROOF_TIMEOUT_MS)
         if isinstance(outcome, Err):
-            session.close()
-        pool.release(session)
+            return Err(ConnectionLost("no reply in time"))
+        return outcome.ok_value
 
     def _record_proof(self, endpoint: str, sent_ms: float, position: Position) -> None:
         self._samples.add(sent_ms, position, self._timers.now_ms())
--- a/src/azurerelay/hosts/_endpoint_client.py
+++ b/src/azurerelay/hosts/_endpoint_client.py
@@ -1,7 +1,6 @@
 """TCP connections to endpoints."""
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
 from typing import Final
 
@@ -21,14 +20,15 @@
     ConnectionLost,
     EndpointCommand,
     EndpointError,
-    EndpointReply,
     EndpointSession,
+    OpenSession,
     Position,
     QueryStatus,
+    ReplyPromise,
+    ReplyQueue,
 )
 from azurerelay.timing import Promise
 
-_ReplyResult = Result[EndpointReply, ConnectionLost]
 # Opening a session takes a slot of the endpoint, at worst after waiting in a full
 # queue.
 CONNECT_TIMEOUT_S: Final = 0.9
@@ -40,12 +40,19 @@
 
 
 class EndpointProtocol(asyncio.Protocol):
-    """One connection; replies arrive in the order of the commands."""
+    """One connection; replies arrive in the order of the commands.
+
+    It is closed at the first reply that cannot be the one to its command.
+    """
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
         self._splitter = LineSplitter()
-        self._pending: deque[tuple[Promise[_ReplyResult], ReplyAssembler]] = deque()
+        self._queue = ReplyQueue()
+        self._assembler: ReplyAssembler | None = None
+        # How many replies may be among the data that has arrived: a command that is
+        # sent while the data is processed has none there.
+        self._awaited = 0
         self._position: Position | None = None
 
     @property
@@ -58,14 +65,13 @@
         """The last log position that the endpoint reported; None before the first."""
         return self._position
 
-    def request(self, command: EndpointCommand) -> Promise[_ReplyResult]:
+    def request(self, command: EndpointCommand) -> ReplyPromise:
         """Send a command and return a promise of its reply."""
-        is_status = isinstance(command, QueryStatus)
-        return self._send(encode_command(command), is_status)
+        return self._send(encode_command(command), command)
 
-    def start_session(self, endpoint: Announcement) -> Promise[_ReplyResult]:
+    def start_session(self, endpoint: Announcement) -> ReplyPromise:
         """Open the session; an endpoint other than the one named refuses it."""
-        return self._send(encode_session_start(endpoint), False)
+        return self._send(encode_session_start(endpoint), OpenSession())
 
     def close(self) -> None:
         """Abort the connection; unsent data is discarded."""
@@ -82,51 +88,58 @@
         """Add complete lines to the reply of the oldest pending command."""
         lines = self._splitter.feed(data)
         if isinstance(lines, Err):
-            self._fail_pending(f"unreadable answer: {lines.err_value}")
+            self._fail(ConnectionLost(f"unreadable answer: {lines.err_value}"))
             return
+        self._awaited = self._queue.size
         for line in lines.ok_value:
-            if not self._process_line(line):
+            if not self.is_open or not self._process_line(line):
                 return
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail all pending commands."""
-        self._fail_pending(
-            str(error) if error else "the endpoint closed the connection"
-        )
+        reason = str(error) if error else "the endpoint closed the connection"
+        self._fail(ConnectionLost(reason))
 
-    def _send(self, line: str, is_status: bool) -> Promise[_ReplyResult]:
-        promise: Promise[_ReplyResult] = Promise()
+    def _send(self, line: str, command: EndpointCommand | OpenSession) -> ReplyPromise:
         transport = self._transport
         if transport is None or transport.is_closing():
-            promise.resolve(Err(ConnectionLost("the connection is closed")))
-            return promise
-        self._pending.append((promise, ReplyAssembler(is_status)))
+            return Promise.of(Err(ConnectionLost("the connection is closed")))
+        promise = self._queue.add(command)
         transport.write(line.encode())
         return promise
 
     def _process_line(self, line: str) -> bool:
-        if not self._pending:
-            self._fail_pending("an answer to nothing")
-            return False
-        promise, assembler = self._pending[0]
-        assembled = assembler.feed(line)
+        """Handle a line; return False if it has ended the use of the connection."""
+        if self._assembler is None:
+            command = self._queue.oldest
+            if not self._awaited:
+                self._fail(ConnectionLost("an answer to nothing", is_mismatch=True))
+                return False
+            self._assembler = ReplyAssembler(
+                isinstance(command, QueryStatus), isinstance(command, OpenSession)
+            )
+        assembled = self._assembler.feed(line)
         if isinstance(assembled, Err):
-            self._fail_pending(assembled.err_value)
+            self._fail(ConnectionLost(assembled.err_value))
             return False
         reply = assembled.ok_value
-        if reply is not None:
-            self._pending.popleft()
-            if reply.position is not None:
-                self._position = reply.position
-            promise.resolve(Ok(reply))
+        if reply is None:
+            return True
+        self._assembler = None
+        mismatch = self._queue.find_mismatch(reply)
+        if mismatch is not None:
+            self._fail(ConnectionLost(mismatch, is_mismatch=True))
+            return False
+        if reply.position is not None:
+            self._position = reply.position
+        self._awaited -= 1
+        self._queue.resolve_oldest(reply)
         return True
 
-    def _fail_pending(self, reason: str) -> None:
+    def _fail(self, lost: ConnectionLost) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.abort()
-        pending, self._pending = self._pending, deque()
-        for promise, _ in pending:
-            promise.resolve(Err(ConnectionLost(reason)))
+        self._queue.fail_all(lost)
 
 
 class TcpEndpointConnector:
--- a/src/azurerelay/platform/_endpoint_codec.py
+++ b/src/azurerelay/platform/_endpoint_codec.py
@@ -23,6 +23,7 @@
 )
 
 RELAY_REQUEST_ID: Final = "-"  # request ID of commands that no caller sent
+NO_SIGNATURE: Final = "-"
 _STATES_BY_CODE: Final = {
     "I": SessionState.IDLE,
     "T": SessionState.IN_TRANSACTION,
@@ -109,8 +110,9 @@
 class ReplyAssembler:
     """Assemble the lines of one reply."""
 
-    def __init__(self, is_status: bool = False) -> None:
+    def __init__(self, is_status: bool = False, is_session_start: bool = False) -> None:
         self._is_status = is_status
+        self._is_session_start = is_session_start
         self._rows: list[str] = []
         self._signature: str | None = None
         self._error: EndpointError | None = None
@@ -125,12 +127,12 @@
         if word == "DATAROW" and not self._has_outcome:
             self._rows.append(rest)
         elif word == "COMPLETE" and not self._has_outcome:
-            self._signature = rest
+            self._signature = "" if rest == NO_SIGNATURE else rest
         elif word == "ERROR" and not self._has_outcome:
             code, _, text = rest.partition(" ")
             self._error = _ERRORS_BY_CODE.get(code, EndpointError.OTHER)
             self._error_text = text or code
-        elif word == "READY":
+        elif word == "READY" and (self._has_outcome or self._is_session_start):
             return self._build_reply(rest)
         else:
             return Err(f"unexpected message {word[:20]!r}")
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -41,6 +41,7 @@
     SessionState,
     SetValue,
     Statement,
+    TransactionEffect,
     Write,
 )
 from azurerelay.telemetry import Meters
@@ -259,7 +260,7 @@
             reply = await self._send(
                 progress,
                 transaction.session,
-                RunStatement(statement.request_id, statement.text),
+                self._endpoint_command(statement, None, None),
                 progress.deadline_ms - sent_ms,
             )
             if reply is None:
@@ -743,7 +744,12 @@
             return RunPrepared(
                 statement.request_id, shape.shared_name, statement.arguments, after
             )
-        return RunStatement(statement.request_id, statement.text, after)
+        effect = TransactionEffect.NONE
+        if isinstance(statement, Begin):
+            effect = TransactionEffect.BEGINS
+        elif isinstance(statement, Commit):
+            effect = TransactionEffect.ENDS
+        return RunStatement(statement.request_id, statement.text, after, effect)
 
     def _is_write(self, statement: Statement) -> bool:
         if isinstance(statement, Execute):
--- a/src/azurerelay/statements/__init__.py
+++ b/src/azurerelay/statements/__init__.py
@@ -4,6 +4,7 @@
 from azurerelay.statements._commands import (
     BeginTransaction,
     EndpointCommand,
+    OpenSession,
     PrepareShape,
     QueryStatus,
     ResetSession,
@@ -11,6 +12,7 @@
     RunPrepared,
     RunStatement,
     SetSessionValue,
+    TransactionEffect,
 )
 from azurerelay.statements._endpoint_reply import (
     NOT_RUN_ERRORS,
@@ -24,6 +26,8 @@
     EndpointSession,
 )
 from azurerelay.statements._position import Position
+from azurerelay.statements._reply_check import find_mismatch
+from azurerelay.statements._reply_queue import ReplyPromise, ReplyQueue
 from azurerelay.statements._session_state import SessionState
 from azurerelay.statements._statements import (
     Begin,
@@ -54,11 +58,14 @@
     "EndpointReply",
     "EndpointSession",
     "Execute",
+    "OpenSession",
     "Position",
     "Prepare",
     "PrepareShape",
     "QueryStatus",
     "Read",
+    "ReplyPromise",
+    "ReplyQueue",
     "ResetSession",
     "Rollback",
     "RollbackTransaction",
@@ -68,5 +75,7 @@
     "SetSessionValue",
     "SetValue",
     "Statement",
+    "TransactionEffect",
     "Write",
+    "find_mismatch",
 ]
--- a/src/azurerelay/statements/_commands.py
+++ b/src/azurerelay/statements/_commands.py
@@ -1,10 +1,24 @@
 """Commands to endpoints, in one module because they form one protocol."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 from azurerelay.statements._position import Position
 
 
+class TransactionEffect(Enum):
+    """What a statement that succeeds does to the transaction of its session."""
+
+    NONE = "none"
+    BEGINS = "begins"
+    ENDS = "ends"
+
+
+@dataclass(frozen=True, slots=True)
+class OpenSession:
+    """Open the session; the first command of every connection."""
+
+
 @dataclass(frozen=True, slots=True)
 class RunStatement:
     """Run a caller's statement unchanged.
@@ -15,6 +29,7 @@
     request_id: str
     text: str
     after: Position | None = None
+    effect: TransactionEffect = TransactionEffect.NONE
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurerelay/statements/_endpoint_reply.py
+++ b/src/azurerelay/statements/_endpoint_reply.py
@@ -37,7 +37,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointReply:
-    """A complete reply: rows with the signature of the endpoint, or an error."""
+    """A complete reply: rows with the signature of the endpoint, or an error.
+
+    `signature` is empty if the endpoint has run no statement of a caller.
+    """
 
     rows: tuple[str, ...]
     signature: str
--- a/src/azurerelay/statements/_endpoint_session.py
+++ b/src/azurerelay/statements/_endpoint_session.py
@@ -14,9 +14,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ConnectionLost:
-    """The connection ended before a complete reply; the command may have run."""
+    """The connection ended before a complete reply; the command may have run.
+
+    `is_mismatch` is set if the endpoint has answered, with a reply that belongs to
+    another command. The endpoint is alive, and the reply says nothing else.
+    """
 
     reason: str
+    is_mismatch: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -33,6 +33,7 @@
     PrepareShape,
     QueryStatus,
     Read,
+    ReplyQueue,
     ResetSession,
     Rollback,
     RollbackTransaction,
@@ -57,6 +58,7 @@
 HEARTBEAT_MS = 1_200.0
 # How long an endpoint still counts the connections of a host that lost power.
 LINGER_MS = 3_000.0
+ENDPOINT_GONE = ConnectionLost("the endpoint went away")
 
 
 @dataclass
@@ -76,6 +78,7 @@
     """An endpoint with a log, a replication lag and injectable faults.
 
     `lost_answers` is how many successful replies are still to be dropped,
+    `reply_copies` returns how often the reply to a command is sent,
     `refuse_next` holds the errors for the next statements, `unreachable_from` the link
     addresses of hosts that cannot reach the endpoint, and `lingering` is how many
     connections of hosts without power it still counts. With `is_replaced_by_another`,
@@ -99,6 +102,7 @@
     is_draining: bool = False
     is_replaced_by_another: bool = False
     lost_answers: int = 0
+    reply_copies: Callable[[Any], int] = field(default=lambda command: 1)
     unreachable_from: set[str] = field(default_factory=set)
     refuse_next: list[EndpointError] = field(default_factory=list)
     incarnation: int = 1
@@ -183,7 +187,8 @@
         self.transaction: int | None = None
         self.written: list[str] = []
         self._position: Position | None = server.position
-        self._pending: list[Promise[Any]] = []
+        self._queue = ReplyQueue()
+        self._replies: dict[type[Any], EndpointReply] = {}
         self._is_closed = False
         self._free_at_ms = 0.0
         server.sessions.append(self)
@@ -201,25 +206,20 @@
         self.state = SessionState.IDLE
         if self in self.server.sessions:
             self.server.sessions.remove(self)
-        for promise in self._pending:
-            promise.resolve(Err(ConnectionLost("closed here")))
+        self._queue.fail_all(ConnectionLost("closed here"))
 
-    def disconnect(self, silent: bool) -> None:
+    def disconnect(self, silent: bool, lost: ConnectionLost = ENDPOINT_GONE) -> None:
         if silent:
             return
         self._is_closed = True
         if self in self.server.sessions:
             self.server.sessions.remove(self)
-        for promise in list(self._pending):
-            promise.resolve(Err(ConnectionLost("the endpoint went away")))
+        self._queue.fail_all(lost)
 
     def request(self, command: Any) -> Promise[Result[EndpointReply, ConnectionLost]]:
-        promise: Promise[Result[EndpointReply, ConnectionLost]] = Promise()
         if self._is_closed:
-            promise.resolve(Err(ConnectionLost("the connection is closed")))
-            return promise
-        self._pending.append(promise)
-        promise.add_callback(lambda: self._pending.remove(promise))
+            return Promise.of(Err(ConnectionLost("the connection is closed")))
+        promise = self._queue.add(command)
         rig = self.server.rig
         one_way_delay_ms = rig.one_way_delay_ms(self.client, self.server)
         start_ms = max(rig.timers.now_ms() + one_way_delay_ms, self._free_at_ms)
@@ -228,7 +228,7 @@
         self._free_at_ms = start_ms + work_ms
         rig.timers.call_later(
             start_ms - rig.timers.now_ms(),
-            lambda: self._arrive(command, promise, work_ms, one_way_delay_ms),
+            lambda: self._arrive(command, work_ms, one_way_delay_ms),
         )
         return promise
 
@@ -237,13 +237,7 @@
         is_cut = self.client in server.unreachable_from
         return is_cut or self._is_closed or not server.is_up
 
-    def _arrive(
-        self,
-        command: Any,
-        promise: Promise[Any],
-        work_ms: float,
-        one_way_delay_ms: float,
-    ) -> None:
+    def _arrive(self, command: Any, work_ms: float, one_way_delay_ms: float) -> None:
         rig = self.server.rig
         if self._is_unreachable():
             return
@@ -256,26 +250,35 @@
             if self._is_unreachable():
                 return
             reply = self._run(command)
+            self._replies[type(command)] = reply
             if is_work and self.server.lost_answers and reply.error is None:
                 self.server.lost_answers -= 1
                 return
-            rig.timers.call_later(
-                one_way_delay_ms, lambda: self._answer(promise, reply)
-            )
+            for _ in range(self.server.reply_copies(command)):
+                rig.timers.call_later(one_way_delay_ms, lambda: self._answer(reply))
 
         rig.timers.call_later(delay_ms, finish)
 
-    def _answer(self, promise: Promise[Any], reply: EndpointReply) -> None:
-        if self.client in self.server.unreachable_from:
+    def repeat_reply(self, kind: type[Any]) -> None:
+        """Deliver the last reply to a command of a kind once more."""
+        self._answer(self._replies[kind])
+
+    def _answer(self, reply: EndpointReply) -> None:
+        """Deliver a reply to the oldest command, as a host on a socket does."""
+        if self.client in self.server.unreachable_from or self._is_closed:
+            return
+        mismatch = self._queue.find_mismatch(reply)
+        if mismatch is not None:
+            self.disconnect(False, ConnectionLost(mismatch, is_mismatch=True))
             return
         self._position = reply.position
-        promise.resolve(Ok(reply))
+        self._queue.resolve_oldest(reply)
 
     def _reply(
         self,
         error: EndpointError | None = None,
         rows: tuple[str, ...] = (),
-        signature: str = "-",
+        signature: str = "",
         received: Position | None = None,
     ) -> EndpointReply:
         text = error.value if error else ""
@@ -296,9 +299,12 @@
         if isinstance(command, RollbackTransaction):
             return self._roll_back()
         if isinstance(command, QueryStatus):
-            return self._reply(received=self.server.log[-1])
+            received = self.server.log[-1]
+            role = "primary" if self.server.is_primary else "replica"
+            row = f"{role} {received.term} {received} 0 0 0 1"
+            return self._reply(rows=(row,), received=received)
         if isinstance(command, BeginTransaction):
-            return self._begin(False, "-")
+            return self._begin(False)
         if self.server.refuse_next:
             return self._reply(self.server.refuse_next.pop(0))
         if isinstance(command, RunPrepared):
@@ -319,7 +325,7 @@
             return self._reply(EndpointError.NOT_CAUGHT_UP)
         word = text.split(" ")[0]
         if word == "BEGIN":
-            return self._begin(text.endswith("READ"), request_id)
+            return self._begin(text.endswith("READ"))
         if word == "ROLLBACK":
             return self._roll_back()
         if word == "COMMIT":
@@ -352,7 +358,7 @@
             rig.check_read(request_id, server)
         return self._reply(None, (f"row of {request_id}",), f"signed {request_id}")
 
-    def _begin(self, is_read_only: bool, request_id: str) -> EndpointReply:
+    def _begin(self, is_read_only: bool) -> EndpointReply:
         if not is_read_only and not self.server.is_primary:
             return self._reply(EndpointError.NOT_PRIMARY)
         self.server.rig.transaction_count += 1
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -33,7 +33,14 @@
 )
 from azurerelay.hosts._metrics_service import MetricsService
 from azurerelay.runtime import as_future
-from azurerelay.statements import NOT_RUN_ERRORS, EndpointError, RunStatement
+from azurerelay.statements import (
+    NOT_RUN_ERRORS,
+    BeginTransaction,
+    EndpointError,
+    RollbackTransaction,
+    RunStatement,
+    SetSessionValue,
+)
 from azurerelay.storage import MemoryDisk
 from azurerelay.telemetry import Meters
 from azurerelay.timing import ManualTimerService
@@ -382,6 +389,65 @@
         server.close()
         await asyncio.sleep(0)
 
+    def test_a_reply_that_belongs_to_another_command_closes_the_connection(
+        self,
+    ) -> None:
+        asyncio.run(self._receive_shifted_reply())
+
+    def test_a_copy_of_a_reply_is_not_taken_for_that_of_the_next_command(self) -> None:
+        asyncio.run(self._receive_doubled_reply())
+
+    async def _connect_to(
+        self, command_count: int, replies: bytes
+    ) -> tuple[asyncio.Server, Any]:
+        """Connect to an endpoint that sends `replies` after some commands."""
+
+        async def endpoint(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readline()
+            writer.write(b"READY I 3.1\r\n")
+            for _ in range(command_count):
+                await reader.readline()
+            writer.write(replies)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(endpoint, LOCAL, 0)
+        port = server.sockets[0].getsockname()[1]
+        connector = TcpEndpointConnector(asyncio.get_running_loop())
+        target = announcement(address=f"{LOCAL}:{port}")
+        return server, (await as_future(connector.connect(target))).ok_value
+
+    async def _receive_shifted_reply(self) -> None:
+        server, session = await self._connect_to(
+            2, b"COMPLETE -\r\nREADY I 3.1\r\n" * 2
+        )
+        begun = session.request(BeginTransaction())
+        rolled_back = session.request(RollbackTransaction())
+        for promise in (begun, rolled_back):
+            outcome = await as_future(promise)
+            self.assertTrue(outcome.err_value.is_mismatch)
+        self.assertFalse(session.is_open)
+        server.close()
+        await asyncio.sleep(0)
+
+    async def _receive_doubled_reply(self) -> None:
+        server, session = await self._connect_to(
+            1, b"COMPLETE -\r\nREADY I 3.1\r\n" * 2
+        )
+        following: list[Any] = []
+        first = session.request(SetSessionValue("a", "x"))
+        first.add_callback(
+            lambda: following.append(session.request(SetSessionValue("b", "y")))
+        )
+        self.assertTrue((await as_future(first)).is_ok())
+        outcome = await as_future(following[0])
+        self.assertTrue(outcome.err_value.is_mismatch)
+        self.assertFalse(session.is_open)
+        server.close()
+        await asyncio.sleep(0)
+
     def test_a_connection_attempt_without_response_is_retried(self) -> None:
         """An endpoint with a full accept queue drops the first SYN packet."""
         asyncio.run(self._retry_connection_after_a_lost_packet())
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -194,7 +194,13 @@
         busy = self._assemble("ERROR BUSY all busy", "READY I -").ok_value
         self.assertIs(busy.error, EndpointError.BUSY)
         self.assertTrue(busy.has_not_run)
-        for lines in (("COMPLETE s", "DATAROW a"), ("READY X -",), ("HELLO",)):
+        for lines in (
+            ("COMPLETE s", "DATAROW a"),
+            ("COMPLETE s", "READY X -"),
+            ("READY X -",),
+            ("READY T 3.4",),
+            ("HELLO",),
+        ):
             self.assertIsInstance(self._assemble(*lines), Err)
 
     def test_a_status_reply_states_the_received_position(self) -> None:
