A response to nothing ends an HTTP connection to an endpoint

What hosts did: HttpClientProtocol dropped a second response to a request and kept the connection; a copy in the same data was taken for the response to the next request, if that was sent from the callback of the first.

Evidence: tests/test_http_client.py before the change: 2 failures (the connection open after a response to nothing; HttpResponse(200, b'ok') for a request that no one had answered).

Change: a response that begins while no request had been sent before its data arrived aborts the connection; a pending request fails without a response.

After: both tests pass, tests.test_entry_api and tests.test_end_to_end as well.

--- a/src/azurerelay/runtime/_http_client_protocol.py
+++ b/src/azurerelay/runtime/_http_client_protocol.py
@@ -47,6 +47,9 @@
         self._body_parts: list[bytes] = []
         self._received_bytes = 0
         self._keeps_alive = True
+        # Whether data that has arrived may hold a response: it holds none to a request
+        # that is sent while the data is parsed.
+        self._is_response_due = False
 
     @property
     def is_open(self) -> bool:
@@ -89,7 +92,11 @@
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
-        """Feed the parser; abort on a malformed response or one that is too large."""
+        """Feed the parser.
+
+        Aborts on a response that is malformed, too large or to no request.
+        """
+        self._is_response_due = self._promise is not None
         self._received_bytes += len(data)
         if self._received_bytes > MAX_RESPONSE_BYTES:
             self._fail("the response is too large")
@@ -104,6 +111,11 @@
         self._fail(str(error) if error else "the connection was closed")
         self._on_closed()
 
+    def on_message_begin(self) -> None:
+        """Abort if no request awaits the response; called by the parser."""
+        if not self._is_response_due:
+            self._fail("a response to nothing")
+
     def on_body(self, data: bytes) -> None:
         """Store a part of the body; called by the parser."""
         self._body_parts.append(data)
@@ -115,6 +127,7 @@
         body = b"".join(self._body_parts)
         self._body_parts = []
         self._received_bytes = 0
+        self._is_response_due = False
         promise, self._promise = self._promise, None
         if not self._keeps_alive and self._transport is not None:
             self._transport.close()
