A session keeps the position of its newest write for each group

Cause: SessionWritePosition kept one position without its group and ignored one that isn't higher. After a move to a group with lower positions, later writes were never recorded, and the old position was taken for one that a promotion had rolled back, so that the newest sample sufficed; a proof asked for while the write ran may be that sample, and doesn't cover the write.

The tests of moves back and of open transactions with prepared names passed before, too; they guard the change.

--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -433,7 +433,9 @@
             return await group.prove_primary()
         if route.consistency is Consistency.BOUNDED:
             return position
-        return self._write_position.required_position(position, group.samples)
+        return self._write_position.required_position(
+            group.name, position, group.samples
+        )
 
     async def _acquire_session(
         self,
@@ -502,7 +504,9 @@
         if proves_primary and reply.position is not None:
             group.record_write_proof(session.endpoint, sent_ms, reply.position)
             if not isinstance(statement, Begin):
-                self._write_position.record(reply.position, self._timers.now_ms())
+                self._write_position.record(
+                    group.name, reply.position, self._timers.now_ms()
+                )
         return _success_reply(self.state, reply)
 
     # Statements inside a transaction
@@ -594,7 +598,9 @@
             self._is_transaction_failed = reply.state is not SessionState.IDLE
             return self._forward_error(progress, reply)
         if transaction.has_written and reply.position is not None:
-            self._write_position.record(reply.position, self._timers.now_ms())
+            self._write_position.record(
+                transaction.group.name, reply.position, self._timers.now_ms()
+            )
             transaction.group.record_write_proof(
                 transaction.session.endpoint, sent_ms, reply.position
             )
