Positions of different groups cannot be compared in session tokens

GroupPosition was ordered by term, position and then group, so positions of two logs could be compared. No caller did: tokens take the maximum within a group. A mistake there would have made a session lose its own writes.

Evidence: tests.test_settings, test_positions_of_different_groups_are_not_compared, before the change: "TypeError not raised".

--- a/src/azurerelay/sessions/_session_token.py
+++ b/src/azurerelay/sessions/_session_token.py
@@ -50,7 +50,7 @@
         `MAX_TOKEN_GROUPS` the least recently used group is dropped.
         """
         others = tuple(p for p in self.positions if p.group != position.group)
-        newest = max(position, self.position(position.group))
+        newest = position.later(self.position(position.group))
         return SessionToken((*others, newest)[-MAX_TOKEN_GROUPS:])
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -151,6 +151,16 @@
                 found = read.position(group)
                 self.assertEqual((found.term, found.position), expected)
 
+    def test_positions_of_different_groups_are_not_compared(self) -> None:
+        high, low = GroupPosition(9, 900, "g"), GroupPosition(1, 5, "h")
+        with self.assertRaises(TypeError):
+            max(high, low)
+        with self.assertRaises(ValueError):
+            high.later(low)
+        token = SessionToken((high,)).with_position(low)
+        self.assertEqual(token.position("h"), low)
+        self.assertEqual(token.position("g"), high)
+
     @settings(derandomize=True, database=None, max_examples=200)
     @given(binary(max_size=60))
     def test_no_bytes_crash_the_decoder(self, data: bytes) -> None:
