COMMIT runs with the session values that were acknowledged before it

What callers saw: BEGIN, WRITE, SET, COMMIT ran the COMMIT on a connection without the value whose SET had been acknowledged (PINNED). Session values are kept by the entry host and set on the connection before a statement; COMMIT skipped that.

Evidence: tests/test_relay.py before the change: values {} at the COMMIT, expected {'zone': 'z1'}, and for a read-only transaction {}, expected {'zone': 'z2', 'mode': 'm2'}; a COMMIT was reported as done though its value could not be set.

Change: the caller's values are set up before COMMIT is sent, as before other statements of a transaction. If that fails, COMMIT has not been sent: the connection is closed, which rolls back, and the caller gets ABORTED.

After: those tests pass, and tests.test_relay and tests.test_planned_stop as a whole.

--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -61,6 +61,7 @@
 # Routes with a short statement timeout use a quarter of that timeout instead.
 MIN_WRITE_TIME_MS: Final = 150.0
 
+SET_UP_FAILED: Final = "the connection could not be set up"
 HOST_STOPS: Final = "the host is being stopped"
 
 _CALLER_ERRORS: Final = {
@@ -252,6 +253,10 @@
             return CallerReply(self.state, error=error, error_text=text)
         progress = self._begin_statement(statement, transaction.route)
         progress.endpoint = transaction.session.endpoint
+        if not await self._set_up_transaction(transaction, None):
+            progress.reason = SET_UP_FAILED
+            self._discard_transaction()
+            return self._refuse(progress, CallerError.ABORTED, "rolled back")
         if not self._route_table.accepts_statements:
             return self._abort_transaction(progress, HOST_STOPS)
         while True:
@@ -472,7 +477,7 @@
         session.close()
         pool.release(session)
         group.record_missed_answer(pool, sent_ms)
-        progress.reason = "the connection could not be set up"
+        progress.reason = SET_UP_FAILED
         return None
 
     def _finish_success(
@@ -519,15 +524,8 @@
         progress = self._begin_statement(statement, transaction.route)
         progress.endpoint = transaction.session.endpoint
         while True:
-            applied = await with_timeout(
-                self._timers,
-                spawn(transaction.session.apply_profile(self._profile, shape)),
-                MIN_ATTEMPT_TIMEOUT_MS,
-            )
-            if isinstance(applied, Err) or isinstance(applied.ok_value, Err):
-                return self._abort_transaction(
-                    progress, "the connection could not be set up"
-                )
+            if not await self._set_up_transaction(transaction, shape):
+                return self._abort_transaction(progress, SET_UP_FAILED)
             if not self._route_table.accepts_statements:
                 return self._abort_transaction(progress, HOST_STOPS)
             sent_ms = self._timers.now_ms()
@@ -552,6 +550,17 @@
                 return self._fail_transaction(progress, transaction, reply)
             await self._wait_to_retry(progress, _failure_reason(reply))
 
+    async def _set_up_transaction(
+        self, transaction: PinnedTransaction, shape: PreparedShape | None
+    ) -> bool:
+        """Set the caller's values and statement up on the connection, if it works."""
+        applied = await with_timeout(
+            self._timers,
+            spawn(transaction.session.apply_profile(self._profile, shape)),
+            MIN_ATTEMPT_TIMEOUT_MS,
+        )
+        return isinstance(applied, Ok) and isinstance(applied.ok_value, Ok)
+
     def _fail_transaction(
         self,
         progress: StatementProgress,
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -385,6 +385,8 @@
         if self.written and not self.server.is_primary:
             self._end()
             return self._reply(EndpointError.NOT_PRIMARY)
+        rig = self.server.rig
+        rig.commit_values[request_id] = dict(self.values)
         if self.written:
             self.server.rig.committed.extend(self.written)
             self.server.rig.commit_groups[request_id] = self.server.group
@@ -556,6 +558,7 @@
         # By request, and then by group.
         self.required_positions: dict[str, dict[str, Position]] = {}
         self.commit_groups: dict[str, str] = {}
+        self.commit_values: dict[str, dict[str, str]] = {}
         self.acknowledged: list[Acknowledged] = []
         self.own_commits: dict[CallerSession, list[Acknowledged]] = {}
         self.transaction_count = 0
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,7 +7,13 @@
 from azurerelay.attachment import ProvenLeader, SyncReply, SyncRequest
 from azurerelay.groups import PrimaryTracker
 from azurerelay.routes import DatabaseGroup
-from azurerelay.statements import CallerError, EndpointError, Position, SessionState
+from azurerelay.statements import (
+    CallerError,
+    EndpointError,
+    Position,
+    SessionState,
+    SetSessionValue,
+)
 from azurerelay.timing import spawn
 from tests.platform_rig import GROUP, PlatformRig, configuration
 
@@ -88,6 +94,31 @@
         self.assertEqual(len(self.rig.committed), 1)
         self.assertIs(session.state, SessionState.IDLE)
 
+    def test_a_commit_runs_with_the_values_that_were_set_before_it(self) -> None:
+        for texts in (
+            ("BEGIN", "WRITE a x", "SET zone z1", "COMMIT"),
+            ("BEGIN READ", "READ a", "SET zone z2", "SET mode m2", "COMMIT"),
+        ):
+            with self.subTest(texts):
+                session = self.rig.open("strict")
+                for text in texts:
+                    self.assertIsNone(self.rig.run(session, text).error, text)
+                values = list(self.rig.commit_values.values())[-1]
+                names = [t.split(" ")[1:] for t in texts if t.startswith("SET")]
+                self.assertEqual(values, dict(names))
+
+    def test_a_commit_whose_values_cannot_be_set_is_rolled_back(self) -> None:
+        session = self.rig.open("strict")
+        for text in ("BEGIN", "WRITE a x", "SET zone z1"):
+            self.assertIsNone(self.rig.run(session, text).error, text)
+        self.rig.primary().reply_copies = lambda command: not isinstance(
+            command, SetSessionValue
+        )
+        self.assertIs(self.rig.run(session, "COMMIT").error, CallerError.ABORTED)
+        self.rig.run(session, "ROLLBACK")
+        self.rig.timers.advance(2_000.0)
+        self.assertEqual(self.rig.committed, [])
+
     def test_read_only_transactions_run_on_any_endpoint(self) -> None:
         session = self.rig.open("bounded")
         for text in ("BEGIN READ", "READ a", "READ b", "COMMIT"):
