--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -41,6 +41,7 @@
     SessionState,
     SetValue,
     Statement,
+    TransactionEffect,
     Write,
 )
 from azurerelay.telemetry import Meters
@@ -60,6 +61,7 @@
 # Routes with a short statement timeout use a quarter of that timeout instead.
 MIN_WRITE_TIME_MS: Final = 150.0
 
+SET_UP_FAILED: Final = "the connection could not be set up"
 HOST_STOPS: Final = "the host is being stopped"
 
 _CALLER_ERRORS: Final = {
@@ -263,6 +265,10 @@
             return CallerReply(self.state, error=error, error_text=text)
         progress = self._begin_statement(statement, transaction.route)
         progress.endpoint = transaction.session.endpoint
+        if not await self._set_up_transaction(transaction, None):
+            progress.reason = SET_UP_FAILED
+            self._discard_transaction()
+            return self._refuse(progress, CallerError.ABORTED, "rolled back")
         if not self._route_table.accepts_statements:
             return self._abort_transaction(progress, HOST_STOPS)
         while True:
@@ -271,7 +277,7 @@
             reply = await self._send(
                 progress,
                 transaction.session,
-                RunStatement(statement.request_id, statement.text),
+                self._endpoint_command(statement, None, None),
                 progress.deadline_ms - sent_ms,
             )
             if reply is None:
@@ -475,7 +481,9 @@
             return await group.prove_primary()
         if route.consistency is Consistency.BOUNDED:
             return position
-        return self._write_position.required_position(position, group.samples)
+        return self._write_position.required_position(
+            group.name, position, group.samples
+        )
 
     async def _acquire_session(
         self,
@@ -512,7 +520,7 @@
         session.close()
         pool.release(session)
         group.record_missed_answer(pool, sent_ms)
-        progress.reason = "the connection could not be set up"
+        progress.reason = SET_UP_FAILED
         return None
 
     def _finish_success(
@@ -544,7 +552,9 @@
         if proves_primary and reply.position is not None:
             group.record_write_proof(session.endpoint, sent_ms, reply.position)
             if not isinstance(statement, Begin):
-                self._write_position.record(reply.position, self._timers.now_ms())
+                self._write_position.record(
+                    group.name, reply.position, self._timers.now_ms()
+                )
         return _success_reply(self.state, reply)
 
     # Statements inside a transaction
@@ -557,15 +567,8 @@
         progress = self._begin_statement(statement, transaction.route)
         progress.endpoint = transaction.session.endpoint
         while True:
-            applied = await with_timeout(
-                self._timers,
-                spawn(transaction.session.apply_profile(self._profile, shape)),
-                MIN_ATTEMPT_TIMEOUT_MS,
-            )
-            if isinstance(applied, Err) or isinstance(applied.ok_value, Err):
-                return self._abort_transaction(
-                    progress, "the connection could not be set up"
-                )
+            if not await self._set_up_transaction(transaction, shape):
+                return self._abort_transaction(progress, SET_UP_FAILED)
             if not self._route_table.accepts_statements:
                 return self._abort_transaction(progress, HOST_STOPS)
             sent_ms = self._timers.now_ms()
@@ -590,6 +593,17 @@
                 return self._fail_transaction(progress, transaction, reply)
             await self._wait_to_retry(progress, _failure_reason(reply))
 
+    async def _set_up_transaction(
+        self, transaction: PinnedTransaction, shape: PreparedShape | None
+    ) -> bool:
+        """Set the caller's values and statement up on the connection, if it works."""
+        applied = await with_timeout(
+            self._timers,
+            spawn(transaction.session.apply_profile(self._profile, shape)),
+            MIN_ATTEMPT_TIMEOUT_MS,
+        )
+        return isinstance(applied, Ok) and isinstance(applied.ok_value, Ok)
+
     def _fail_transaction(
         self,
         progress: StatementProgress,
@@ -636,7 +650,9 @@
             self._is_transaction_failed = reply.state is not SessionState.IDLE
             return self._forward_error(progress, reply)
         if transaction.has_written and reply.position is not None:
-            self._write_position.record(reply.position, self._timers.now_ms())
+            self._write_position.record(
+                transaction.group.name, reply.position, self._timers.now_ms()
+            )
             transaction.group.record_write_proof(
                 transaction.session.endpoint, sent_ms, reply.position
             )
@@ -786,7 +802,12 @@
             return RunPrepared(
                 statement.request_id, shape.shared_name, statement.arguments, after
             )
-        return RunStatement(statement.request_id, statement.text, after)
+        effect = TransactionEffect.NONE
+        if isinstance(statement, Begin):
+            effect = TransactionEffect.BEGINS
+        elif isinstance(statement, Commit):
+            effect = TransactionEffect.ENDS
+        return RunStatement(statement.request_id, statement.text, after, effect)
 
     def _is_write(self, statement: Statement) -> bool:
         if isinstance(statement, Execute):
