--- a/review/harness.py
+++ b/review/harness.py
@@ -107,6 +107,7 @@
         self.record = record
         self.network = free_network()
         self.folder = Path(tempfile.mkdtemp(prefix="azurerelay-review-"))
+        self.library_path = REPOSITORY / "target" / "deps"
         self.processes = {}
         self.ips, self.zones, self.roles = {}, {}, {}
         self.bounds = {
@@ -218,7 +219,7 @@
             key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
         }
         environment["AZURERELAY_NODE_FILE"] = str(settings)
-        environment["PYTHONPATH"] = str(REPOSITORY / "target" / "deps")
+        environment["PYTHONPATH"] = str(self.library_path)
         log = (folder / "log.txt").open("ab")
         process = await asyncio.create_subprocess_exec(
             *words,
@@ -460,7 +461,9 @@
         self.work_s = {"READ": 0.024, "WRITE": 0.008, "COMMIT": 0.004, "STATUS": 0.001}
         self.spread = 0.0  # of the time that work takes
         self.loses_answers = 0.0  # the share of answers that are lost
+        self.on_received = lambda request: None
         self.on_run = lambda request, text: None
+        self.on_end = lambda request: None
         self.on_answer_lost = lambda lines: None
         self.last_ack = None
         self.drain_ack_at = None
@@ -720,7 +723,9 @@
                 return
             request, _, text = rest.partition(" ")
             self.is_answer_lost = random.random() < server.loses_answers
+            server.on_received(request)
             await self.query(request, text)
+            server.on_end(request)
             await self.writer.drain()
 
     def fail(self, code, text="-"):
