Log a refused read as one that may have run, if an endpoint did not answer

What callers are told stays true: BUSY says that nothing is kept. The test fails without the change ('no' instead of 'unknown').

--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -249,7 +249,7 @@
         route, group = found
         progress = self._begin_statement(statement, route)
         if not self._route_table.accepts_transactions:
-            return self._refuse_unsent(progress)
+            return self._refuse_busy(progress)
         if statement.is_read_only:
             return await self._run_on_any_endpoint(progress, group, None)
         return await self._run_on_primary(progress, group, None)
@@ -320,7 +320,7 @@
                 return await self._follow_route(progress, shape)
             pool = group.primary()
             if pool is None and self._is_crowded_out(progress, group):
-                return self._refuse(progress, CallerError.BUSY, "no")
+                return self._refuse_busy(progress)
             if pool is None:
                 await self._wait_to_retry(
                     progress, "no endpoint leads the group", group
@@ -328,7 +328,7 @@
                 continue
             session = await self._acquire_session(progress, group, pool, shape)
             if session is None and self._is_crowded_out(progress, group):
-                return self._refuse(progress, CallerError.BUSY, "no")
+                return self._refuse_busy(progress)
             if session is None:
                 continue
             sent_ms = self._timers.now_ms()
@@ -363,7 +363,7 @@
                 return self._forward_error(progress, reply)
             self._handle_error_reply(group, session, reply)
             await self._wait_to_retry(progress, _failure_reason(reply))
-        return self._refuse_unsent(progress)
+        return self._refuse_busy(progress)
 
     async def _run_on_any_endpoint(
         self,
@@ -386,7 +386,7 @@
                 required = await self._required_position(progress.route, group)
             if required is None:
                 if self._is_crowded_out(progress, group):
-                    return self._refuse(progress, CallerError.BUSY, "no")
+                    return self._refuse_busy(progress)
                 await self._wait_to_retry(
                     progress, "no endpoint proves that it leads", group
                 )
@@ -395,7 +395,7 @@
             pool = group.choose_for_read(required, excluded)
             if pool is None:
                 if self._is_crowded_out(progress, group):
-                    return self._refuse(progress, CallerError.BUSY, "no")
+                    return self._refuse_busy(progress)
                 # No endpoint can serve the position. A promotion may have rolled it
                 # back, so it is determined anew.
                 group.prove_primary()
@@ -405,7 +405,7 @@
             session = await self._acquire_session(progress, group, pool, shape)
             if session is None:
                 if self._is_crowded_out(progress, group, pool.endpoint.endpoint):
-                    return self._refuse(progress, CallerError.BUSY, "no")
+                    return self._refuse_busy(progress)
                 excluded |= {pool.endpoint.endpoint}
                 continue
             if not self._may_send:
@@ -443,7 +443,7 @@
             self._recorder.record_retry(progress)
         if failed_reply is not None:
             return self._forward_error(progress, failed_reply)
-        return self._refuse_unsent(progress)
+        return self._refuse_busy(progress)
 
     def _is_routed_to(self, group: GroupConnections) -> bool:
         found = self._route_table.find_route(self._database)
@@ -733,6 +733,7 @@
         )
         progress.is_sent = False
         if isinstance(outcome, Err) or isinstance(outcome.ok_value, Err):
+            progress.has_unanswered_attempt = True
             return None
         return outcome.ok_value.ok_value
 
@@ -829,11 +830,15 @@
         self._recorder.record_refusal(progress, has_run)
         return CallerReply(self.state, error=error, error_text=progress.reason)
 
-    def _refuse_unsent(self, progress: StatementProgress) -> CallerReply:
-        """Refuse a statement that no endpoint has run, or that only reads."""
+    def _refuse_busy(self, progress: StatementProgress) -> CallerReply:
+        """Refuse a statement that has no effect: it has not run, or it only reads."""
         if not self._may_send:
             progress.reason = HOST_STOPS
-        return self._refuse(progress, CallerError.BUSY, "no")
+        may_have_run = progress.has_unanswered_attempt and not isinstance(
+            progress.statement, Begin
+        )
+        has_run = "unknown" if may_have_run else "no"
+        return self._refuse(progress, CallerError.BUSY, has_run)
 
     def _forward_error(
         self, progress: StatementProgress, reply: EndpointReply
--- a/src/azurerelay/relay/_statement_progress.py
+++ b/src/azurerelay/relay/_statement_progress.py
@@ -12,7 +12,8 @@
 
     `started_ms` and `deadline_ms` are times of the timer service, `attempt_count` is
     how often a connection was ready for the statement, and `reason` is why it has not
-    been served yet. `is_sent` is whether an endpoint has it and has not answered.
+    been served yet. `is_sent` is whether an endpoint has it and has not answered, and
+    `has_unanswered_attempt` whether an earlier attempt has not been answered.
     """
 
     statement: Statement
@@ -24,3 +25,4 @@
     required_position: str = ""
     reason: str = "no endpoint could be used"
     is_sent: bool = False
+    has_unanswered_attempt: bool = False
--- a/src/azurerelay/relay/_statement_recorder.py
+++ b/src/azurerelay/relay/_statement_recorder.py
@@ -87,8 +87,8 @@
     def record_refusal(self, progress: StatementProgress, has_run: str) -> None:
         """Record that a statement is refused.
 
-        `has_run` is the text of the event field. For a write it is "no" only if it is
-        certain that the write has not run; a read without an answer may have run.
+        `has_run` is the text of the event field, "no" only if it is certain that the
+        statement has not run.
         """
         self._events.record(
             StatementRefused(
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -40,6 +40,7 @@
 from azurerelay.statements import (
     NOT_RUN_ERRORS,
     BeginTransaction,
+    CallerError,
     ConnectFailed,
     EndpointError,
     RollbackTransaction,
@@ -227,6 +228,15 @@
         self.assertEqual(refused[-1].has_run, "no")
         self.assertGreater(refused[-1].waited_ms, 0.0)
 
+    def test_a_read_without_an_answer_is_logged_as_one_that_may_have_run(self) -> None:
+        rig = PlatformRig()
+        rig.start()
+        for server in rig.servers.values():
+            server.lost_answers = 100
+        reply = rig.run(rig.open("bounded"), "READ a")
+        self.assertIs(reply.error, CallerError.BUSY)
+        self.assertEqual(rig.events.of(StatementRefused)[-1].has_run, "unknown")
+
     def test_every_refusal_states_its_reason(self) -> None:
         rig = PlatformRig()
         rig.start()
