--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import socket
 import tempfile
 import unittest
 from pathlib import Path
@@ -490,6 +491,31 @@
             other_writer.close()
         await server.stop()
 
+    def test_a_caller_in_the_kernels_queue_is_refused_when_the_host_stops(
+        self,
+    ) -> None:
+        asyncio.run(self._stop_with_a_queued_caller())
+
+    async def _stop_with_a_queued_caller(self) -> None:
+        rig = PlatformRig()
+        rig.start()
+        node = rig.entries["10.1.0.1:7440"]
+        server = CallerServer(f"{LOCAL}:0", node, rig.timers)
+        await server.start()
+        assert server._server is not None
+        port = server._server.sockets[0].getsockname()[1]
+        # Blocks the event loop, so that the connection stays in the kernel's queue.
+        caller = socket.create_connection((LOCAL, port))
+        caller.sendall(b"START strict u1\r\n")
+        node.refuse_statements()
+        server.stop_accepting()
+        reader, writer = await asyncio.open_connection(sock=caller)
+        self.assertEqual(
+            await reader.read(), b"ERROR BUSY strict\r\n", "the reply and the close"
+        )
+        writer.close()
+        await server.stop()
+
     def test_an_endpoint_connection_is_closed_on_an_invalid_reply(self) -> None:
         asyncio.run(self._receive_invalid_reply())
 
