Random lost and doubled replies, under changes of the primary, as a test

Each endpoint loses six replies in a hundred and sends six twice, while primaries change and entry hosts lose touch with control. No read is stale, no write runs twice, no success of a read, write or commit lacks a signature, and each statement runs with its caller's session values.

--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -691,6 +691,11 @@
         self.wait_for(lambda: all(e.is_ready for e in self.entries.values()))
         self.timers.advance(1_500.0)
 
+    @property
+    def last_request_id(self) -> str:
+        """The ID of the last statement that was sent."""
+        return f"q{self._request}"
+
     @property
     def leader(self) -> ClusterNode | None:
         ready = [n for n in self.controls.values() if n.raft.is_ready_leader]
--- a/tests/test_reply_matching.py
+++ b/tests/test_reply_matching.py
@@ -24,6 +24,8 @@
 from tests.platform_rig import DOMAIN_REGIONS, GROUP, FakeConnector, PlatformRig
 
 HOST = "10.1.0.1:7440"
+RANDOM_RUNS, RANDOM_STEPS = 8, 60
+BOUNDS_MS = {"strict": 0.0, "own": 2_500.0, "bounded": 1_500.0}
 
 
 def copies(count: int, *kinds: type[Any]) -> Callable[[Any], int]:
@@ -212,5 +214,60 @@
             self.assertEqual(run.values, {"a": "x", "b": "x", "c": "x"})
 
 
+class RandomRepliesTest(unittest.TestCase):
+    """Lost and doubled replies of all endpoints, under changes of the primary."""
+
+    TEXTS = (
+        *("READ a", "EXECUTE p a", "WRITE a x", "SET zone z1", "SET zone z2"),
+        *("SET mode m1", "BEGIN", "COMMIT", "ROLLBACK", "PREPARE p READ s"),
+    )
+    WEIGHTS = (8, 2, 6, 1, 1, 1, 2, 3, 1, 1)
+    SIGNED = ("READ", "EXECUTE", "WRITE", "COMMIT")
+
+    def test_no_reply_is_taken_for_that_of_another_command(self) -> None:
+        for seed in range(RANDOM_RUNS):
+            with self.subTest(seed=seed):
+                self._run(seed)
+
+    def _run(self, seed: int) -> None:
+        rig, choices = PlatformRig(seed=seed), random.Random(seed)
+        rig.start()
+
+        def copies_of(command: Any) -> int:
+            return choices.choices((0, 1, 2), (6, 88, 6))[0]
+
+        for server in rig.servers.values():
+            server.lag_ms = choices.choice((20.0, 300.0, 2_000.0))
+            server.reply_copies = copies_of
+        sessions = [
+            rig.open(database, choices.randint(1, 3))
+            for database in (*BOUNDS_MS, "strict")
+        ]
+        expected_values: dict[str, dict[str, str]] = {}
+        for _ in range(RANDOM_STEPS):
+            if choices.random() < 0.06:
+                rig.make_primary(choices.choice(rig.replicas()))
+                rig.heal()
+                if choices.random() < 0.5:
+                    address = f"10.1.0.{choices.randint(1, 3)}:7440"
+                    rig.isolate(address, rig.addresses)
+            sent = []
+            for session in sessions:
+                (text,) = choices.choices(self.TEXTS, self.WEIGHTS)
+                bound_ms = BOUNDS_MS[session.database]
+                values = dict(session._profile.values)
+                sent.append((text, rig.send(session, text, bound_ms)))
+                expected_values[rig.last_request_id] = values
+            for text, promise in sent:
+                reply = rig.wait(promise)
+                if reply.error is None and text.startswith(self.SIGNED):
+                    self.assertTrue(reply.signature.startswith("signed "), text)
+            rig.timers.advance(choices.uniform(0.0, 50.0))
+        self.assertEqual(rig.stale_reads, [])
+        self.assertEqual(len(rig.committed), len(set(rig.committed)))
+        for run in rig.runs:
+            self.assertEqual(run.values, expected_values[run.request_id])
+
+
 if __name__ == "__main__":
     unittest.main()
