--- a/src/azurerelay/statements/_reply_check.py
+++ b/src/azurerelay/statements/_reply_check.py
@@ -45,9 +45,8 @@
         if reply.error is not EndpointError.OTHER:
             return f"a ROLLBACK was refused: {reply.error_text}"
         return _find_state_mismatch(SessionState.IDLE, reply)
-    if state_before is SessionState.IDLE and reply.state is not SessionState.IDLE:
-        if reply.state is SessionState.IN_TRANSACTION:
-            return "a refused command has opened a transaction"
+    if (state_before, reply.state) == (SessionState.IDLE, SessionState.IN_TRANSACTION):
+        return "a refused command has opened a transaction"
     return None
 
 
