Stop benchmark: callers end their session at an error that comes unasked

The protocol has callers close the session on any message that comes while no request is outstanding, and so do these now.

A statement that meets such an error on its way takes the code for its reply; the report counts these under "ended_with_error". The close is judged as before.

--- a/bench/stop_under_load.py
+++ b/bench/stop_under_load.py
@@ -418,6 +418,7 @@
                 s.outcome for s in statements if work.stop_at(s.host, s.ended_s)
             ),
             "unopened": callers.unopened,
+            "ended_with_error": callers.ended_with_error,
         }
 
     def _with_passages(self, statement: StatementRecord) -> StatementRecord:
--- a/review/harness.py
+++ b/review/harness.py
@@ -906,6 +906,7 @@
         self.database, self.record = database, record
         self.reader = self.writer = None
         self.count = 0
+        self.last_error = None  # the last result line of a reply that broke off
 
     def note(self, text):
         self.record(f"client {self.name} {text}")
@@ -931,9 +932,9 @@
         self.count += 1
         request = f"{self.name}n{self.count:05d}"
         self.note(f"to {self.entry}: QUERY {request} {text}")
+        outcome = self.last_error = None
         try:
             self.writer.write(f"QUERY {request} {text}\r\n".encode())
-            outcome = None
             async with asyncio.timeout(timeout):
                 while True:
                     line = (await self.reader.readuntil(b"\r\n")).decode().strip()
@@ -944,7 +945,8 @@
                         self.note(f"{request} got {outcome} / {line}")
                         return request, outcome, rest.split(" ")[0]
         except (OSError, asyncio.IncompleteReadError):
-            self.note(f"{request} got no answer: the connection ended")
+            self.last_error = outcome
+            self.note(f"{request} got no answer: the connection ended ({outcome})")
             self.close()
             return request, "CLOSED", None
         except TimeoutError:
@@ -952,6 +954,11 @@
             self.close()
             return request, "SILENT", None
 
+    def is_over(self):
+        """Return whether the session has ended, or got a message that it must end for."""
+        reader = self.reader
+        return self.writer is None or reader.at_eof() or bool(reader._buffer)
+
     def close(self):
         if self.writer is not None:
             self.writer.close()
