Promote only an endpoint that holds every acknowledged commit

Cause: control promoted the most advanced of the replicas that answered within 350 ms; one answer was enough, and the position in a BUSY reply, which is the applied one, counted as received. sync_replicas was decoded and used nowhere.

Change: under sync_replicas s, a promotion needs the stated positions of n - s of the n endpoints that may hold commits (one more if the primary is not known). Silent and draining endpoints count, and so do those that departed or expired within 60 s, unless their log went to a successor at their address. Control asks on until enough have answered, the primary is well again, or an operator sets sync_replicas 0 for the group. It reports the wait with PromotionWaiting and azurerelay_promotions_waiting.

A control host that starts does not know endpoints that others removed earlier.

--- a/src/azurerelay/cluster/__init__.py
+++ b/src/azurerelay/cluster/__init__.py
@@ -11,11 +11,14 @@
 from azurerelay.cluster._primary_contact import PrimaryContact
 from azurerelay.cluster._promotion_controller import PromotionController
 from azurerelay.cluster._promotion_policy import (
+    CommitHolders,
     GroupHealth,
     Suspicions,
     candidates,
+    commit_holders,
     most_advanced,
     promotion_reason,
+    required_answers,
 )
 from azurerelay.cluster._voter_plan import MAX_VOTERS, host_address, next_voters
 from azurerelay.cluster._voter_set_controller import VoterSetController
@@ -27,6 +30,7 @@
     "RAFT_CONFIG",
     "ClusterConfig",
     "ClusterNode",
+    "CommitHolders",
     "GroupHealth",
     "OrderOutcome",
     "PrimaryContact",
@@ -34,8 +38,10 @@
     "Suspicions",
     "VoterSetController",
     "candidates",
+    "commit_holders",
     "host_address",
     "most_advanced",
     "next_voters",
     "promotion_reason",
+    "required_answers",
 ]
--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -247,6 +247,7 @@
             "state_age_seconds": min(1e9, self._raft.state_age_ms) / 1_000.0,
             "followed_by_entry_hosts": float(self._entry_hosts.count),
             "endpoints": float(len(self._directory.announcements)),
+            "promotions_waiting": float(self._promotion_controller.waiting_count),
         }
 
     def start(self) -> None:
--- a/src/azurerelay/cluster/_endpoint_status_client.py
+++ b/src/azurerelay/cluster/_endpoint_status_client.py
@@ -46,6 +46,7 @@
         self._timers = timers
         self._sessions: dict[tuple[str, int], EndpointSession] = {}
         self._connecting: set[tuple[str, int]] = set()
+        self._queried: set[tuple[str, int]] = set()
 
     def maintain_connections(self, is_leading: bool) -> None:
         """Open missing connections and close those that are no longer needed.
@@ -59,7 +60,8 @@
             if is_leading and not a.is_draining
         }
         for key in list(self._sessions):
-            if key not in wanted or not self._sessions[key].is_open:
+            is_needed = key in wanted or key in self._queried
+            if not is_needed or not self._sessions[key].is_open:
                 self._sessions.pop(key).close()
         for key, endpoint in wanted.items():
             if key not in self._sessions and key not in self._connecting:
@@ -89,6 +91,40 @@
         reply = answer.ok_value.ok_value
         return reply.received if reply.is_success else session.position
 
+    async def query_received(
+        self, endpoint: Announcement, timeout_ms: float
+    ) -> Position | None:
+        """Return the position up to which an endpoint states to have received the log.
+
+        Returns None if it refuses to state it, cannot be reached, or does not answer
+        in time. Its connection is closed after a timeout.
+        """
+        key = (endpoint.endpoint, endpoint.incarnation)
+        self._queried.add(key)
+        try:
+            session = await self._open_session(endpoint, timeout_ms)
+            if session is None:
+                return None
+            answer = await with_timeout(
+                self._timers, session.request(QueryStatus()), timeout_ms
+            )
+            if isinstance(answer, Err) or isinstance(answer.ok_value, Err):
+                session.close()
+                return None
+            return answer.ok_value.ok_value.received
+        finally:
+            self._queried.discard(key)
+
+    async def _open_session(
+        self, endpoint: Announcement, timeout_ms: float
+    ) -> EndpointSession | None:
+        key = (endpoint.endpoint, endpoint.incarnation)
+        session = self._sessions.get(key)
+        if (session is None or not session.is_open) and key not in self._connecting:
+            await with_timeout(self._timers, spawn(self._connect(endpoint)), timeout_ms)
+            session = self._sessions.get(key)
+        return session if session is not None and session.is_open else None
+
     async def contact_primary(self, endpoint: Announcement) -> PrimaryContact:
         """Open and roll back a read-write transaction, which only a primary accepts."""
         key = (endpoint.endpoint, endpoint.incarnation)
--- /dev/null
+++ b/src/azurerelay/cluster/_position_poll.py
@@ -0,0 +1,66 @@
+"""Repeated queries for the positions that the endpoints of a group have received."""
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final
+
+from azurerelay.discovery import Announcement
+from azurerelay.statements import Position
+from azurerelay.timing import Promise, TimerService, sleep, spawn
+
+# Longer than the queue of a busy endpoint usually takes. A query without an answer is
+# repeated over a new connection, which waits in the same queue, so the time is doubled.
+FIRST_QUERY_TIMEOUT_MS: Final = 700.0
+MAX_QUERY_TIMEOUT_MS: Final = 2_800.0
+QUERY_RETRY_DELAY_MS: Final = 100.0
+
+PositionQuery = Callable[[Announcement, float], Promise[Position | None]]
+
+
+class PositionPoll:
+    """Queries endpoints for their positions until each of them has answered.
+
+    `query` takes an endpoint and a timeout in milliseconds.
+    """
+
+    def __init__(self, query: PositionQuery, timers: TimerService) -> None:
+        self._query = query
+        self._timers = timers
+        self._received: dict[str, Position] = {}
+        self._endpoints: dict[tuple[str, int], Announcement] = {}
+        self._next_answer: Promise[None] = Promise()
+
+    @property
+    def received(self) -> Mapping[str, Position]:
+        """The positions stated so far, by endpoint."""
+        return self._received
+
+    @property
+    def next_answer(self) -> Promise[None]:
+        """A promise that is resolved with the next answer."""
+        return self._next_answer
+
+    def set_endpoints(self, endpoints: Iterable[Announcement]) -> None:
+        """Query these endpoints, and stop to query any other."""
+        wanted = {(e.endpoint, e.incarnation): e for e in endpoints}
+        started = wanted.keys() - self._endpoints.keys()
+        self._endpoints = wanted
+        for key in sorted(started):
+            spawn(self._poll(key))
+
+    def stop(self) -> None:
+        """Stop all queries."""
+        self._endpoints = {}
+
+    async def _poll(self, key: tuple[str, int]) -> None:
+        timeout_ms = FIRST_QUERY_TIMEOUT_MS
+        while key in self._endpoints:
+            started_ms = self._timers.now_ms()
+            position = await self._query(self._endpoints[key], timeout_ms)
+            if position is not None:
+                self._received[key[0]] = position
+                answered, self._next_answer = self._next_answer, Promise()
+                answered.resolve(None)
+                return
+            if self._timers.now_ms() - started_ms >= timeout_ms:
+                timeout_ms = min(2 * timeout_ms, MAX_QUERY_TIMEOUT_MS)
+            await sleep(self._timers, QUERY_RETRY_DELAY_MS)
--- a/src/azurerelay/cluster/_promotion_controller.py
+++ b/src/azurerelay/cluster/_promotion_controller.py
@@ -1,32 +1,42 @@
 """Failover of the primaries of all groups by the control leader."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Final
 
 from azurerelay.attachment import SuspectedPrimaryReport
 from azurerelay.cluster._endpoint_status_client import (
     MAINTENANCE_INTERVAL_MS,
+    STATUS_TIMEOUT_MS,
     EndpointStatusClient,
 )
+from azurerelay.cluster._position_poll import PositionPoll
 from azurerelay.cluster._primary_contact import PrimaryContact
 from azurerelay.cluster._primary_contacts import PrimaryContacts
 from azurerelay.cluster._promotion_policy import (
     GroupHealth,
     Suspicions,
     candidates,
+    commit_holders,
     most_advanced,
     promotion_reason,
+    required_answers,
 )
 from azurerelay.consensus import RaftNode
 from azurerelay.discovery import EndpointDirectory
-from azurerelay.events import EventLog, PromotionAnswered, PromotionDecided
+from azurerelay.events import (
+    EventLog,
+    PromotionAnswered,
+    PromotionDecided,
+    PromotionWaiting,
+)
 from azurerelay.membership import COMMAND_CODEC, ClusterState, RecordPromotion
 from azurerelay.messages import compress
 from azurerelay.pooling import connected_hosts
 from azurerelay.promotions import PromotionOrder, PromotionPort
 from azurerelay.routes import DatabaseGroup
-from azurerelay.statements import EndpointConnector
-from azurerelay.timing import TimerService, gather, sleep, spawn
+from azurerelay.statements import EndpointConnector, Position
+from azurerelay.timing import TimerService, gather, sleep, spawn, with_timeout
 
 CHECK_INTERVAL_MS: Final = 100.0
 RETRY_DELAY_MS: Final = 200.0
@@ -39,12 +49,28 @@
 # A new leader makes no decisions for this long, so that it has received the attachment
 # reports of the other control hosts.
 NEW_LEADER_GRACE_MS: Final = 500.0
+# A promotion that waits for positions is reported at this interval.
+WAITING_REPORT_INTERVAL_MS: Final = 1_000.0
 TOKENS_PER_TERM: Final = 1_000_000
 MAX_ATTEMPTS: Final = 10
 
 SuspicionSource = Callable[[], tuple[SuspectedPrimaryReport, ...]]
 
 
+@dataclass(frozen=True, slots=True)
+class _Answers:
+    """The positions that endpoints of a group have stated to have received.
+
+    `missing` names the endpoints that may hold commits and have not answered, and
+    `needed` is the number of answers that a promotion needs.
+    """
+
+    received: Mapping[str, Position]
+    draining: frozenset[str]
+    missing: str
+    needed: int
+
+
 class PromotionController:
     """Replaces primaries that are lost or draining.
 
@@ -76,6 +102,7 @@
         self._heartbeat_ms = heartbeat_ms
         self._order_count = 0
         self._groups_in_failover: set[str] = set()
+        self._waiting_groups: set[str] = set()
         self._contacts = PrimaryContacts(
             lambda primary: spawn(self._status_client.contact_primary(primary)), timers
         )
@@ -92,6 +119,11 @@
             lambda: self._status_client.maintain_connections(raft.is_ready_leader),
         )
 
+    @property
+    def waiting_count(self) -> int:
+        """The number of groups whose promotion waits for positions of endpoints."""
+        return len(self._waiting_groups)
+
     def set_sources(
         self, suspicions: SuspicionSource, count_entry_hosts: Callable[[], int]
     ) -> None:
@@ -155,8 +187,11 @@
 
     async def _replace_primary(self, group: str, reason: str) -> None:
         try:
-            failed = tuple(p.endpoint for p in self._directory.primaries(group))
-            chosen = await self._choose_endpoint(group, failed)
+            if self._synchronous_replicas(group):
+                chosen = await self._choose_durable_endpoint(group, reason)
+            else:
+                failed = tuple(p.endpoint for p in self._directory.primaries(group))
+                chosen = await self._choose_endpoint(group, failed)
             if chosen is not None:
                 endpoint, reported = chosen
                 await self._send_order(group, endpoint, reason, reported)
@@ -192,12 +227,90 @@
             if position is not None
         }
         endpoint = most_advanced(received)
-        if endpoint is None:
+        return (endpoint, _describe(received)) if endpoint is not None else None
+
+    async def _choose_durable_endpoint(
+        self, group: str, reason: str
+    ) -> tuple[str, str] | None:
+        """Return an endpoint that holds every acknowledged commit, and all positions.
+
+        Waits until enough endpoints have stated their positions. An operator who sets
+        the number of synchronous replicas of the group to 0 meanwhile ends the wait,
+        and accepts the loss of commits that only the missing endpoints hold. Returns
+        None if the primary no longer has to be replaced, or this host does not lead.
+        """
+        poll = PositionPoll(
+            lambda endpoint, timeout_ms: spawn(
+                self._status_client.query_received(endpoint, timeout_ms)
+            ),
+            self._timers,
+        )
+        started_ms = self._timers.now_ms()
+        report_ms = started_ms + STATUS_TIMEOUT_MS
+        try:
+            while self._is_promotion_needed(group):
+                answers = self._update_poll(group, poll)
+                if len(answers.received) >= answers.needed:
+                    endpoint = most_advanced(answers.received, answers.draining)
+                    assert endpoint is not None
+                    candidates_text = _describe(answers.received)
+                    if answers.missing:
+                        candidates_text += f"; no answer: {answers.missing}"
+                    return endpoint, candidates_text
+                now_ms = self._timers.now_ms()
+                if now_ms >= report_ms:
+                    report_ms = now_ms + WAITING_REPORT_INTERVAL_MS
+                    self._waiting_groups.add(group)
+                    self._events.record(
+                        PromotionWaiting(
+                            group,
+                            reason,
+                            answers.needed,
+                            _describe(answers.received),
+                            answers.missing,
+                            now_ms - started_ms,
+                        )
+                    )
+                await with_timeout(self._timers, poll.next_answer, CHECK_INTERVAL_MS)
             return None
-        reported = ", ".join(
-            f"{name} {position}" for name, position in received.items()
+        finally:
+            poll.stop()
+            self._waiting_groups.discard(group)
+
+    def _update_poll(self, group: str, poll: PositionPoll) -> _Answers:
+        """Query all endpoints of a group but its primary; return the answers."""
+        failed = {p.endpoint for p in self._directory.primaries(group)}
+        members = self._directory.group(group)
+        poll.set_endpoints(m for m in members if m.endpoint not in failed)
+        holders = commit_holders(self._directory, group, self._timers.now_ms())
+        received = {
+            name: position
+            for name, position in poll.received.items()
+            if name in holders.names
+        }
+        return _Answers(
+            received,
+            frozenset(m.endpoint for m in members if m.is_draining),
+            ", ".join(sorted(holders.names - received.keys())),
+            required_answers(holders, self._synchronous_replicas(group)),
         )
-        return endpoint, reported
+
+    def _is_promotion_needed(self, name: str) -> bool:
+        group = self._group(name)
+        return (
+            self._raft.is_ready_leader
+            and group is not None
+            and promotion_reason(self._health(group), self._heartbeat_ms) is not None
+        )
+
+    def _synchronous_replicas(self, name: str) -> int:
+        group = self._group(name)
+        return group.synchronous_replicas if group is not None else 0
+
+    def _group(self, name: str) -> DatabaseGroup | None:
+        configuration = self._state.configuration
+        groups = configuration.groups if configuration is not None else ()
+        return next((group for group in groups if group.name == name), None)
 
     async def _send_order(
         self, group: str, endpoint: str, reason: str, reported: str
@@ -263,3 +376,7 @@
     def _next_token(self) -> int:
         self._order_count += 1
         return self._raft.term * TOKENS_PER_TERM + self._order_count
+
+
+def _describe(received: Mapping[str, Position]) -> str:
+    return ", ".join(f"{name} {position}" for name, position in received.items())
--- a/src/azurerelay/cluster/_promotion_policy.py
+++ b/src/azurerelay/cluster/_promotion_policy.py
@@ -1,6 +1,6 @@
 """Rules for when a group needs a new primary and which endpoint to promote."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -129,13 +129,54 @@
     )
 
 
-def most_advanced(received: dict[str, Position]) -> str | None:
+@dataclass(frozen=True, slots=True)
+class CommitHolders:
+    """The endpoints of a group that may hold acknowledged commits.
+
+    `names` includes endpoints that are silent, draining or have departed recently.
+    `has_primary` tells whether the primary that acknowledged the commits is one of
+    them.
+    """
+
+    names: frozenset[str]
+    has_primary: bool
+
+
+def commit_holders(
+    directory: EndpointDirectory, group: str, now_ms: float
+) -> CommitHolders:
+    """Return the endpoints of a group that may hold acknowledged commits."""
+    members = directory.group(group) + directory.former_members(group, now_ms)
+    return CommitHolders(
+        frozenset(member.endpoint for member in members),
+        any(member.is_primary for member in members),
+    )
+
+
+def required_answers(holders: CommitHolders, synchronous_replicas: int) -> int:
+    """Return how many endpoints must state what they have received.
+
+    The number is such that at least one of them has every acknowledged commit. The
+    primary and `synchronous_replicas` others have received it.
+    """
+    if synchronous_replicas == 0:
+        return 1
+    copies = synchronous_replicas + (1 if holders.has_primary else 0)
+    return max(1, len(holders.names) - copies + 1)
+
+
+def most_advanced(
+    received: Mapping[str, Position], draining: Collection[str] = ()
+) -> str | None:
     """Return the endpoint with the highest position, or None if there is none.
 
-    Of endpoints at the same position, the first by name is returned.
+    Of endpoints at the same position, the first by name is returned, and a draining
+    one only if there is no other.
     """
     if not received:
         return None
+    highest = max(received.values())
     return min(
-        received, key=lambda name: (-received[name].term, -received[name].number, name)
+        (name for name, position in received.items() if position == highest),
+        key=lambda name: (name in draining, name),
     )
--- a/src/azurerelay/discovery/_endpoint_directory.py
+++ b/src/azurerelay/discovery/_endpoint_directory.py
@@ -8,6 +8,8 @@
 from azurerelay.discovery._directory_changes import DirectoryChanges
 
 DEPARTURE_RETENTION_MS: Final = 60_000.0  # longer than any heartbeat is delayed
+# The other endpoints of a group have received the commits of a removed one by then.
+FORMER_MEMBER_RETENTION_MS: Final = 60_000.0
 # Removed endpoints that are remembered, so that hosts which missed a few changes get
 # the difference instead of the whole directory.
 MAX_KEPT_REMOVALS: Final = 256
@@ -24,6 +26,7 @@
         self._announcements: dict[str, Announcement] = {}
         self._last_heard_ms: dict[str, float] = {}
         self._departures: dict[str, tuple[Departure, float]] = {}
+        self._former_members: dict[str, tuple[Announcement, float]] = {}
         self._claims: dict[str, int] = {}
         self._claim_count = 0
         self._revision = 0
@@ -56,6 +59,18 @@
         """Return the endpoints of a group."""
         return tuple(r for r in self._announcements.values() if r.group == name)
 
+    def former_members(self, group: str, now_ms: float) -> tuple[Announcement, ...]:
+        """Return the endpoints of a group that departed or expired recently.
+
+        Endpoints whose log was transferred to a successor are left out.
+        """
+        return tuple(
+            announcement
+            for announcement, removed_ms in self._former_members.values()
+            if announcement.group == group
+            and now_ms - removed_ms <= FORMER_MEMBER_RETENTION_MS
+        )
+
     def primaries(self, group: str) -> tuple[Announcement, ...]:
         """Return the endpoints that claim to be the primary, the newest claim first.
 
@@ -101,7 +116,8 @@
         for other in self._sharing_address(announcement):
             if other.incarnation > announcement.incarnation:
                 return False
-            self._remove(other.endpoint)
+            self._remove(other.endpoint, now_ms)
+        self._forget_former_members(announcement)
         self._record_claim(known, announcement)
         self._announcements[announcement.endpoint] = announcement
         self._last_heard_ms[announcement.endpoint] = now_ms
@@ -136,7 +152,7 @@
             announcement is not None
             and announcement.incarnation <= departure.incarnation
         ):
-            self._remove(departure.endpoint)
+            self._remove(departure.endpoint, now_ms)
 
     def expire(self, limit_ms: float, now_ms: float) -> tuple[str, ...]:
         """Remove endpoints that were silent for longer than the limit.
@@ -149,7 +165,10 @@
             if now_ms - heard_ms > limit_ms
         )
         for name in silent:
-            self._remove(name)
+            self._remove(name, now_ms)
+        for name, (_, removed_ms) in list(self._former_members.items()):
+            if now_ms - removed_ms > FORMER_MEMBER_RETENTION_MS:
+                del self._former_members[name]
         for name, (_, since_ms) in list(self._departures.items()):
             if now_ms - since_ms > DEPARTURE_RETENTION_MS:
                 del self._departures[name]
@@ -174,8 +193,24 @@
             self._claim_count += 1
             self._claims[new.endpoint] = self._claim_count
 
-    def _remove(self, endpoint: str) -> None:
-        self._announcements.pop(endpoint, None)
+    def _forget_former_members(self, announcement: Announcement) -> None:
+        """Forget former members that returned, or whose successor has announced itself.
+
+        The log of a drained endpoint is transferred to its successor at its address.
+        """
+        for name, (former, _) in list(self._former_members.items()):
+            is_succeeded = (
+                former.is_draining
+                and former.group == announcement.group
+                and former.address == announcement.address
+            )
+            if name == announcement.endpoint or is_succeeded:
+                del self._former_members[name]
+
+    def _remove(self, endpoint: str, now_ms: float) -> None:
+        removed = self._announcements.pop(endpoint, None)
+        if removed is not None:
+            self._former_members[endpoint] = (removed, now_ms)
         self._last_heard_ms.pop(endpoint, None)
         self._claims.pop(endpoint, None)
         self._changed_at.pop(endpoint, None)
--- a/src/azurerelay/events/_events.py
+++ b/src/azurerelay/events/_events.py
@@ -212,6 +212,22 @@
     candidates: str
 
 
+@dataclass(frozen=True, slots=True)
+class PromotionWaiting(Event):
+    """No endpoint is promoted yet, because too few have stated their positions.
+
+    An endpoint in `missing` may be the only one that holds an acknowledged commit.
+    `needed` of all endpoints must answer; `answered` lists those that have.
+    """
+
+    group: str
+    reason: str
+    needed: int
+    answered: str
+    missing: str
+    waited_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class PromotionAnswered(Event):
     """The platform's answer to a promotion; `status` is 0 if there was none."""
--- a/src/azurerelay/events/_explanation.py
+++ b/src/azurerelay/events/_explanation.py
@@ -18,6 +18,7 @@
         "EndpointRegained",
         "PrimaryProven",
         "PromotionDecided",
+        "PromotionWaiting",
         "PromotionAnswered",
         "ControlHostChosen",
         "ProcessChanged",
@@ -25,6 +26,9 @@
         "EventsLeftOut",
     }
 )
+_PROMOTION_EVENTS: Final = frozenset(
+    {"PromotionDecided", "PromotionWaiting", "PromotionAnswered"}
+)
 _HIDDEN_FIELDS: Final = frozenset({"time_ms", "host", "event", "request_id"})
 
 
@@ -86,7 +90,7 @@
         is_related = (
             record.get("host") in hosts
             or record.get("endpoint") in endpoints
-            or record["event"] in ("PromotionDecided", "PromotionAnswered")
+            or record["event"] in _PROMOTION_EVENTS
         )
         if is_related:
             selected.append(record)
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -79,7 +79,9 @@
     `refuse_next` holds the errors for the next statements, `unreachable_from` the link
     addresses of hosts that cannot reach the endpoint, and `lingering` is how many
     connections of hosts without power it still counts. With `is_replaced_by_another`,
-    another endpoint answers at its address once it is down.
+    another endpoint answers at its address once it is down. A server that `is_deaf`
+    receives no commits; otherwise they arrive after `receive_delay_ms`. A status query
+    takes `status_delay_ms` longer, and the next `busy_statuses` are refused.
     """
 
     rig: "PlatformRig"
@@ -98,6 +100,13 @@
     is_silent: bool = False
     is_draining: bool = False
     is_replaced_by_another: bool = False
+    is_deaf: bool = False
+    receive_delay_ms: float = 2.0
+    status_delay_ms: float = 0.0
+    busy_statuses: int = 0
+    unacknowledged: list[tuple[Position, "FakeSession", Callable[[], object]]] = field(
+        default_factory=list
+    )
     lost_answers: int = 0
     unreachable_from: set[str] = field(default_factory=set)
     refuse_next: list[EndpointError] = field(default_factory=list)
@@ -136,18 +145,43 @@
         for other in self.rig.members(self.group):
             if other is not self:
                 self.rig.timers.call_later(
-                    2.0, lambda other=other: other.receive(list(self.log))
+                    other.receive_delay_ms,
+                    lambda other=other: other.receive(list(self.log)),
                 )
         return position
 
+    def acknowledge(
+        self, position: Position, session: "FakeSession", answer: Callable[[], object]
+    ) -> None:
+        """Answer a commit once as many replicas as needed have received it."""
+        self.unacknowledged.append((position, session, answer))
+        self.check_receipts()
+
+    def check_receipts(self) -> None:
+        waiting, self.unacknowledged = self.unacknowledged, []
+        others = [s for s in self.rig.members(self.group) if s is not self]
+        for position, session, answer in waiting:
+            receipts = sum(position in other.log for other in others)
+            if not self.is_up or not self.is_primary:
+                session.disconnect(silent=False)
+            elif receipts >= self.rig.synchronous_replicas:
+                self.rig.confirmed.append(position)
+                answer()
+            else:
+                self.unacknowledged.append((position, session, answer))
+
     def receive(self, log: list[Position]) -> None:
         if not self.is_up or self.is_primary or len(log) <= len(self.log):
             return
+        if self.is_deaf:
+            return
         if log[: len(self.log)] != self.log:
             return
         self.log = log
         count = len(log)
         self.rig.timers.call_later(self.lag_ms, lambda: self._apply(count))
+        primary = self.rig.primary(self.group)
+        self.rig.timers.call_later(self.receive_delay_ms, primary.check_receipts)
 
     def _apply(self, count: int) -> None:
         self.applied = max(self.applied, min(count, len(self.log)))
@@ -186,6 +220,7 @@
         self._pending: list[Promise[Any]] = []
         self._is_closed = False
         self._free_at_ms = 0.0
+        self._uncommitted: Position | None = None
         server.sessions.append(self)
 
     @property
@@ -225,6 +260,8 @@
         start_ms = max(rig.timers.now_ms() + one_way_delay_ms, self._free_at_ms)
         is_work = isinstance(command, (RunStatement, RunPrepared, QueryStatus))
         work_ms = self.server.work_ms if is_work else 0.2
+        if isinstance(command, QueryStatus):
+            work_ms += self.server.status_delay_ms
         self._free_at_ms = start_ms + work_ms
         rig.timers.call_later(
             start_ms - rig.timers.now_ms(),
@@ -259,9 +296,17 @@
             if is_work and self.server.lost_answers and reply.error is None:
                 self.server.lost_answers -= 1
                 return
-            rig.timers.call_later(
-                one_way_delay_ms, lambda: self._answer(promise, reply)
-            )
+
+            def answer() -> None:
+                rig.timers.call_later(
+                    one_way_delay_ms, lambda: self._answer(promise, reply)
+                )
+
+            if self._uncommitted is None:
+                answer()
+                return
+            position, self._uncommitted = self._uncommitted, None
+            self.server.acknowledge(position, self, answer)
 
         rig.timers.call_later(delay_ms, finish)
 
@@ -296,6 +341,9 @@
         if isinstance(command, RollbackTransaction):
             return self._roll_back()
         if isinstance(command, QueryStatus):
+            if self.server.busy_statuses:
+                self.server.busy_statuses -= 1
+                return self._reply(EndpointError.BUSY)
             return self._reply(received=self.server.log[-1])
         if isinstance(command, BeginTransaction):
             return self._begin(False, "-")
@@ -347,7 +395,7 @@
                 self.written.append(request_id)
             else:
                 rig.committed.append(request_id)
-                server.commit()
+                self._uncommitted = server.commit()
         else:
             rig.check_read(request_id, server)
         return self._reply(None, (f"row of {request_id}",), f"signed {request_id}")
@@ -371,7 +419,7 @@
             return self._reply(EndpointError.NOT_PRIMARY)
         if self.written:
             self.server.rig.committed.extend(self.written)
-            self.server.commit()
+            self._uncommitted = self.server.commit()
         self._end()
         return self._reply(None, (), f"signed {request_id}")
 
@@ -527,8 +575,15 @@
     """Endpoints, entry hosts and control hosts on a manually advanced clock."""
 
     def __init__(
-        self, entry_hosts: int = 3, control_hosts: int = 5, seed: int = 1
+        self,
+        entry_hosts: int = 3,
+        control_hosts: int = 5,
+        seed: int = 1,
+        synchronous_replicas: int = 0,
     ) -> None:
+        self.synchronous_replicas = synchronous_replicas
+        self.confirmed: list[Position] = []
+        self.lost_commits: list[Position] = []
         self.timers = ManualTimerService(start_ms=50_000.0)
         self.random = random.Random(seed)
         self.events = EventRecorder()
@@ -665,7 +720,9 @@
         self.timers.call_every(HEARTBEAT_MS, self.send_heartbeats)
         self.wait_for(lambda: self.leader is not None and len(self.voters) == 5)
         self.send_heartbeats()
-        assert self.replace(initial_configuration or configuration(1))
+        group = DatabaseGroup(GROUP, 45, self.synchronous_replicas)
+        default = configuration(1, groups=(group,))
+        assert self.replace(initial_configuration or default)
         self.wait_for(lambda: all(e.is_ready for e in self.entries.values()))
         self.timers.advance(1_500.0)
 
@@ -740,6 +797,10 @@
         server.is_primary = True
         server.applied = len(server.log)
         kept = set(server.log)
+        if self.synchronous_replicas:
+            self.lost_commits += [p for p in self.confirmed if p not in kept]
+            self.confirmed = [p for p in self.confirmed if p in kept]
+        old.check_receipts()
         self.acknowledged = [a for a in self.acknowledged if a[1] in kept]
         for commits in self.own_commits.values():
             commits[:] = [position for position in commits if position in kept]
--- /dev/null
+++ b/tests/test_durability.py
@@ -0,0 +1,255 @@
+"""Tests of acknowledged commits across changes of primary with synchronous replicas."""
+
+import unittest
+
+from azurerelay.cluster import CommitHolders, commit_holders, required_answers
+from azurerelay.discovery import Announcement, Departure, EndpointDirectory
+from azurerelay.events import PromotionDecided, PromotionWaiting
+from azurerelay.routes import DatabaseGroup
+from tests.platform_rig import GROUP, FakeServer, PlatformRig, configuration
+
+
+class SynchronousRig(PlatformRig):
+    """A rig whose commits need the receipt of one replica."""
+
+    def __init__(self, seed: int = 1) -> None:
+        super().__init__(seed=seed, synchronous_replicas=1)
+        self.start()
+        self.first_replica, self.second_replica = self.replicas()
+        self.first_primary = self.primary()
+
+    def write(self, count: int = 5) -> None:
+        """Run writes one after the other; all of them must be acknowledged."""
+        session = self.open("strict")
+        for number in range(count):
+            reply = self.run(session, f"WRITE k{number} v")
+            if reply.error is not None:
+                raise AssertionError(f"write {number} failed: {reply}")
+
+    def is_replaced(self) -> bool:
+        return self.primary() is not self.first_primary
+
+    def let_only(self, holder: FakeServer, deaf: FakeServer) -> None:
+        """Let one replica receive the newest commits, and not the other."""
+        deaf.is_deaf = True
+        self.write()
+        assert holder.log[-1] > deaf.log[-1]
+
+
+class LostPrimaryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.rig = SynchronousRig()
+
+    def _crash_and_wait(self) -> None:
+        self.rig.first_primary.crash(silent=True)
+        self.rig.wait_for(self.rig.is_replaced)
+
+    def test_a_deaf_replica_is_not_promoted_because_the_other_one_answers_late(
+        self,
+    ) -> None:
+        deaf, holder = self.rig.first_replica, self.rig.second_replica
+        self.rig.let_only(holder, deaf)
+        holder.status_delay_ms = 480.0
+        self._crash_and_wait()
+        self.assertEqual(self.rig.lost_commits, [])
+        self.assertIs(self.rig.primary(), holder)
+
+    def test_a_busy_replica_is_asked_again_for_what_it_has_received(self) -> None:
+        """Its last reply states only what it has applied."""
+        deaf, holder = self.rig.first_replica, self.rig.second_replica
+        holder.lag_ms = 60_000.0
+        self.rig.let_only(holder, deaf)
+        holder.busy_statuses = 3
+        self._crash_and_wait()
+        self.assertEqual(self.rig.lost_commits, [])
+        self.assertIs(self.rig.primary(), holder)
+
+    def test_a_promotion_waits_for_a_silent_endpoint_that_may_hold_commits(
+        self,
+    ) -> None:
+        deaf, holder = self.rig.first_replica, self.rig.second_replica
+        self.rig.let_only(holder, deaf)
+        holder.crash(silent=True)
+        self.rig.first_primary.crash(silent=True)
+        self.rig.timers.advance(30_000.0)
+        self.assertEqual(self.rig.promotions.orders, [])
+        waiting = self.rig.events.of(PromotionWaiting)[-1]
+        self.assertEqual(waiting.needed, 2)
+        self.assertIn(deaf.name, waiting.answered)
+        self.assertIn(holder.name, waiting.missing)
+        self.assertEqual(self._waiting_groups(), 1.0)
+        holder.restart()
+        self.rig.wait_for(self.rig.is_replaced)
+        self.assertEqual(self.rig.lost_commits, [])
+        self.assertIs(self.rig.primary(), holder)
+        self.assertEqual(self._waiting_groups(), 0.0)
+
+    def test_a_primary_that_returns_ends_the_wait(self) -> None:
+        deaf, holder = self.rig.first_replica, self.rig.second_replica
+        self.rig.let_only(holder, deaf)
+        holder.crash(silent=True)
+        self.rig.first_primary.crash(silent=True)
+        self.rig.timers.advance(5_000.0)
+        self.assertEqual(self._waiting_groups(), 1.0)
+        self.rig.first_primary.restart()
+        deaf.is_deaf = False
+        self.rig.timers.advance(5_000.0)
+        self.assertEqual(self._waiting_groups(), 0.0)
+        self.assertEqual(self.rig.promotions.orders, [])
+        self.rig.write()
+
+    def test_an_operator_ends_the_wait_and_the_event_names_the_loss(self) -> None:
+        deaf, holder = self.rig.first_replica, self.rig.second_replica
+        self.rig.let_only(holder, deaf)
+        holder.crash(silent=True)
+        self.rig.first_primary.crash(silent=True)
+        self.rig.timers.advance(5_000.0)
+        without = configuration(2, groups=(DatabaseGroup(GROUP, 45, 0),))
+        self.assertTrue(self.rig.replace(without))
+        self.rig.wait_for(self.rig.is_replaced)
+        self.assertIs(self.rig.primary(), deaf)
+        decided = self.rig.events.of(PromotionDecided)[0]
+        self.assertIn(f"no answer: {self.rig.first_primary.name}", decided.candidates)
+        self.assertIn(holder.name, decided.candidates.partition("no answer")[2])
+
+    def test_a_draining_replica_is_promoted_if_only_it_holds_a_commit(self) -> None:
+        deaf, holder = self.rig.first_replica, self.rig.second_replica
+        self.rig.let_only(holder, deaf)
+        holder.is_draining = True
+        self.rig.send_heartbeat(holder)
+        self.rig.timers.advance(1_500.0)
+        self._crash_and_wait()
+        self.assertEqual(self.rig.lost_commits, [])
+        self.assertIs(self.rig.primary(), holder)
+
+    def test_a_promotion_waits_for_the_successor_of_an_endpoint_that_has_left(
+        self,
+    ) -> None:
+        """The successor at the address gets the log of the endpoint that left."""
+        deaf, holder = self.rig.first_replica, self.rig.second_replica
+        self.rig.let_only(holder, deaf)
+        holder.is_draining = True
+        self.rig.send_heartbeat(holder)
+        self.rig.timers.advance(1_500.0)
+        holder.is_up = False
+        for node in self.rig.controls.values():
+            node.deregister(holder.name, holder.incarnation)
+        self.rig.first_primary.crash(silent=True)
+        self.rig.timers.advance(20_000.0)
+        self.assertEqual(self.rig.promotions.orders, [])
+        successor = FakeServer(
+            self.rig,
+            "successor",
+            GROUP,
+            holder.address,
+            holder.domain,
+            log=list(holder.log),
+            applied=holder.applied,
+            incarnation=2,
+        )
+        self.rig.servers["successor"] = successor
+        self.rig.wait_for(self.rig.is_replaced)
+        self.assertEqual(self.rig.lost_commits, [])
+        self.assertIs(self.rig.primary(), successor)
+
+    def _waiting_groups(self) -> float:
+        assert self.rig.leader is not None
+        return self.rig.leader.gauges()["promotions_waiting"]
+
+
+class AsynchronousReplicasTest(unittest.TestCase):
+    def test_without_synchronous_replicas_a_late_answer_is_not_waited_for(
+        self,
+    ) -> None:
+        rig = PlatformRig()
+        rig.start()
+        first, second = rig.replicas()
+        second.status_delay_ms = 5_000.0
+        rig.primary().crash(silent=True)
+        rig.wait_for(lambda: rig.primary() is first, 4_000.0)
+        self.assertEqual(rig.events.of(PromotionWaiting), [])
+
+
+class CommitHoldersTest(unittest.TestCase):
+    def _announcement(self, name: str, **fields: object) -> Announcement:
+        values: dict[str, object] = {
+            "endpoint": name,
+            "group": GROUP,
+            "address": f"{name}:9000",
+            "failure_domain": "east-1",
+            "slots": 3,
+            "is_draining": False,
+            "is_primary": False,
+            "warmup_ms": 0,
+            "incarnation": 1,
+            "sequence": 1,
+        }
+        return Announcement(**(values | fields))  # type: ignore[arg-type]
+
+    def test_any_set_of_synchronous_replicas_includes_one_that_answered(self) -> None:
+        # Endpoints, whether the primary is one of them, synchronous replicas, answers.
+        cases = [
+            (3, True, 0, 1),
+            (3, True, 1, 2),
+            (3, False, 1, 3),
+            (3, True, 2, 1),
+            (3, False, 2, 2),
+            (5, True, 1, 4),
+            (5, True, 2, 3),
+            (1, True, 1, 1),
+            (2, True, 3, 1),
+        ]
+        for count, has_primary, replicas, expected in cases:
+            with self.subTest(count=count, has_primary=has_primary, sync=replicas):
+                names = frozenset(f"e{number}" for number in range(count))
+                holders = CommitHolders(names, has_primary)
+                self.assertEqual(required_answers(holders, replicas), expected)
+
+    def test_silent_draining_departed_and_expired_endpoints_are_counted(self) -> None:
+        directory = EndpointDirectory()
+        for name in ("silent", "draining", "departed", "other"):
+            announcement = self._announcement(
+                name,
+                is_draining=name == "draining",
+                group="other" if name == "other" else GROUP,
+            )
+            directory.merge(announcement, 0.0)
+        directory.merge_departure(Departure("departed", 1), 1.0)
+        found = commit_holders(directory, GROUP, 2.0)
+        self.assertEqual(found.names, {"silent", "draining", "departed"})
+        self.assertFalse(found.has_primary)
+        directory.merge(self._announcement("draining", sequence=2), 12_000.0)
+        directory.expire(10_000.0, 12_001.0)
+        found = commit_holders(directory, GROUP, 12_002.0)
+        self.assertEqual(found.names, {"silent", "draining", "departed"})
+        later_ms = 80_000.0
+        directory.expire(100_000.0, later_ms)
+        found = commit_holders(directory, GROUP, later_ms)
+        self.assertEqual(found.names, {"draining"})
+
+    def test_an_endpoint_that_returns_or_has_a_successor_is_counted_once(self) -> None:
+        directory = EndpointDirectory()
+        for name in ("left", "crashed", "replaced"):
+            directory.merge(self._announcement(name, is_draining=name == "left"), 0.0)
+            if name != "replaced":
+                directory.merge_departure(Departure(name, 1), 1.0)
+        directory.merge(self._announcement("crashed", incarnation=2), 2.0)
+        successor = self._announcement("new", address="left:9000", incarnation=2)
+        directory.merge(successor, 3.0)
+        # The address of an endpoint that did not drain may pass on without its log.
+        taker = self._announcement("taker", address="replaced:9000", incarnation=2)
+        directory.merge(taker, 4.0)
+        found = commit_holders(directory, GROUP, 5.0)
+        self.assertEqual(found.names, {"crashed", "new", "replaced", "taker"})
+
+    def test_a_former_primary_is_counted_as_the_primary(self) -> None:
+        directory = EndpointDirectory()
+        directory.merge(self._announcement("a", is_primary=True), 0.0)
+        directory.merge(self._announcement("b"), 0.0)
+        self.assertTrue(commit_holders(directory, GROUP, 1.0).has_primary)
+        directory.merge_departure(Departure("a", 1), 1.0)
+        self.assertTrue(commit_holders(directory, GROUP, 2.0).has_primary)
+
+
+if __name__ == "__main__":
+    unittest.main()
