Let no commit be acknowledged between the query for positions and the switch

Cause: the old primary serves until the platform switches, 0.6 to 1 s after the positions were stated. A replica that was not chosen went on to receive commits, and so they were acknowledged.

Change: unless nothing listens at the primary's address or it denies to lead, control pauses replicas (PAUSE, with a term above the newest) once enough of them have answered, and takes the positions from those answers. With n - s of them paused, no commit can get s receipts. They are resumed after the switch, or if too few confirm the pause; not while an order has no answer, since the platform may still carry it out. A new leader completes the change, or resumes all replicas.

With every order taken as settled, test_replicas_stay_paused_while_an_ order_may_be_carried_out fails; without a resume, test_replicas_are_resumed_ when_not_enough_of_them_can_be_paused and test_a_new_leader_resumes_replicas_ that_an_earlier_one_has_paused.

--- a/src/azurerelay/cluster/_endpoint_status_client.py
+++ b/src/azurerelay/cluster/_endpoint_status_client.py
@@ -11,9 +11,12 @@
     ConnectFailed,
     EndpointConnector,
     EndpointError,
+    EndpointReply,
     EndpointSession,
+    PauseReceiving,
     Position,
     QueryStatus,
+    ResumeReceiving,
     RollbackTransaction,
 )
 from azurerelay.timing import TimerService, spawn, with_timeout
@@ -25,6 +28,8 @@
 # Six round trips between regions. A BEGIN takes no slot, so it does not wait behind the
 # statements of callers.
 CONTACT_TIMEOUT_MS: Final = 150.0
+# The first reply tells the newest term, if the term of the request was too low.
+MAX_PAUSE_ATTEMPTS: Final = 2
 
 
 class EndpointStatusClient:
@@ -99,6 +104,41 @@
         Returns None if it refuses to state it, cannot be reached, or does not answer
         in time. Its connection is closed after a timeout.
         """
+        reply = await self._request(endpoint, QueryStatus(), timeout_ms)
+        return reply.received if reply is not None else None
+
+    async def pause(self, endpoint: Announcement, timeout_ms: float) -> Position | None:
+        """Stop a replica from receiving; return what it has received by then.
+
+        Returns None if it is not known to be paused.
+        """
+        session = await self._open_session(endpoint, timeout_ms)
+        position = session.position if session is not None else None
+        term = (position.term if position is not None else 0) + 1
+        for _ in range(MAX_PAUSE_ATTEMPTS):
+            reply = await self._request(endpoint, PauseReceiving(term), timeout_ms)
+            # A primary is not paused; the directory may not know its role yet.
+            if reply is None or reply.term is None or not reply.is_replica:
+                return None
+            if reply.term < term:
+                return reply.received
+            term = reply.term + 1
+        return None
+
+    async def resume(self, endpoint: Announcement, timeout_ms: float) -> bool:
+        """Let a replica receive again; return whether it is known not to be paused.
+
+        An endpoint that refuses the command does not know how to pause, either.
+        """
+        reply = await self._request(endpoint, ResumeReceiving(), timeout_ms)
+        return reply is not None and reply.error is not EndpointError.BUSY
+
+    async def _request(
+        self,
+        endpoint: Announcement,
+        command: QueryStatus | PauseReceiving | ResumeReceiving,
+        timeout_ms: float,
+    ) -> EndpointReply | None:
         key = (endpoint.endpoint, endpoint.incarnation)
         self._queried.add(key)
         try:
@@ -106,12 +146,12 @@
             if session is None:
                 return None
             answer = await with_timeout(
-                self._timers, session.request(QueryStatus()), timeout_ms
+                self._timers, session.request(command), timeout_ms
             )
             if isinstance(answer, Err) or isinstance(answer.ok_value, Err):
                 session.close()
                 return None
-            return answer.ok_value.ok_value.received
+            return answer.ok_value.ok_value
         finally:
             self._queried.discard(key)
 
@@ -157,9 +197,9 @@
             return PrimaryContact.ANSWERED
         if failure.error is not None:
             return PrimaryContact.DENIED
-        return (
-            PrimaryContact.SILENT if failure.is_unreachable else PrimaryContact.UNKNOWN
-        )
+        if failure.is_unreachable:
+            return PrimaryContact.UNREACHABLE
+        return PrimaryContact.UNKNOWN
 
     async def _connect(self, endpoint: Announcement) -> ConnectFailed | None:
         """Open a connection; return the failure, or None if it is open."""
--- a/src/azurerelay/cluster/_position_poll.py
+++ b/src/azurerelay/cluster/_position_poll.py
@@ -19,12 +19,20 @@
 class PositionPoll:
     """Queries endpoints for their positions until each of them has answered.
 
-    `query` takes an endpoint and a timeout in milliseconds.
+    `query` takes an endpoint and a timeout in milliseconds, at first
+    `first_timeout_ms`.
     """
 
-    def __init__(self, query: PositionQuery, timers: TimerService) -> None:
+    def __init__(
+        self,
+        query: PositionQuery,
+        timers: TimerService,
+        first_timeout_ms: float = FIRST_QUERY_TIMEOUT_MS,
+    ) -> None:
         self._query = query
         self._timers = timers
+        self._first_timeout_ms = first_timeout_ms
+        self._slowest_answer_ms = 0.0
         self._received: dict[str, Position] = {}
         self._endpoints: dict[tuple[str, int], Announcement] = {}
         self._next_answer: Promise[None] = Promise()
@@ -34,6 +42,11 @@
         """The positions stated so far, by endpoint."""
         return self._received
 
+    @property
+    def slowest_answer_ms(self) -> float:
+        """The longest time that an answered query has taken."""
+        return self._slowest_answer_ms
+
     @property
     def next_answer(self) -> Promise[None]:
         """A promise that is resolved with the next answer."""
@@ -52,15 +65,17 @@
         self._endpoints = {}
 
     async def _poll(self, key: tuple[str, int]) -> None:
-        timeout_ms = FIRST_QUERY_TIMEOUT_MS
+        timeout_ms = self._first_timeout_ms
         while key in self._endpoints:
             started_ms = self._timers.now_ms()
             position = await self._query(self._endpoints[key], timeout_ms)
+            duration_ms = self._timers.now_ms() - started_ms
             if position is not None:
+                self._slowest_answer_ms = max(self._slowest_answer_ms, duration_ms)
                 self._received[key[0]] = position
                 answered, self._next_answer = self._next_answer, Promise()
                 answered.resolve(None)
                 return
-            if self._timers.now_ms() - started_ms >= timeout_ms:
-                timeout_ms = min(2 * timeout_ms, MAX_QUERY_TIMEOUT_MS)
+            if duration_ms >= timeout_ms:
+                timeout_ms = max(timeout_ms, min(2 * timeout_ms, MAX_QUERY_TIMEOUT_MS))
             await sleep(self._timers, QUERY_RETRY_DELAY_MS)
--- a/src/azurerelay/cluster/_primary_contact.py
+++ b/src/azurerelay/cluster/_primary_contact.py
@@ -9,12 +9,13 @@
     `ANSWERED` means that the endpoint refused a connection because of its limits, so it
     is alive. `DENIED` means that it says that it is not the primary, or that another
     endpoint answers at its address. `SILENT` means that it did not answer over an open
-    connection, or that nothing listens at its address. `UNKNOWN` means that there was
-    no connection to ask over.
+    connection, `UNREACHABLE` that nothing listens at its address. `UNKNOWN` means that
+    there was no connection to ask over.
     """
 
     PROVEN = "proven"
     ANSWERED = "answered"
     DENIED = "denied"
     SILENT = "silent"
+    UNREACHABLE = "unreachable"
     UNKNOWN = "unknown"
--- a/src/azurerelay/cluster/_promotion_policy.py
+++ b/src/azurerelay/cluster/_promotion_policy.py
@@ -26,7 +26,11 @@
 CANDIDATE_MISSED_HEARTBEATS: Final = 3.5
 
 _ALIVE: Final = (PrimaryContact.PROVEN, PrimaryContact.ANSWERED)
-_LOST: Final = (PrimaryContact.SILENT, PrimaryContact.DENIED)
+_LOST: Final = (
+    PrimaryContact.SILENT,
+    PrimaryContact.UNREACHABLE,
+    PrimaryContact.DENIED,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +114,14 @@
     )
 
 
+def may_acknowledge_commits(health: GroupHealth) -> bool:
+    """Return whether the primary may still acknowledge commits.
+
+    A primary that is silent may only be cut off from control.
+    """
+    return health.contact not in (PrimaryContact.UNREACHABLE, PrimaryContact.DENIED)
+
+
 def candidates(
     directory: EndpointDirectory,
     group: str,
--- a/src/azurerelay/hosts/_endpoint_client.py
+++ b/src/azurerelay/hosts/_endpoint_client.py
@@ -23,8 +23,10 @@
     EndpointError,
     EndpointReply,
     EndpointSession,
+    PauseReceiving,
     Position,
     QueryStatus,
+    ResumeReceiving,
 )
 from azurerelay.timing import Promise
 
@@ -60,7 +62,7 @@
 
     def request(self, command: EndpointCommand) -> Promise[_ReplyResult]:
         """Send a command and return a promise of its reply."""
-        is_status = isinstance(command, QueryStatus)
+        is_status = isinstance(command, QueryStatus | PauseReceiving | ResumeReceiving)
         return self._send(encode_command(command), is_status)
 
     def start_session(self, endpoint: Announcement) -> Promise[_ReplyResult]:
--- a/src/azurerelay/platform/_endpoint_codec.py
+++ b/src/azurerelay/platform/_endpoint_codec.py
@@ -11,10 +11,12 @@
     EndpointCommand,
     EndpointError,
     EndpointReply,
+    PauseReceiving,
     Position,
     PrepareShape,
     QueryStatus,
     ResetSession,
+    ResumeReceiving,
     RollbackTransaction,
     RunPrepared,
     RunStatement,
@@ -22,6 +24,7 @@
     SetSessionValue,
 )
 
+_REPLICA_ROLE: Final = "replica"
 RELAY_REQUEST_ID: Final = "-"  # request ID of commands that no caller sent
 _STATES_BY_CODE: Final = {
     "I": SessionState.IDLE,
@@ -38,6 +41,8 @@
     "FAILED": EndpointError.FAILED,
     "TIMEOUT": EndpointError.TIMED_OUT,
 }
+_STATUS_ROLE_INDEX: Final = 0
+_STATUS_TERM_INDEX: Final = 1  # the newest term in a status row
 _STATUS_RECEIVED_INDEX: Final = 2  # the last received position in a status row
 
 
@@ -93,6 +98,16 @@
     return f"{RELAY_REQUEST_ID} STATUS"
 
 
+@_query_text.register
+def _(command: PauseReceiving) -> str:
+    return f"{RELAY_REQUEST_ID} PAUSE {command.term}"
+
+
+@_query_text.register
+def _(command: ResumeReceiving) -> str:
+    return f"{RELAY_REQUEST_ID} RESUME"
+
+
 def encode_command(command: EndpointCommand) -> str:
     """Encode a command as one line."""
     return f"QUERY {_query_text(command)}\r\n"
@@ -145,6 +160,8 @@
         state = _STATES_BY_CODE.get(word)
         if state is None:
             return Err(f"unknown state {word[:20]!r}")
+        role = self._status_field(_STATUS_ROLE_INDEX)
+        term = self._status_field(_STATUS_TERM_INDEX)
         return Ok(
             EndpointReply(
                 tuple(self._rows) if self._error is None else (),
@@ -153,17 +170,18 @@
                 self._error_text,
                 state,
                 parse_position(position),
-                self._received_position(),
+                parse_position(self._status_field(_STATUS_RECEIVED_INDEX)),
+                int(term) if term.isdecimal() else None,
+                role == _REPLICA_ROLE if role else None,
             )
         )
 
-    def _received_position(self) -> Position | None:
-        if not self._is_status or not self._rows:
-            return None
+    def _status_field(self, index: int) -> str:
+        """Return a field of a status row, or "" if there is none."""
+        if not self._is_status or not self._rows or self._error is not None:
+            return ""
         fields = self._rows[0].split(" ")
-        if len(fields) <= _STATUS_RECEIVED_INDEX:
-            return None
-        return parse_position(fields[_STATUS_RECEIVED_INDEX])
+        return fields[index] if index < len(fields) else ""
 
 
 def _after_clause(position: Position | None) -> str:
--- a/src/azurerelay/statements/_commands.py
+++ b/src/azurerelay/statements/_commands.py
@@ -73,6 +73,22 @@
     """Query role, term and log positions; this occupies a slot of the endpoint."""
 
 
+@dataclass(frozen=True, slots=True)
+class PauseReceiving:
+    """Stop a replica from receiving commits, and query its status.
+
+    It takes effect if `term` is above the newest term, and lasts until the replica is
+    resumed or restarted, or an endpoint of its group is promoted.
+    """
+
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class ResumeReceiving:
+    """Let a paused replica receive commits again, and query its status."""
+
+
 EndpointCommand = (
     RunStatement
     | RunPrepared
@@ -82,4 +98,6 @@
     | PrepareShape
     | ResetSession
     | QueryStatus
+    | PauseReceiving
+    | ResumeReceiving
 )
--- a/src/azurerelay/statements/_endpoint_reply.py
+++ b/src/azurerelay/statements/_endpoint_reply.py
@@ -46,7 +46,11 @@
     state: SessionState
     position: Position | None
     received: Position | None = None
-    """The end of the endpoint's log, applied or not; only in `QueryStatus` replies."""
+    """The end of the endpoint's log, applied or not; only in status replies."""
+    term: int | None = None
+    """The newest term that the endpoint knows; only in status replies."""
+    is_replica: bool | None = None
+    """Whether the endpoint says that it is a replica; only in status replies."""
 
     @property
     def is_success(self) -> bool:
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -6,7 +6,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any
 
@@ -29,11 +29,13 @@
     ConnectionLost,
     EndpointError,
     EndpointReply,
+    PauseReceiving,
     Position,
     PrepareShape,
     QueryStatus,
     Read,
     ResetSession,
+    ResumeReceiving,
     Rollback,
     RollbackTransaction,
     RunPrepared,
@@ -57,6 +59,7 @@
 HEARTBEAT_MS = 1_200.0
 # How long an endpoint still counts the connections of a host that lost power.
 LINGER_MS = 3_000.0
+_STATUS_COMMANDS = (QueryStatus, PauseReceiving, ResumeReceiving)
 
 
 @dataclass
@@ -81,7 +84,8 @@
     connections of hosts without power it still counts. With `is_replaced_by_another`,
     another endpoint answers at its address once it is down. A server that `is_deaf`
     receives no commits; otherwise they arrive after `receive_delay_ms`. A status query
-    takes `status_delay_ms` longer, and the next `busy_statuses` are refused.
+    takes `status_delay_ms` longer, and the next `busy_statuses` are refused. With a
+    `paused_term` the server receives nothing until it is resumed, or one is promoted.
     """
 
     rig: "PlatformRig"
@@ -104,6 +108,7 @@
     receive_delay_ms: float = 2.0
     status_delay_ms: float = 0.0
     busy_statuses: int = 0
+    paused_term: int | None = None
     unacknowledged: list[tuple[Position, "FakeSession", Callable[[], object]]] = field(
         default_factory=list
     )
@@ -146,7 +151,7 @@
             if other is not self:
                 self.rig.timers.call_later(
                     other.receive_delay_ms,
-                    lambda other=other: other.receive(list(self.log)),
+                    partial(other.receive, list(self.log)),
                 )
         return position
 
@@ -173,7 +178,7 @@
     def receive(self, log: list[Position]) -> None:
         if not self.is_up or self.is_primary or len(log) <= len(self.log):
             return
-        if self.is_deaf:
+        if self.is_deaf or self.paused_term is not None:
             return
         if log[: len(self.log)] != self.log:
             return
@@ -198,6 +203,7 @@
     def restart(self) -> None:
         self.is_up = True
         self.is_silent = False
+        self.paused_term = None
         self.is_primary = self.rig.primary_names[self.group] == self.name
         self.incarnation += 1
         self.sequence = 0
@@ -258,9 +264,9 @@
         rig = self.server.rig
         one_way_delay_ms = rig.one_way_delay_ms(self.client, self.server)
         start_ms = max(rig.timers.now_ms() + one_way_delay_ms, self._free_at_ms)
-        is_work = isinstance(command, (RunStatement, RunPrepared, QueryStatus))
+        is_work = isinstance(command, (RunStatement, RunPrepared, *_STATUS_COMMANDS))
         work_ms = self.server.work_ms if is_work else 0.2
-        if isinstance(command, QueryStatus):
+        if isinstance(command, _STATUS_COMMANDS):
             work_ms += self.server.status_delay_ms
         self._free_at_ms = start_ms + work_ms
         rig.timers.call_later(
@@ -284,7 +290,7 @@
         rig = self.server.rig
         if self._is_unreachable():
             return
-        is_work = isinstance(command, (RunStatement, RunPrepared, QueryStatus))
+        is_work = isinstance(command, (RunStatement, RunPrepared, *_STATUS_COMMANDS))
         self.server.busy += is_work
         delay_ms = work_ms
 
@@ -340,11 +346,8 @@
             return self._reply()
         if isinstance(command, RollbackTransaction):
             return self._roll_back()
-        if isinstance(command, QueryStatus):
-            if self.server.busy_statuses:
-                self.server.busy_statuses -= 1
-                return self._reply(EndpointError.BUSY)
-            return self._reply(received=self.server.log[-1])
+        if isinstance(command, _STATUS_COMMANDS):
+            return self._report_status(command)
         if isinstance(command, BeginTransaction):
             return self._begin(False, "-")
         if self.server.refuse_next:
@@ -359,6 +362,21 @@
             )
         return self._run_text(command.request_id, command.text, command.after)
 
+    def _report_status(self, command: Any) -> EndpointReply:
+        server = self.server
+        if server.busy_statuses:
+            server.busy_statuses -= 1
+            return self._reply(EndpointError.BUSY)
+        term = server.rig.terms[server.group]
+        if isinstance(command, PauseReceiving) and not server.is_primary:
+            if command.term > term:
+                server.paused_term = command.term
+        elif isinstance(command, ResumeReceiving):
+            server.paused_term = None
+            server.receive(list(server.rig.primary(server.group).log))
+        reply = self._reply(received=server.log[-1])
+        return replace(reply, term=term, is_replica=not server.is_primary)
+
     def _run_text(
         self, request_id: str, text: str, after: Position | None
     ) -> EndpointReply:
@@ -801,6 +819,8 @@
             self.lost_commits += [p for p in self.confirmed if p not in kept]
             self.confirmed = [p for p in self.confirmed if p in kept]
         old.check_receipts()
+        for member in self.members(server.group):
+            member.paused_term = None
         self.acknowledged = [a for a in self.acknowledged if a[1] in kept]
         for commits in self.own_commits.values():
             commits[:] = [position for position in commits if position in kept]
--- a/tests/test_durability.py
+++ b/tests/test_durability.py
@@ -6,6 +6,7 @@
 from azurerelay.discovery import Announcement, Departure, EndpointDirectory
 from azurerelay.events import PromotionDecided, PromotionWaiting
 from azurerelay.routes import DatabaseGroup
+from azurerelay.timing import sleep, spawn
 from tests.platform_rig import GROUP, FakeServer, PlatformRig, configuration
 
 
@@ -157,6 +158,130 @@
         return self.rig.leader.gauges()["promotions_waiting"]
 
 
+class PlannedChangeTest(unittest.TestCase):
+    """A draining primary is replaced while callers write."""
+
+    def setUp(self) -> None:
+        self._start_rig(1)
+
+    def _start_rig(self, seed: int) -> None:
+        self.rig = SynchronousRig(seed)
+        self.served = 0
+
+    async def _write_on(self, entry: int) -> None:
+        rig = self.rig
+        session = rig.open("strict", entry)
+        while True:
+            reply = await rig.send(session, f"WRITE k{entry} v")
+            self.served += reply.error is None
+            await sleep(rig.timers, 15.0)
+
+    def _drain_while_writing(self) -> None:
+        for entry in (1, 2, 3):
+            spawn(self._write_on(entry))
+        self.rig.timers.advance(1_000.0)
+        self.rig.first_primary.is_draining = True
+        self.rig.send_heartbeat(self.rig.first_primary)
+
+    def _assert_callers_can_write(self) -> None:
+        self.rig.timers.advance(3_000.0)
+        paused = [s.name for s in self.rig.servers.values() if s.paused_term]
+        self.assertEqual(paused, [])
+        self.rig.write()
+
+    def test_no_commit_is_acknowledged_between_the_query_and_the_switch(self) -> None:
+        """The chosen replica received nothing more, and the other one all commits."""
+        for seed in range(1, 5):
+            with self.subTest(seed=seed):
+                self._start_rig(seed)
+                self._drain_while_writing()
+                self.rig.wait_for(lambda r=self.rig: bool(r.promotions.orders))
+                chosen = self.rig.servers[self.rig.promotions.orders[0].endpoint]
+                chosen.is_deaf = True
+                self.rig.wait_for(self.rig.is_replaced)
+                chosen.is_deaf = False
+                self.assertEqual(self.rig.lost_commits, [])
+                self._assert_callers_can_write()
+
+    def test_replicas_are_resumed_when_not_enough_of_them_can_be_paused(self) -> None:
+        self._drain_while_writing()
+        first, second = self.rig.first_replica, self.rig.second_replica
+        self.rig.wait_for(lambda: second.paused_term is not None)
+        first.crash(silent=True)
+        self.rig.timers.advance(3_000.0)
+        served = self.served
+        self.rig.timers.advance(2_000.0)
+        self.assertIsNone(second.paused_term)
+        self.assertGreater(self.served, served)
+        first.restart()
+        self.rig.wait_for(self.rig.is_replaced)
+        self.assertEqual(self.rig.lost_commits, [])
+        self._assert_callers_can_write()
+
+    def test_replicas_stay_paused_while_an_order_may_be_carried_out(self) -> None:
+        """The order is carried out seconds after the platform gave no answer."""
+        self.rig.promotions.unanswered = 14
+        self.rig.promotions.late_execution_ms = 14_000.0
+        self._drain_while_writing()
+        self.rig.wait_for(lambda: bool(self.rig.promotions.orders))
+        while not self.rig.is_replaced():
+            for replica in self.rig.replicas():
+                self.assertIsNotNone(replica.paused_term)
+            self.rig.timers.advance(10.0)
+        self.rig.timers.advance(20_000.0)
+        self.assertEqual(self.rig.lost_commits, [])
+        self._assert_callers_can_write()
+
+    def test_a_replica_whose_term_is_newer_than_its_log_can_be_paused(self) -> None:
+        """A promotion without commits since leaves the term of the log behind."""
+        for group in self.rig.terms:
+            self.rig.terms[group] += 3
+        self._drain_while_writing()
+        self.rig.wait_for(self.rig.is_replaced)
+        self.assertEqual(self.rig.lost_commits, [])
+        self._assert_callers_can_write()
+
+    def test_a_new_leader_completes_the_change_of_a_lost_one(self) -> None:
+        for seed in range(1, 5):
+            with self.subTest(seed=seed):
+                self._start_rig(seed)
+                self._drain_while_writing()
+                second = self.rig.second_replica
+                self.rig.wait_for(lambda s=second: s.paused_term is not None)
+                leader = self.rig.leader
+                controls = self.rig.controls
+                self.rig.stop_control(
+                    next(a for a, node in controls.items() if node is leader)
+                )
+                self.rig.wait_for(self.rig.is_replaced)
+                self.assertEqual(self.rig.lost_commits, [])
+                self._assert_callers_can_write()
+
+    def test_a_new_leader_resumes_replicas_that_an_earlier_one_has_paused(
+        self,
+    ) -> None:
+        for replica in self.rig.replicas():
+            replica.paused_term = 4
+        leader = self.rig.leader
+        controls = self.rig.controls
+        self.rig.stop_control(next(a for a, n in controls.items() if n is leader))
+        self.rig.timers.advance(12_000.0)
+        self._assert_callers_can_write()
+        self.assertEqual(self.rig.promotions.orders, [])
+
+
+class CutOffPrimaryTest(PlannedChangeTest):
+    """A primary is replaced that still acknowledges commits of some callers."""
+
+    def _drain_while_writing(self) -> None:
+        for entry in (1, 2, 3):
+            spawn(self._write_on(entry))
+        self.rig.timers.advance(1_000.0)
+        # Entry host 3 and the replicas still reach it.
+        unreachable_from = {*self.rig.addresses, "10.1.0.1:7440", "10.1.0.2:7440"}
+        self.rig.first_primary.unreachable_from |= unreachable_from
+
+
 class AsynchronousReplicasTest(unittest.TestCase):
     def test_without_synchronous_replicas_a_late_answer_is_not_waited_for(
         self,
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -34,10 +34,12 @@
     Commit,
     EndpointError,
     Execute,
+    PauseReceiving,
     Position,
     Prepare,
     PrepareShape,
     Read,
+    ResumeReceiving,
     RunPrepared,
     RunStatement,
     SessionState,
@@ -172,6 +174,8 @@
             "QUERY q WRITE x y\r\n": RunStatement("q", "WRITE x y"),
             "QUERY q AFTER 3.7 EXECUTE r_s x\r\n": RunPrepared("q", "r_s", "x", after),
             "QUERY - PREPARE w_s WRITE s\r\n": PrepareShape("w_s", "s", True),
+            "QUERY - PAUSE 5\r\n": PauseReceiving(5),
+            "QUERY - RESUME\r\n": ResumeReceiving(),
         }
         for line, command in cases.items():
             self.assertEqual(encode_command(command), line)
@@ -203,6 +207,10 @@
         status = self._assemble(*lines, is_status=True).ok_value
         self.assertEqual(status.received, Position(3, 1209))
         self.assertEqual(status.position, Position(3, 1204))
+        self.assertEqual(status.term, 3)
+        self.assertTrue(status.is_replica)
+        lines = ("DATAROW replica x", "COMPLETE -", "READY I -")
+        self.assertIsNone(self._assemble(*lines, is_status=True).ok_value.term)
 
     def test_invalid_positions_are_none(self) -> None:
         for text in ("-", "", "3", "3.x", "-1.2", ".4"):
