--- a/src/azurerelay/cluster/_endpoint_status_client.py
+++ b/src/azurerelay/cluster/_endpoint_status_client.py
@@ -11,10 +11,14 @@
     ConnectFailed,
     EndpointConnector,
     EndpointError,
+    EndpointReply,
     EndpointSession,
+    PauseReceiving,
     Position,
     QueryStatus,
+    ResumeReceiving,
     RollbackTransaction,
+    StatusCommand,
 )
 from azurerelay.timing import TimerService, spawn, with_timeout
 
@@ -25,6 +29,8 @@
 # Six round trips between regions. A BEGIN takes no slot, so it does not wait behind the
 # statements of callers.
 CONTACT_TIMEOUT_MS: Final = 150.0
+# The first reply tells the newest term, if the term of the request was too low.
+MAX_PAUSE_ATTEMPTS: Final = 2
 
 
 class EndpointStatusClient:
@@ -46,6 +52,7 @@
         self._timers = timers
         self._sessions: dict[tuple[str, int], EndpointSession] = {}
         self._connecting: set[tuple[str, int]] = set()
+        self._queried: set[tuple[str, int]] = set()
 
     def maintain_connections(self, is_leading: bool) -> None:
         """Open missing connections and close those that are no longer needed.
@@ -59,7 +66,8 @@
             if is_leading and not a.is_draining
         }
         for key in list(self._sessions):
-            if key not in wanted or not self._sessions[key].is_open:
+            is_needed = key in wanted or key in self._queried
+            if not is_needed or not self._sessions[key].is_open:
                 self._sessions.pop(key).close()
         for key, endpoint in wanted.items():
             if key not in self._sessions and key not in self._connecting:
@@ -89,6 +97,75 @@
         reply = answer.ok_value.ok_value
         return reply.received if reply.is_success else session.position
 
+    async def query_received(
+        self, endpoint: Announcement, timeout_ms: float
+    ) -> Position | None:
+        """Return the position up to which an endpoint states to have received the log.
+
+        Returns None if it refuses to state it, cannot be reached, or does not answer
+        in time. Its connection is closed after a timeout.
+        """
+        reply = await self._request(endpoint, QueryStatus(), timeout_ms)
+        return reply.received if reply is not None else None
+
+    async def pause(self, endpoint: Announcement, timeout_ms: float) -> Position | None:
+        """Stop a replica from receiving; return what it has received by then.
+
+        Returns None if it is not known to be paused.
+        """
+        session = await self._open_session(endpoint, timeout_ms)
+        position = session.position if session is not None else None
+        term = (position.term if position is not None else 0) + 1
+        for _ in range(MAX_PAUSE_ATTEMPTS):
+            reply = await self._request(endpoint, PauseReceiving(term), timeout_ms)
+            # A primary is not paused; the directory may not know its role yet.
+            if reply is None or reply.term is None or not reply.is_replica:
+                return None
+            if reply.term < term:
+                return reply.received
+            term = reply.term + 1
+        return None
+
+    async def resume(self, endpoint: Announcement, timeout_ms: float) -> bool:
+        """Let a replica receive again; return whether it is known not to be paused.
+
+        An endpoint that refuses the command does not know how to pause, either.
+        """
+        reply = await self._request(endpoint, ResumeReceiving(), timeout_ms)
+        return reply is not None and reply.error is not EndpointError.BUSY
+
+    async def _request(
+        self,
+        endpoint: Announcement,
+        command: StatusCommand,
+        timeout_ms: float,
+    ) -> EndpointReply | None:
+        key = (endpoint.endpoint, endpoint.incarnation)
+        self._queried.add(key)
+        try:
+            session = await self._open_session(endpoint, timeout_ms)
+            if session is None:
+                return None
+            answer = await with_timeout(
+                self._timers, session.request(command), timeout_ms
+            )
+            if isinstance(answer, Err) or isinstance(answer.ok_value, Err):
+                session.close()
+                return None
+            return answer.ok_value.ok_value
+        finally:
+            self._queried.discard(key)
+
+    async def _open_session(
+        self, endpoint: Announcement, timeout_ms: float
+    ) -> EndpointSession | None:
+        key = (endpoint.endpoint, endpoint.incarnation)
+        session = self._sessions.get(key)
+        if (session is None or not session.is_open) and key not in self._connecting:
+            await with_timeout(self._timers, spawn(self._connect(endpoint)), timeout_ms)
+            session = self._sessions.get(key)
+        return session if session is not None and session.is_open else None
+
     async def contact_primary(self, endpoint: Announcement) -> PrimaryContact:
         """Open and roll back a read-write transaction, which only a primary accepts.
 
@@ -132,9 +209,9 @@
             return PrimaryContact.ANSWERED
         if failure.error is not None:
             return PrimaryContact.DENIED
-        return (
-            PrimaryContact.SILENT if failure.is_unreachable else PrimaryContact.UNKNOWN
-        )
+        if failure.is_unreachable:
+            return PrimaryContact.UNREACHABLE
+        return PrimaryContact.UNKNOWN
 
     async def _connect(self, endpoint: Announcement) -> ConnectFailed | None:
         """Open a connection; return the failure, or None if it is open."""
--- a/src/azurerelay/events/_explanation.py
+++ b/src/azurerelay/events/_explanation.py
@@ -19,6 +19,7 @@
         "PrimaryProven",
         "ProofDiscarded",
         "PromotionDecided",
+        "PromotionWaiting",
         "PromotionAnswered",
         "ControlHostChosen",
         "ProcessChanged",
@@ -26,6 +27,9 @@
         "EventsLeftOut",
     }
 )
+_PROMOTION_EVENTS: Final = frozenset(
+    {"PromotionDecided", "PromotionWaiting", "PromotionAnswered"}
+)
 _HIDDEN_FIELDS: Final = frozenset({"time_ms", "host", "event", "request_id"})
 
 
@@ -87,7 +91,7 @@
         is_related = (
             record.get("host") in hosts
             or record.get("endpoint") in endpoints
-            or record["event"] in ("PromotionDecided", "PromotionAnswered")
+            or record["event"] in _PROMOTION_EVENTS
         )
         if is_related:
             selected.append(record)
--- a/src/azurerelay/hosts/_endpoint_client.py
+++ b/src/azurerelay/hosts/_endpoint_client.py
@@ -23,9 +23,9 @@
     EndpointSession,
     OpenSession,
     Position,
-    QueryStatus,
     ReplyPromise,
     ReplyQueue,
+    StatusCommand,
 )
 from azurerelay.timing import Promise
 
@@ -116,7 +116,7 @@
                 self._fail(ConnectionLost("an answer to nothing", is_mismatch=True))
                 return False
             self._assembler = ReplyAssembler(
-                isinstance(command, QueryStatus), isinstance(command, OpenSession)
+                isinstance(command, StatusCommand), isinstance(command, OpenSession)
             )
         assembled = self._assembler.feed(line)
         if isinstance(assembled, Err):
--- a/src/azurerelay/platform/_endpoint_codec.py
+++ b/src/azurerelay/platform/_endpoint_codec.py
@@ -12,10 +12,12 @@
     EndpointCommand,
     EndpointError,
     EndpointReply,
+    PauseReceiving,
     Position,
     PrepareShape,
     QueryStatus,
     ResetSession,
+    ResumeReceiving,
     RollbackTransaction,
     RunPrepared,
     RunStatement,
@@ -23,6 +25,7 @@
     SetSessionValue,
 )
 
+_REPLICA_ROLE: Final = "replica"
 RELAY_REQUEST_ID: Final = "-"  # request ID of commands that no caller sent
 NO_SIGNATURE: Final = "-"
 _STATES_BY_CODE: Final = {
@@ -46,6 +49,8 @@
 MAX_POSITION_NUMBER: Final = 2**63 - 1  # the largest signed 64-bit number
 _POSITION: Final = re.compile(r"([0-9]{1,19})\.([0-9]{1,19})")
 _NO_POSITION: Final = ("", "-")
+_STATUS_ROLE_INDEX: Final = 0
+_STATUS_TERM_INDEX: Final = 1  # the newest term in a status row
 _STATUS_RECEIVED_INDEX: Final = 2  # the last received position in a status row
 
 
@@ -101,6 +106,16 @@
     return f"{RELAY_REQUEST_ID} STATUS"
 
 
+@_query_text.register
+def _(command: PauseReceiving) -> str:
+    return f"{RELAY_REQUEST_ID} PAUSE {command.term}"
+
+
+@_query_text.register
+def _(command: ResumeReceiving) -> str:
+    return f"{RELAY_REQUEST_ID} RESUME"
+
+
 def encode_command(command: EndpointCommand) -> str:
     """Encode a command as one line."""
     return f"QUERY {_query_text(command)}\r\n"
@@ -118,6 +133,12 @@
     return position if max(position) <= MAX_POSITION_NUMBER else None
 
 
+def _parse_term(text: str) -> int | None:
+    """Parse the term of a status row; return None for any text that is none."""
+    position = parse_position(f"{text}.0")
+    return position.term if position else None
+
+
 class ReplyAssembler:
     """Assemble the lines of one reply."""
 
@@ -165,6 +186,7 @@
         position = parse_position(position_text)
         if position is None and position_text not in _NO_POSITION:
             return Err(f"unreadable position {position_text[:40]!r}")
+        role = self._status_field(_STATUS_ROLE_INDEX)
         return Ok(
             EndpointReply(
                 tuple(self._rows) if self._error is None else (),
@@ -173,17 +195,18 @@
                 self._error_text,
                 state,
                 position,
-                self._received_position(),
+                parse_position(self._status_field(_STATUS_RECEIVED_INDEX)),
+                _parse_term(self._status_field(_STATUS_TERM_INDEX)),
+                role == _REPLICA_ROLE if role else None,
             )
         )
 
-    def _received_position(self) -> Position | None:
-        if not self._is_status or not self._rows:
-            return None
+    def _status_field(self, index: int) -> str:
+        """Return a field of a status row, or "" if there is none."""
+        if not self._is_status or not self._rows or self._error is not None:
+            return ""
         fields = self._rows[0].split(" ")
-        if len(fields) <= _STATUS_RECEIVED_INDEX:
-            return None
-        return parse_position(fields[_STATUS_RECEIVED_INDEX])
+        return fields[index] if index < len(fields) else ""
 
 
 def _after_clause(position: Position | None) -> str:
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -310,15 +310,16 @@
         That is an endpoint that control now lists in another group, and one that it no
         longer lists, at the address of one that it does.
         """
+        now_ms = self._timers.now_ms()
         addresses = {a.address for a in update.announcements}
         for announcement in update.announcements:
             known = self._directory.get(announcement.endpoint)
             if known is not None and known.group != announcement.group:
-                self._directory.forget(announcement.endpoint)
+                self._directory.forget(announcement.endpoint, now_ms)
         for known in self._directory.announcements:
             is_listed = known.endpoint in self._listed_endpoints
             if not is_listed and known.address in addresses:
-                self._directory.forget(known.endpoint)
+                self._directory.forget(known.endpoint, now_ms)
 
     def _update_groups(self) -> None:
         """Pass the endpoints that control lists and connection shares to the groups."""
--- a/src/azurerelay/statements/_commands.py
+++ b/src/azurerelay/statements/_commands.py
@@ -88,6 +88,24 @@
     """Query role, term and log positions; this occupies a slot of the endpoint."""
 
 
+@dataclass(frozen=True, slots=True)
+class PauseReceiving:
+    """Stop a replica from receiving commits, and query its status.
+
+    It takes effect if `term` is above the newest term, and lasts until the replica is
+    resumed or restarted, or an endpoint of its group is promoted.
+    """
+
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class ResumeReceiving:
+    """Let a paused replica receive commits again, and query its status."""
+
+
+StatusCommand = QueryStatus | PauseReceiving | ResumeReceiving
+
 EndpointCommand = (
     RunStatement
     | RunPrepared
@@ -96,5 +114,5 @@
     | SetSessionValue
     | PrepareShape
     | ResetSession
-    | QueryStatus
+    | StatusCommand
 )
--- a/src/azurerelay/statements/_reply_check.py
+++ b/src/azurerelay/statements/_reply_check.py
@@ -11,9 +11,11 @@
 from azurerelay.statements._commands import (
     BeginTransaction,
     OpenSession,
+    PauseReceiving,
     PrepareShape,
     QueryStatus,
     ResetSession,
+    ResumeReceiving,
     RollbackTransaction,
     RunPrepared,
     RunStatement,
@@ -84,7 +86,9 @@
 
 @_find_success_mismatch.register
 def _(
-    command: QueryStatus, state_before: SessionState, reply: EndpointReply
+    command: QueryStatus | PauseReceiving | ResumeReceiving,
+    state_before: SessionState,
+    reply: EndpointReply,
 ) -> str | None:
     if not reply.rows:
         return "a status reply without a row"
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -6,7 +6,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any
 
@@ -29,12 +29,14 @@
     ConnectionLost,
     EndpointError,
     EndpointReply,
+    PauseReceiving,
     Position,
     PrepareShape,
     QueryStatus,
     Read,
     ReplyQueue,
     ResetSession,
+    ResumeReceiving,
     Rollback,
     RollbackTransaction,
     RunPrepared,
@@ -59,6 +61,7 @@
 # How long an endpoint still counts the connections of a host that lost power.
 LINGER_MS = 3_000.0
 ENDPOINT_GONE = ConnectionLost("the endpoint went away")
+_STATUS_COMMANDS = (QueryStatus, PauseReceiving, ResumeReceiving)
 
 
 @dataclass
@@ -91,7 +94,10 @@
     `refuse_next` holds the errors for the next statements, `unreachable_from` the link
     addresses of hosts that cannot reach the endpoint, and `lingering` is how many
     connections of hosts without power it still counts. With `is_replaced_by_another`,
-    another endpoint answers at its address once it is down.
+    another endpoint answers at its address once it is down. A server that `is_deaf`
+    receives no commits; otherwise they arrive after `receive_delay_ms`. A status query
+    takes `status_delay_ms` longer, and the next `busy_statuses` are refused. With a
+    `paused_term` the server receives nothing until it is resumed, or one is promoted.
     """
 
     rig: "PlatformRig"
@@ -110,6 +116,14 @@
     is_silent: bool = False
     is_draining: bool = False
     is_replaced_by_another: bool = False
+    is_deaf: bool = False
+    receive_delay_ms: float = 2.0
+    status_delay_ms: float = 0.0
+    busy_statuses: int = 0
+    paused_term: int | None = None
+    unacknowledged: list[tuple[Position, "FakeSession", Callable[[], object]]] = field(
+        default_factory=list
+    )
     lost_answers: int = 0
     reply_copies: Callable[[Any], int] = field(default=lambda command: 1)
     unreachable_from: set[str] = field(default_factory=set)
@@ -149,18 +163,43 @@
         for other in self.rig.members(self.group):
             if other is not self:
                 self.rig.timers.call_later(
-                    2.0, lambda other=other: other.receive(list(self.log))
+                    other.receive_delay_ms,
+                    partial(other.receive, list(self.log)),
                 )
         return position
 
+    def acknowledge(
+        self, position: Position, session: "FakeSession", answer: Callable[[], object]
+    ) -> None:
+        """Answer a commit once as many replicas as needed have received it."""
+        self.unacknowledged.append((position, session, answer))
+        self.check_receipts()
+
+    def check_receipts(self) -> None:
+        waiting, self.unacknowledged = self.unacknowledged, []
+        others = [s for s in self.rig.members(self.group) if s is not self]
+        for position, session, answer in waiting:
+            receipts = sum(position in other.log for other in others)
+            if not self.is_up or not self.is_primary:
+                session.disconnect(silent=False)
+            elif receipts >= self.rig.synchronous_replicas:
+                self.rig.confirmed.append(position)
+                answer()
+            else:
+                self.unacknowledged.append((position, session, answer))
+
     def receive(self, log: list[Position]) -> None:
         if not self.is_up or self.is_primary or len(log) <= len(self.log):
             return
+        if self.is_deaf or self.paused_term is not None:
+            return
         if log[: len(self.log)] != self.log:
             return
         self.log = log
         count = len(log)
         self.rig.timers.call_later(self.lag_ms, lambda: self._apply(count))
+        primary = self.rig.primary(self.group)
+        self.rig.timers.call_later(self.receive_delay_ms, primary.check_receipts)
 
     def _apply(self, count: int) -> None:
         self.applied = max(self.applied, min(count, len(self.log)))
@@ -177,6 +216,7 @@
     def restart(self) -> None:
         self.is_up = True
         self.is_silent = False
+        self.paused_term = None
         self.is_primary = self.rig.primary_names[self.group] == self.name
         self.incarnation += 1
         self.sequence = 0
@@ -200,6 +240,7 @@
         self._replies: dict[type[Any], EndpointReply] = {}
         self._is_closed = False
         self._free_at_ms = 0.0
+        self._uncommitted: Position | None = None
         server.sessions.append(self)
 
     @property
@@ -232,8 +273,10 @@
         rig = self.server.rig
         one_way_delay_ms = rig.one_way_delay_ms(self.client, self.server)
         start_ms = max(rig.timers.now_ms() + one_way_delay_ms, self._free_at_ms)
-        is_work = isinstance(command, (RunStatement, RunPrepared, QueryStatus))
+        is_work = isinstance(command, (RunStatement, RunPrepared, *_STATUS_COMMANDS))
         work_ms = self.server.work_ms if is_work else 0.2
+        if isinstance(command, _STATUS_COMMANDS):
+            work_ms += self.server.status_delay_ms
         self._free_at_ms = start_ms + work_ms
         rig.timers.call_later(
             start_ms - rig.timers.now_ms(),
@@ -250,7 +293,7 @@
         rig = self.server.rig
         if self._is_unreachable():
             return
-        is_work = isinstance(command, (RunStatement, RunPrepared, QueryStatus))
+        is_work = isinstance(command, (RunStatement, RunPrepared, *_STATUS_COMMANDS))
         self.server.busy += is_work
         delay_ms = work_ms
 
@@ -263,8 +306,16 @@
             if is_work and self.server.lost_answers and reply.error is None:
                 self.server.lost_answers -= 1
                 return
-            for _ in range(self.server.reply_copies(command)):
-                rig.timers.call_later(one_way_delay_ms, lambda: self._answer(reply))
+
+            def answer() -> None:
+                for _ in range(self.server.reply_copies(command)):
+                    rig.timers.call_later(one_way_delay_ms, lambda: self._answer(reply))
+
+            if self._uncommitted is None:
+                answer()
+                return
+            position, self._uncommitted = self._uncommitted, None
+            self.server.acknowledge(position, self, answer)
 
         rig.timers.call_later(delay_ms, finish)
 
@@ -307,11 +358,8 @@
             return self._reply()
         if isinstance(command, RollbackTransaction):
             return self._roll_back()
-        if isinstance(command, QueryStatus):
-            received = self.server.log[-1]
-            role = "primary" if self.server.is_primary else "replica"
-            row = f"{role} {received.term} {received} 0 0 0 1"
-            return self._reply(rows=(row,), received=received)
+        if isinstance(command, _STATUS_COMMANDS):
+            return self._report_status(command)
         if isinstance(command, BeginTransaction):
             return self._begin(False)
         if self.server.refuse_next:
@@ -326,6 +374,24 @@
             )
         return self._run_text(command.request_id, command.text, command.after)
 
+    def _report_status(self, command: Any) -> EndpointReply:
+        server = self.server
+        if server.busy_statuses:
+            server.busy_statuses -= 1
+            return self._reply(EndpointError.BUSY)
+        term = server.rig.terms[server.group]
+        if isinstance(command, PauseReceiving) and not server.is_primary:
+            if command.term > term:
+                server.paused_term = command.term
+        elif isinstance(command, ResumeReceiving):
+            server.paused_term = None
+            server.receive(list(server.rig.primary(server.group).log))
+        received = server.log[-1]
+        role = "primary" if server.is_primary else "replica"
+        row = f"{role} {term} {received} 0 0 0 1"
+        reply = self._reply(rows=(row,), received=received)
+        return replace(reply, term=term, is_replica=not server.is_primary)
+
     def _run_text(
         self, request_id: str, text: str, after: Position | None
     ) -> EndpointReply:
@@ -363,7 +429,7 @@
             else:
                 rig.committed.append(request_id)
                 rig.commit_groups[request_id] = server.group
-                server.commit()
+                self._uncommitted = server.commit()
         else:
             rig.check_read(request_id, server)
         return self._reply(None, (f"row of {request_id}",), f"signed {request_id}")
@@ -390,7 +456,7 @@
         if self.written:
             self.server.rig.committed.extend(self.written)
             self.server.rig.commit_groups[request_id] = self.server.group
-            self.server.commit()
+            self._uncommitted = self.server.commit()
         self._end()
         return self._reply(None, (), f"signed {request_id}")
 
@@ -546,8 +612,15 @@
     """Endpoints, entry hosts and control hosts on a manually advanced clock."""
 
     def __init__(
-        self, entry_hosts: int = 3, control_hosts: int = 5, seed: int = 1
+        self,
+        entry_hosts: int = 3,
+        control_hosts: int = 5,
+        seed: int = 1,
+        synchronous_replicas: int = 0,
     ) -> None:
+        self.synchronous_replicas = synchronous_replicas
+        self.confirmed: list[Position] = []
+        self.lost_commits: list[Position] = []
         self.timers = ManualTimerService(start_ms=50_000.0)
         self.random = random.Random(seed)
         self.events = EventRecorder()
@@ -687,7 +760,9 @@
         self.timers.call_every(HEARTBEAT_MS, self.send_heartbeats)
         self.wait_for(lambda: self.leader is not None and len(self.voters) == 5)
         self.send_heartbeats()
-        assert self.replace(initial_configuration or configuration(1))
+        group = DatabaseGroup(GROUP, 45, self.synchronous_replicas)
+        default = configuration(1, groups=(group,))
+        assert self.replace(initial_configuration or default)
         self.wait_for(lambda: all(e.is_ready for e in self.entries.values()))
         self.timers.advance(1_500.0)
 
@@ -767,6 +842,12 @@
         server.is_primary = True
         server.applied = len(server.log)
         kept = set(server.log)
+        if self.synchronous_replicas:
+            self.lost_commits += [p for p in self.confirmed if p not in kept]
+            self.confirmed = [p for p in self.confirmed if p in kept]
+        old.check_receipts()
+        for member in self.members(server.group):
+            member.paused_term = None
         for commits in (self.acknowledged, *self.own_commits.values()):
             commits[:] = [
                 commit
