The end of a stop covers endpoints and groups that have been removed

What callers saw: a statement (a write, a COMMIT, a statement of an open transaction) that ran on an endpoint whose group or announcement had been removed while it ran was closed without an answer at the end of a planned stop.

Cause: end_statements closes the connections of the groups in force and of their members. A removed group or member keeps its connections in use, but nothing refers to them any more, so their statements are not ended, and the stop closes their callers once the time for replies is over.

Change: groups keep removed pools, and the node removed groups, while they have connections, and abort them too. The gauge of endpoint connections now counts them.

--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -101,6 +101,7 @@
         self._random = random_source
         self._events = events
         self._members: dict[str, _Member] = {}
+        self._removed_pools: list[EndpointPool] = []
         self._tracker = PrimaryTracker()
         self._samples = PositionSamples()
         self._created_ms = timers.now_ms()
@@ -131,7 +132,8 @@
     @property
     def connection_count(self) -> int:
         """The number of connections to the group that are open or being opened."""
-        return sum(member.pool.size for member in self._members.values())
+        pools = [member.pool for member in self._members.values()]
+        return sum(pool.size for pool in (*pools, *self._removed_pools))
 
     def next_change(self) -> Promise[None]:
         """Return a promise that is resolved at the next change of the group.
@@ -200,11 +202,14 @@
         self._notify()
 
     def abort(self) -> None:
-        """Close all connections at once, without waiting for answers."""
+        """Close all connections at once, without waiting for answers.
+
+        Endpoints that have been removed may still run statements.
+        """
         self._is_aborted = True
-        for member in list(self._members.values()):
-            member.pool.abort()
         self.close()
+        for pool in tuple(self._removed_pools):
+            pool.abort()
 
     def close(self) -> None:
         """Close all connections."""
@@ -590,6 +595,8 @@
     def _remove(self, name: str) -> None:
         member = self._members.pop(name, None)
         if member is not None:
+            self._removed_pools = [p for p in self._removed_pools if p.size]
+            self._removed_pools.append(member.pool)
             member.pool.close()
 
     def _pool(self, endpoint: str) -> EndpointPool | None:
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -73,6 +73,7 @@
         self._directory = EndpointDirectory(self._record_refused_entry)
         self._listed_endpoints: set[str] = set()
         self._groups: dict[str, GroupConnections] = {}
+        self._removed_groups: list[GroupConnections] = []
         self._routes: dict[str, Route] = {}
         self._entry_host_count = 1
         self._reported_suspects: frozenset[tuple[str, bool]] = frozenset()
@@ -163,7 +164,7 @@
         """
         self.refuse_statements()
         self._has_ended_statements = True
-        for group in list(self._groups.values()):
+        for group in (*self._groups.values(), *self._removed_groups):
             group.abort()
 
     def stop(self) -> None:
@@ -279,9 +280,12 @@
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._routes = {route.database: route for route in configuration.routes}
         names = {group.name for group in configuration.groups}
+        self._removed_groups = [g for g in self._removed_groups if g.connection_count]
         for name in list(self._groups):
             if name not in names:
-                self._groups.pop(name).close()
+                removed = self._groups.pop(name)
+                self._removed_groups.append(removed)
+                removed.close()
         for name in names - self._groups.keys():
             self._groups[name] = GroupConnections(
                 name,
