A BEGIN that waits is not sent after the last begin of a stop

What callers saw: a BEGIN that had waited for a connection was sent up to a second after the host had stopped starting transactions. It succeeded, and the transaction was aborted a moment later.

Cause: only a new BEGIN was checked against refuse_transactions; one that waited was checked against refuse_statements.

Evidence: the new test failed before ("'' != 'BUSY'": the BEGIN succeeded 3.3 s after the SIGTERM of a stop whose last begin is at 3.0 s).

Change: a BEGIN is checked against accepts_transactions each time before it is sent.

--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -315,7 +315,7 @@
         """
         min_write_ms = min(MIN_WRITE_TIME_MS, progress.route.statement_timeout_ms / 4)
         last_send_ms = progress.deadline_ms - min_write_ms
-        while self._timers.now_ms() < last_send_ms and self._may_send:
+        while self._timers.now_ms() < last_send_ms and self._may_send(progress):
             if not self._is_routed_to(group):
                 return await self._follow_route(progress, shape)
             pool = group.primary()
@@ -332,7 +332,7 @@
             if session is None:
                 continue
             sent_ms = self._timers.now_ms()
-            if sent_ms >= last_send_ms or not self._may_send:
+            if sent_ms >= last_send_ms or not self._may_send(progress):
                 pool.release(session)
                 break
             if not self._is_routed_to(group):
@@ -408,7 +408,7 @@
                     return self._refuse(progress, CallerError.BUSY, "no")
                 excluded |= {pool.endpoint.endpoint}
                 continue
-            if not self._may_send:
+            if not self._may_send(progress):
                 pool.release(session)
                 break
             if not self._is_routed_to(group):
@@ -742,12 +742,14 @@
         self._progress = StatementProgress(statement, route, now_ms, deadline_ms)
         return self._progress
 
-    @property
-    def _may_send(self) -> bool:
-        return self._route_table.accepts_statements and not self._is_closed
+    def _may_send(self, progress: StatementProgress) -> bool:
+        table = self._route_table
+        is_begin = isinstance(progress.statement, Begin)
+        accepts = table.accepts_transactions if is_begin else table.accepts_statements
+        return accepts and not self._is_closed
 
     def _may_retry(self, progress: StatementProgress) -> bool:
-        return self._timers.now_ms() < progress.deadline_ms and self._may_send
+        return self._timers.now_ms() < progress.deadline_ms and self._may_send(progress)
 
     def _patience_left_ms(self, progress: StatementProgress) -> float:
         """Return for how long a statement may wait for a scarce connection."""
@@ -831,7 +833,7 @@
 
     def _refuse_unsent(self, progress: StatementProgress) -> CallerReply:
         """Refuse a statement that no endpoint has run, or that only reads."""
-        if not self._may_send:
+        if not self._may_send(progress):
             progress.reason = HOST_STOPS
         return self._refuse(progress, CallerError.BUSY, "no")
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -172,6 +172,20 @@
         self.finish_stop()
         self.assertEqual((caller.is_answered, caller.error), (True, "BUSY"))
 
+    def test_a_begin_that_waits_is_not_sent_after_the_last_begin(self) -> None:
+        *senders, waiter = (self.host.connect() for _ in range(3))
+        self.rig.primary().work_ms = 3_300.0
+        for sender in senders:
+            sender.query("WRITE a x")
+        self.start_stop()
+        self.advance_to(1_000.0)
+        waiting = waiter.query("BEGIN")
+        self.advance_to(3_100.0)
+        self.rig.primary().work_ms = 8.0
+        self.advance_to(3_900.0)
+        self.finish_stop()
+        self.assert_refused(waiter, waiting, "BUSY")
+
     def test_a_write_that_gets_no_answer_is_left_in_doubt(self) -> None:
         caller = self.host.connect()
         self.rig.primary().work_ms = 20_000.0
