Callers in the kernel's queue are answered when a host stops listening

What callers saw: a connection that the kernel had accepted, but the host not yet, was reset when the host closed its listening socket.

Cause: closing a listening socket resets the connections in its queue.

Change: the queue is accepted before the socket is closed; these callers are then refused like all others.

--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -1,6 +1,7 @@
 """TCP server for the connections of callers."""
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
@@ -23,6 +24,7 @@
     encode_ready_line,
 )
 from azurerelay.relay import HOST_STOPS, CallerSession, RelayNode, StopSchedule
+from azurerelay.runtime import accept_queued, open_listener
 from azurerelay.statements import (
     CallerError,
     CallerReply,
@@ -262,7 +264,9 @@
         self._node = node
         self._timers = timers
         self._callers: set[CallerProtocol] = set()
+        self._listener: socket.socket | None = None
         self._server: asyncio.Server | None = None
+        self._accepting: list[asyncio.Task[Any]] = []
         self._closes_when_idle = False
 
     @property
@@ -277,14 +281,9 @@
 
     async def start(self) -> None:
         """Bind the address and start accepting connections."""
-        host, port = split_address(self._address)
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._create_protocol,
-            host,
-            port,
-            backlog=LISTEN_BACKLOG,
-            reuse_address=True,
+        self._listener = open_listener(*split_address(self._address))
+        self._server = await asyncio.get_running_loop().create_server(
+            self._create_protocol, sock=self._listener, backlog=LISTEN_BACKLOG
         )
 
     def close_idle_sessions(self) -> None:
@@ -344,9 +343,19 @@
         )
 
     def stop_accepting(self) -> None:
-        """Close the listening socket."""
-        if self._server is not None:
-            self._server.close()
+        """Accept the connections in the queue of the kernel, and close the socket."""
+        if self._server is None or self._listener is None:
+            return
+        loop = asyncio.get_running_loop()
+        accepted = accept_queued(self._listener)
+        self._server.close()
+        self._server = None
+        self._accepting = [
+            loop.create_task(
+                loop.connect_accepted_socket(self._create_protocol, client)
+            )
+            for client in accepted
+        ]
 
     async def stop(self) -> None:
         """Close the listening socket and all caller connections."""
