A statement that crosses the close after a reply is refused

What callers saw: from the moment in which a stopping host closes idle connections, it closes a connection right after the reply that ends an operation, without an error. A caller that sent its next statement at once found the connection closed and could not know whether a write had run. The close of quiet connections sends BUSY for this reason.

The new test failed before (no ERROR line after READY).

Change: this close sends the same error. The check in tests/test_hosts.py held the connection to end without any bytes after the reply; it now holds it to end with exactly this error.

--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -230,7 +230,7 @@
         self._is_busy = False
         self._write(encode_caller_reply(reply))
         if self._closes_when_idle and self.is_idle and _ends_operation(statement):
-            self.close()
+            self.dismiss()
             return
         self._process_queue()
 
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -475,7 +475,7 @@
         self.assertTrue((await reader.readline()).startswith(b"READY I 3."))
         # Both connections are closed: one after its reply, the other one as it is quiet.
         ends = [await other.read() for other, _ in readers]
-        self.assertEqual(ends, [b"", b"ERROR BUSY the host is being stopped\r\n"])
+        self.assertEqual(ends, 2 * [b"ERROR BUSY the host is being stopped\r\n"])
         for _, other_writer in readers:
             other_writer.close()
         await server.stop()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -166,6 +166,18 @@
         self.advance(10_000.0)
         self.assertEqual(self.rig.committed, [])
 
+    def test_a_statement_that_crosses_the_close_after_a_reply_is_refused(self) -> None:
+        caller = self.host.connect()
+        self.start_stop()
+        self.advance_to(2_200.0)
+        caller.run("SET a x")
+        self.advance_to(2_310.0)
+        caller.run("WRITE a x")
+        self.assertTrue(caller.is_closed)
+        kinds = [line.split(" ")[0] for line in caller.lines]
+        self.assertEqual(kinds, ["DATAROW", "COMPLETE", "READY", "ERROR"])
+        self.assertEqual(caller.lines[-1], "ERROR BUSY the host is being stopped")
+
     def test_a_connection_accepted_at_the_end_of_the_stop_is_refused(self) -> None:
         caller = self.host.accept_at_last()
         self.start_stop()
