--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -166,12 +166,38 @@
         self.advance(10_000.0)
         self.assertEqual(self.rig.committed, [])
 
+    def test_a_statement_that_crosses_the_close_after_a_reply_is_refused(self) -> None:
+        caller = self.host.connect()
+        self.start_stop()
+        self.advance_to(2_200.0)
+        caller.run("SET a x")
+        self.advance_to(2_310.0)
+        caller.run("WRITE a x")
+        self.assertTrue(caller.is_closed)
+        kinds = [line.split(" ")[0] for line in caller.lines]
+        self.assertEqual(kinds, ["DATAROW", "COMPLETE", "READY", "ERROR"])
+        self.assertEqual(caller.lines[-1], "ERROR BUSY the host is being stopped")
+
     def test_a_connection_accepted_at_the_end_of_the_stop_is_refused(self) -> None:
         caller = self.host.accept_at_last()
         self.start_stop()
         self.finish_stop()
         self.assertEqual((caller.is_answered, caller.error), (True, "BUSY"))
 
+    def test_a_begin_that_waits_is_not_sent_after_the_last_begin(self) -> None:
+        *senders, waiter = (self.host.connect() for _ in range(3))
+        self.rig.primary().work_ms = 3_300.0
+        for sender in senders:
+            sender.query("WRITE a x")
+        self.start_stop()
+        self.advance_to(1_000.0)
+        waiting = waiter.query("BEGIN")
+        self.advance_to(3_100.0)
+        self.rig.primary().work_ms = 8.0
+        self.advance_to(3_900.0)
+        self.finish_stop()
+        self.assert_refused(waiter, waiting, "BUSY")
+
     def test_a_write_that_gets_no_answer_is_left_in_doubt(self) -> None:
         caller = self.host.connect()
         self.rig.primary().work_ms = 20_000.0
