A statement that does not end by the end of a stop is in doubt

The host replies INDOUBT first, which is true whatever the statement has done, and logs it as StatementUnanswered with the reason in doubt. The test fails without the change (no reply).

--- a/src/azurerelay/events/_events.py
+++ b/src/azurerelay/events/_events.py
@@ -53,10 +53,11 @@
 
 @dataclass(frozen=True, slots=True)
 class StatementUnanswered(Event):
-    """A caller's connection ended before its statement was answered.
+    """A caller's connection ended before a statement had its outcome.
 
     `phase` is "waiting" if no endpoint has the statement, and "sent" if `endpoint` has
-    not answered it. `reason` is why the connection ended.
+    not answered it. `reason` is "in doubt" if the caller was told so, and otherwise why
+    the connection ended.
     """
 
     request_id: str
--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -110,12 +110,15 @@
         )
 
     def dismiss(self) -> None:
-        """End the session of a caller that waits for no reply, because the host stops.
+        """End the session with an error, because the host stops.
 
-        A statement that crosses the close takes the error for its reply. The host does
-        not read it, so it has no effect, and an open transaction is rolled back.
+        A statement in progress is in doubt. One that crosses the close takes the error
+        for its reply: the host does not read it, so it has no effect, and an open
+        transaction is rolled back.
         """
-        if not self._is_busy:
+        if self._session is not None and self._is_busy:
+            self._write(encode_caller_reply(self._session.end_in_doubt()))
+        else:
             is_idle = self._session is None or self._session.state is SessionState.IDLE
             error = CallerError.BUSY if is_idle else CallerError.ABORTED
             self._write(encode_error_line(error, HOST_STOPS))
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -153,15 +153,20 @@
         return reply
 
     def end_in_doubt(self) -> CallerReply:
-        """Return the reply to a statement whose handling has failed unexpectedly.
+        """Return the reply to a statement that can no longer be handled to its end.
 
         An open transaction is rolled back. The session must be closed after the reply.
         """
+        if self.statement_in_progress is not None:
+            self._recorder.record_unanswered(
+                self.statement_in_progress, self._transaction is not None, "in doubt"
+            )
+        self._is_closed = True
         self._is_busy = False
         self._is_transaction_failed = self._transaction is not None
         self._discard_transaction()
         return CallerReply(
-            self.state, error=CallerError.IN_DOUBT, error_text="internal error"
+            self.state, error=CallerError.IN_DOUBT, error_text="not handled to its end"
         )
 
     def close(self, reason: str = "the caller closed the connection") -> None:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -8,7 +8,7 @@
 
 from azurerelay.events import CallersDrained, StatementUnanswered
 from azurerelay.routes import Consistency, DatabaseGroup
-from azurerelay.timing import sleep, spawn
+from azurerelay.timing import Promise, sleep, spawn
 from tests.caller_rig import GRACE_PERIOD_MS, Caller, StoppingHost
 from tests.platform_rig import GROUP, PlatformRig, configuration, route
 
@@ -178,6 +178,18 @@
         self.assertEqual(kinds, ["DATAROW", "COMPLETE", "READY", "ERROR"])
         self.assertEqual(caller.lines[-1], "ERROR BUSY the host is being stopped")
 
+    def test_a_statement_that_never_ends_is_left_in_doubt(self) -> None:
+        caller = self.host.connect()
+
+        async def hang(statement: Any) -> Any:
+            await Promise()
+
+        with unittest.mock.patch.object(caller.protocol.session, "handle", hang):
+            caller.query("WRITE a x")
+        self.start_stop()
+        self.finish_stop()
+        self.assertEqual((caller.is_answered, caller.error), (True, "INDOUBT"))
+
     def test_a_connection_accepted_at_the_end_of_the_stop_is_refused(self) -> None:
         caller = self.host.accept_at_last()
         self.start_stop()
