--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -42,7 +42,7 @@
 MAX_PIPELINED_MESSAGES: Final = 64
 # A draining host closes an idle connection once it has been quiet for this long, which
 # is several round trips. A caller that has just got a reply may be about to send its
-# next statement, and a statement that crosses the close is lost.
+# next statement, and a statement that crosses the close is refused.
 QUIET_BEFORE_CLOSE_MS: Final = 250.0
 MIN_QUIET_CHECK_MS: Final = 20.0  # between two looks at a connection that is in use
 STOP_POLL_MS: Final = 20.0  # between two looks at the work that is left
