A statement whose handler is destroyed is answered

Trace: the test's handler waits for a promise that nothing holds, so the garbage collector may destroy it at any time.

The error path now ends the session like a stop does, with INDOUBT for the statement in progress. A test that collects garbage on purpose fails without the change, each time, and passes with it; the test that failed holds its promise.

--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -109,8 +109,8 @@
             max(MIN_QUIET_CHECK_MS, remaining_ms), self._close_if_quiet
         )
 
-    def dismiss(self) -> None:
-        """End the session with an error, because the host stops.
+    def dismiss(self, reason: str = HOST_STOPS) -> None:
+        """End the session with an error, by default because the host stops.
 
         A statement in progress is in doubt. One that crosses the close takes the error
         for its reply: the host does not read it, so it has no effect, and an open
@@ -121,8 +121,8 @@
         else:
             is_idle = self._session is None or self._session.state is SessionState.IDLE
             error = CallerError.BUSY if is_idle else CallerError.ABORTED
-            self._write(encode_error_line(error, HOST_STOPS))
-        self.close(HOST_STOPS)
+            self._write(encode_error_line(error, reason))
+        self.close(reason)
 
     def close(self, reason: str = "the session ended") -> None:
         """Close the connection after the buffered data has been sent.
@@ -192,14 +192,14 @@
                 spawn(self._close_on_error(self._execute(self._session, message)))
 
     async def _close_on_error(self, handler: Coroutine[Any, None, None]) -> None:
-        """Run a handler; on an error, close the connection, as no reply will follow."""
+        """Run a handler; on an error, end the session, as no reply will follow."""
         try:
             await handler
         except Exception:
             logging.exception(
                 "unexpected error in a caller session; closing the connection"
             )
-            self.close("unexpected error")
+            self.dismiss("unexpected error")
 
     async def _open_session(self, message: OpenSession) -> None:
         if self._session is not None:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,5 +1,6 @@
 """Planned stops of an entry host, from the sockets of its callers to the endpoints."""
 
+import gc
 import os
 import random
 import unittest
@@ -91,6 +92,18 @@
         self.advance(500.0)
         self.assertNotIn(written, self.rig.committed)
 
+    def test_a_statement_whose_handler_is_destroyed_is_answered(self) -> None:
+        """A handler that waits for a promise that nothing holds is garbage."""
+        caller = self.host.connect()
+
+        async def hang(statement: Any) -> Any:
+            await Promise()
+
+        with unittest.mock.patch.object(caller.protocol.session, "handle", hang):
+            caller.query("WRITE a x")
+        gc.collect()
+        self.assertEqual((caller.is_answered, caller.error), (True, "INDOUBT"))
+
 
 class AnsweredStopTest(StopCase):
     def assert_refused(self, caller: Caller, request_id: str, error: str) -> None:
@@ -180,9 +193,10 @@
 
     def test_a_statement_that_never_ends_is_left_in_doubt(self) -> None:
         caller = self.host.connect()
+        never: Promise[Any] = Promise()
 
         async def hang(statement: Any) -> Any:
-            await Promise()
+            await never
 
         with unittest.mock.patch.object(caller.protocol.session, "handle", hang):
             caller.query("WRITE a x")
