An endpoint that may hold commits is counted while there is no primary

Cause: the directory forgot departed and expired endpoints 60 s after their removal, by the clock alone, so that one answer out of one known endpoint sufficed. The time was meant for the others to receive the commits, but without a primary nobody sends them.

Evidence: test_a_promotion_waits_for_endpoints_that_have_been_gone_for_minutes failed before: the deaf replica was promoted without 5 of 5 acknowledged commits.

Change: a removed endpoint is counted until a primary has reported for 60 s since its removal without expiring or restarting (FormerMembers).

Changed check: test_silent_draining_departed_and_expired_endpoints_are_counted wanted two endpoints of a group that never had a primary to be forgotten after 80 s, which is the fault. It wants them counted now, and a new test checks when they are forgotten: after 60 s of reports of one primary, and neither after a gap nor across its restart.

--- a/src/azurerelay/cluster/_promotion_controller.py
+++ b/src/azurerelay/cluster/_promotion_controller.py
@@ -395,7 +395,7 @@
         failed = {p.endpoint for p in self._directory.primaries(group)}
         members = self._directory.group(group)
         poll.set_endpoints(m for m in members if m.endpoint not in failed)
-        holders = commit_holders(self._directory, group, self._timers.now_ms())
+        holders = commit_holders(self._directory, group)
         received = {
             name: position
             for name, position in poll.received.items()
--- a/src/azurerelay/cluster/_promotion_policy.py
+++ b/src/azurerelay/cluster/_promotion_policy.py
@@ -145,7 +145,7 @@
 class CommitHolders:
     """The endpoints of a group that may hold acknowledged commits.
 
-    `names` includes endpoints that are silent, draining or have departed recently.
+    `names` includes endpoints that are silent, draining or have departed.
     `has_primary` tells whether the primary that acknowledged the commits is one of
     them.
     """
@@ -154,11 +154,9 @@
     has_primary: bool
 
 
-def commit_holders(
-    directory: EndpointDirectory, group: str, now_ms: float
-) -> CommitHolders:
+def commit_holders(directory: EndpointDirectory, group: str) -> CommitHolders:
     """Return the endpoints of a group that may hold acknowledged commits."""
-    members = directory.group(group) + directory.former_members(group, now_ms)
+    members = directory.group(group) + directory.former_members(group)
     return CommitHolders(
         frozenset(member.endpoint for member in members),
         any(member.is_primary for member in members),
--- a/src/azurerelay/discovery/_endpoint_directory.py
+++ b/src/azurerelay/discovery/_endpoint_directory.py
@@ -11,10 +11,9 @@
     is_valid_announcement,
     is_valid_departure,
 )
+from azurerelay.discovery._former_members import FormerMembers
 
 DEPARTURE_RETENTION_MS: Final = 60_000.0  # longer than any heartbeat is delayed
-# The other endpoints of a group have received the commits of a removed one by then.
-FORMER_MEMBER_RETENTION_MS: Final = 60_000.0
 # Removed endpoints that are remembered, so that hosts which missed a few changes get
 # the difference instead of the whole directory.
 MAX_KEPT_REMOVALS: Final = 256
@@ -39,8 +38,9 @@
         self._announcements: dict[str, Announcement] = {}
         self._last_heard_ms: dict[str, float] = {}
         self._departures: dict[str, tuple[Departure, float]] = {}
-        self._former_members: dict[str, tuple[Announcement, float]] = {}
+        self._former_members = FormerMembers()
         self._claims: dict[str, int] = {}
+        self._claimed_ms: dict[str, float] = {}
         self._claim_count = 0
         self._revision = 0
         # The revision of the last change of each endpoint, departure and removal.
@@ -77,17 +77,12 @@
         """Return the endpoints of a group."""
         return tuple(r for r in self._announcements.values() if r.group == name)
 
-    def former_members(self, group: str, now_ms: float) -> tuple[Announcement, ...]:
-        """Return the endpoints of a group that departed or expired recently.
+    def former_members(self, group: str) -> tuple[Announcement, ...]:
+        """Return removed endpoints of a group that may hold commits no other has.
 
         Endpoints whose log was transferred to a successor are left out.
         """
-        return tuple(
-            announcement
-            for announcement, removed_ms in self._former_members.values()
-            if announcement.group == group
-            and now_ms - removed_ms <= FORMER_MEMBER_RETENTION_MS
-        )
+        return self._former_members.group(group)
 
     def primaries(self, group: str) -> tuple[Announcement, ...]:
         """Return the endpoints that claim to be the primary, the newest claim first.
@@ -146,8 +141,8 @@
             if rank > (is_configured, announcement.incarnation):
                 return False
             self._remove(other.endpoint, now_ms)
-        self._forget_former_members(announcement)
-        self._record_claim(known, announcement)
+        self._former_members.forget_returned(announcement)
+        self._record_claim(known, announcement, now_ms)
         self._announcements[announcement.endpoint] = announcement
         self._last_heard_ms[announcement.endpoint] = now_ms
         if not is_equivalent:
@@ -203,9 +198,7 @@
         )
         for name in silent:
             self._remove(name, now_ms)
-        for name, (_, removed_ms) in list(self._former_members.items()):
-            if now_ms - removed_ms > FORMER_MEMBER_RETENTION_MS:
-                del self._former_members[name]
+        self._former_members.forget_outdated(self._primary_reports)
         for name, (_, since_ms) in list(self._departures.items()):
             if now_ms - since_ms > DEPARTURE_RETENTION_MS:
                 del self._departures[name]
@@ -223,7 +216,9 @@
             and other.endpoint != announcement.endpoint
         )
 
-    def _record_claim(self, known: Announcement | None, new: Announcement) -> None:
+    def _record_claim(
+        self, known: Announcement | None, new: Announcement, now_ms: float
+    ) -> None:
         is_claim_new = (
             known is None
             or not known.is_primary
@@ -232,27 +227,23 @@
         if new.is_primary and is_claim_new:
             self._claim_count += 1
             self._claims[new.endpoint] = self._claim_count
+            self._claimed_ms[new.endpoint] = now_ms
 
-    def _forget_former_members(self, announcement: Announcement) -> None:
-        """Forget former members that returned, or whose successor has announced itself.
-
-        The log of a drained endpoint is transferred to its successor at its address.
-        """
-        for name, (former, _) in list(self._former_members.items()):
-            is_succeeded = (
-                former.is_draining
-                and former.group == announcement.group
-                and former.address == announcement.address
-            )
-            if name == announcement.endpoint or is_succeeded:
-                del self._former_members[name]
+    def _primary_reports(self, group: str) -> tuple[float, float] | None:
+        """Return when the primary of a group first and last reported as such."""
+        primaries = self.primaries(group)
+        if not primaries:
+            return None
+        name = primaries[0].endpoint
+        return self._claimed_ms[name], self._last_heard_ms[name]
 
     def _remove(self, endpoint: str, now_ms: float) -> None:
         removed = self._announcements.pop(endpoint, None)
         if removed is not None:
-            self._former_members[endpoint] = (removed, now_ms)
+            self._former_members.add(removed, now_ms)
         self._last_heard_ms.pop(endpoint, None)
         self._claims.pop(endpoint, None)
+        self._claimed_ms.pop(endpoint, None)
         self._changed_at.pop(endpoint, None)
         self._revision += 1
         self._removed_at[endpoint] = self._revision
--- a/tests/test_durability.py
+++ b/tests/test_durability.py
@@ -85,6 +85,22 @@
         self.assertIs(self.rig.primary(), holder)
         self.assertEqual(self._waiting_groups(), 0.0)
 
+    def test_a_promotion_waits_for_endpoints_that_have_been_gone_for_minutes(
+        self,
+    ) -> None:
+        """Without a primary, nobody receives the commits that they hold."""
+        deaf, holder = self.rig.first_replica, self.rig.second_replica
+        self.rig.let_only(holder, deaf)
+        holder.crash(silent=True)
+        self.rig.first_primary.crash(silent=True)
+        self.rig.timers.advance(180_000.0)
+        self.assertEqual(self.rig.lost_commits, [])
+        self.assertEqual(self.rig.promotions.orders, [])
+        holder.restart()
+        self.rig.wait_for(self.rig.is_replaced)
+        self.assertEqual(self.rig.lost_commits, [])
+        self.assertIs(self.rig.primary(), holder)
+
     def test_a_primary_that_returns_ends_the_wait(self) -> None:
         deaf, holder = self.rig.first_replica, self.rig.second_replica
         self.rig.let_only(holder, deaf)
@@ -344,17 +360,46 @@
             )
             directory.merge(announcement, 0.0)
         directory.merge_departure(Departure("departed", 1), 1.0)
-        found = commit_holders(directory, GROUP, 2.0)
+        found = commit_holders(directory, GROUP)
         self.assertEqual(found.names, {"silent", "draining", "departed"})
         self.assertFalse(found.has_primary)
         directory.merge(self._announcement("draining", sequence=2), 12_000.0)
         directory.expire(10_000.0, 12_001.0)
-        found = commit_holders(directory, GROUP, 12_002.0)
+        found = commit_holders(directory, GROUP)
         self.assertEqual(found.names, {"silent", "draining", "departed"})
-        later_ms = 80_000.0
-        directory.expire(100_000.0, later_ms)
-        found = commit_holders(directory, GROUP, later_ms)
-        self.assertEqual(found.names, {"draining"})
+        directory.expire(100_000.0, 80_000.0)
+        found = commit_holders(directory, GROUP)
+        self.assertEqual(found.names, {"silent", "draining", "departed"})
+
+    def test_endpoints_are_counted_until_a_primary_has_reported_for_a_minute(
+        self,
+    ) -> None:
+        directory = EndpointDirectory()
+        directory.merge(self._announcement("gone"), 0.0)
+        directory.merge_departure(Departure("gone", 1), 1.0)
+
+        def counted_at(now_ms: float, primary: Announcement | None) -> set[str]:
+            if primary is not None:
+                directory.merge(primary, now_ms)
+            directory.expire(12_000.0, now_ms)
+            return set(commit_holders(directory, GROUP).names)
+
+        def report(sequence: int, incarnation: int = 1) -> Announcement:
+            return self._announcement(
+                "lead", is_primary=True, sequence=sequence, incarnation=incarnation
+            )
+
+        # The primary reports again when nothing has reported for minutes.
+        self.assertEqual(counted_at(10_000.0, report(1)), {"gone", "lead"})
+        self.assertEqual(counted_at(200_000.0, None), {"gone", "lead"})
+        self.assertEqual(counted_at(200_100.0, report(2)), {"gone", "lead"})
+        self.assertEqual(counted_at(211_000.0, report(3)), {"gone", "lead"})
+        # A restart of the primary interrupts its reports, too.
+        self.assertEqual(counted_at(222_000.0, report(1, 2)), {"gone", "lead"})
+        for sequence in range(2, 8):
+            now_ms = 222_000.0 + (sequence - 1) * 10_000.0
+            self.assertEqual(counted_at(now_ms, report(sequence, 2)), {"gone", "lead"})
+        self.assertEqual(counted_at(282_100.0, report(8, 2)), {"lead"})
 
     def test_an_endpoint_that_returns_or_has_a_successor_is_counted_once(self) -> None:
         directory = EndpointDirectory()
@@ -368,16 +413,16 @@
         # The address of an endpoint that did not drain may pass on without its log.
         taker = self._announcement("taker", address=_address("replaced"), incarnation=2)
         directory.merge(taker, 4.0)
-        found = commit_holders(directory, GROUP, 5.0)
+        found = commit_holders(directory, GROUP)
         self.assertEqual(found.names, {"crashed", "new", "replaced", "taker"})
 
     def test_a_former_primary_is_counted_as_the_primary(self) -> None:
         directory = EndpointDirectory()
         directory.merge(self._announcement("a", is_primary=True), 0.0)
         directory.merge(self._announcement("b"), 0.0)
-        self.assertTrue(commit_holders(directory, GROUP, 1.0).has_primary)
+        self.assertTrue(commit_holders(directory, GROUP).has_primary)
         directory.merge_departure(Departure("a", 1), 1.0)
-        self.assertTrue(commit_holders(directory, GROUP, 2.0).has_primary)
+        self.assertTrue(commit_holders(directory, GROUP).has_primary)
 
 
 if __name__ == "__main__":
