Control hosts keep removed endpoints that may hold commits across restarts

Cause: only the memory of a control host knew the endpoints that had been removed. A host that started knew the listed ones alone, and one answer out of one known endpoint sufficed for a promotion.

Evidence: test_control_hosts_that_restart_still_count_the_endpoints_that_are_ gone.

Change: directory.cache and the leader's digest hold the former members. Hosts of an earlier build ignore the new field, and send none. The rig of the tests restarts control hosts with the directory that they have saved.

Changed check: test_a_departure_is_saved_before_it_is_acknowledged compares the whole saved directory, which has the departed endpoint as a former member now.

--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -422,10 +422,13 @@
         return self._replicator.deregister(endpoint, incarnation)
 
     def restore_directory(
-        self, announcements: Iterable[Announcement], departures: Iterable[Departure]
+        self,
+        announcements: Iterable[Announcement],
+        departures: Iterable[Departure],
+        former_members: Iterable[Announcement] = (),
     ) -> None:
         """Load the directory that was saved before a restart."""
-        self._replicator.restore(announcements, departures)
+        self._replicator.restore(announcements, departures, former_members)
 
     def _record_refused_entry(self, endpoint: str) -> None:
         self._events.record(
--- a/src/azurerelay/cluster/_directory_replicator.py
+++ b/src/azurerelay/cluster/_directory_replicator.py
@@ -142,7 +142,10 @@
         self._link.send(sender, LeaveReply(request.request_id, is_noted))
 
     def restore(
-        self, announcements: Iterable[Announcement], departures: Iterable[Departure]
+        self,
+        announcements: Iterable[Announcement],
+        departures: Iterable[Departure],
+        former_members: Iterable[Announcement] = (),
     ) -> None:
         """Load the directory that was saved before a restart.
 
@@ -154,6 +157,11 @@
             self.merge_departure(departure)
         for announcement in announcements:
             self.merge_announcement(announcement)
+        self.merge_former_members(former_members)
+
+    def merge_former_members(self, announcements: Iterable[Announcement]) -> None:
+        """Add removed endpoints that may hold commits no other has."""
+        self._directory.merge_former_members(announcements, self._timers.now_ms())
 
     def merge_announcement(self, announcement: Announcement) -> None:
         """Add an announcement, unless it is out of date."""
@@ -197,6 +205,7 @@
             self._directory.departures,
             fleet.entry_hosts,
             fleet.control_hosts,
+            self._directory.former_members.announcements,
         )
 
     def follow_leader(self) -> None:
@@ -231,5 +240,6 @@
         self._directory.merge_all(
             digest.announcements, digest.departures, self._timers.now_ms()
         )
+        self.merge_former_members(digest.former_members)
         if self._directory.revision != before:
             self._on_change()
--- a/src/azurerelay/cluster/_messages.py
+++ b/src/azurerelay/cluster/_messages.py
@@ -52,12 +52,14 @@
 
     `entry_hosts` is the number of entry hosts in the fleet. `control_hosts` tells the
     failure domains of the control hosts, which only the leader is told directly.
+    `former_members` are removed endpoints that may hold commits no other has.
     """
 
     announcements: tuple[Announcement, ...]
     departures: tuple[Departure, ...]
     entry_hosts: int
     control_hosts: tuple[ControlHost, ...] = ()
+    former_members: tuple[Announcement, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurerelay/cluster/_promotion_policy.py
+++ b/src/azurerelay/cluster/_promotion_policy.py
@@ -156,7 +156,7 @@
 
 def commit_holders(directory: EndpointDirectory, group: str) -> CommitHolders:
     """Return the endpoints of a group that may hold acknowledged commits."""
-    members = directory.group(group) + directory.former_members(group)
+    members = directory.group(group) + directory.former_members.group(group)
     return CommitHolders(
         frozenset(member.endpoint for member in members),
         any(member.is_primary for member in members),
--- a/src/azurerelay/discovery/_endpoint_directory.py
+++ b/src/azurerelay/discovery/_endpoint_directory.py
@@ -11,7 +11,7 @@
     is_valid_announcement,
     is_valid_departure,
 )
-from azurerelay.discovery._former_members import FormerMembers
+from azurerelay.discovery._former_members import FormerMembers, is_replaced
 
 DEPARTURE_RETENTION_MS: Final = 60_000.0  # longer than any heartbeat is delayed
 # Removed endpoints that are remembered, so that hosts which missed a few changes get
@@ -65,6 +65,14 @@
         """The endpoints that departed recently."""
         return tuple(departure for departure, _ in self._departures.values())
 
+    @property
+    def former_members(self) -> FormerMembers:
+        """The removed endpoints that may hold commits no other endpoint has.
+
+        Endpoints whose log was transferred to a successor are left out.
+        """
+        return self._former_members
+
     def set_groups(self, groups: Iterable[str]) -> None:
         """Set the names of the configured groups."""
         self._groups = frozenset(groups)
@@ -77,13 +85,6 @@
         """Return the endpoints of a group."""
         return tuple(r for r in self._announcements.values() if r.group == name)
 
-    def former_members(self, group: str) -> tuple[Announcement, ...]:
-        """Return removed endpoints of a group that may hold commits no other has.
-
-        Endpoints whose log was transferred to a successor are left out.
-        """
-        return self._former_members.group(group)
-
     def primaries(self, group: str) -> tuple[Announcement, ...]:
         """Return the endpoints that claim to be the primary, the newest claim first.
 
@@ -181,6 +182,18 @@
         ):
             self._remove(departure.endpoint, now_ms)
 
+    def merge_former_members(
+        self, announcements: Iterable[Announcement], now_ms: float
+    ) -> None:
+        """Add the former members known to another host or before a restart."""
+        for former in announcements:
+            if self._former_members.includes(former):
+                continue
+            if not is_valid_announcement(former):
+                self._on_refused(former.endpoint)
+            elif not any(is_replaced(former, a) for a in self.group(former.group)):
+                self._former_members.add(former, now_ms)
+
     def forget(self, endpoint: str, now_ms: float) -> None:
         """Remove an endpoint; also an older announcement of it is then accepted."""
         if endpoint in self._announcements:
--- a/src/azurerelay/discovery/_former_members.py
+++ b/src/azurerelay/discovery/_former_members.py
@@ -20,14 +20,32 @@
 
     def __init__(self) -> None:
         self._members: dict[str, tuple[Announcement, float]] = {}
+        self._revision = 0
+
+    @property
+    def revision(self) -> int:
+        """A counter of the changes."""
+        return self._revision
+
+    @property
+    def announcements(self) -> tuple[Announcement, ...]:
+        """The last announcements of all former members."""
+        return tuple(announcement for announcement, _ in self._members.values())
 
     def add(self, announcement: Announcement, now_ms: float) -> None:
-        """Record an endpoint that has been removed from the directory."""
-        self._members[announcement.endpoint] = (announcement, now_ms)
+        """Record an endpoint that has been removed, unless it is known already."""
+        if not self.includes(announcement):
+            self._members[announcement.endpoint] = (announcement, now_ms)
+            self._revision += 1
+
+    def includes(self, announcement: Announcement) -> bool:
+        """Return whether this or a newer announcement of a former member is known."""
+        known = self._members.get(announcement.endpoint)
+        return known is not None and known[0].recency >= announcement.recency
 
     def group(self, name: str) -> tuple[Announcement, ...]:
         """Return the former members of a group."""
-        return tuple(a for a, _ in self._members.values() if a.group == name)
+        return tuple(a for a in self.announcements if a.group == name)
 
     def forget_returned(self, announcement: Announcement) -> None:
         """Forget the members that an announcement replaces.
@@ -36,13 +54,8 @@
         transferred to the successor.
         """
         for name, (former, _) in list(self._members.items()):
-            is_succeeded = (
-                former.is_draining
-                and former.group == announcement.group
-                and former.address == announcement.address
-            )
-            if name == announcement.endpoint or is_succeeded:
-                del self._members[name]
+            if is_replaced(former, announcement):
+                self._forget(name)
 
     def forget_outdated(
         self, primary_reports: Callable[[str], tuple[float, float] | None]
@@ -58,4 +71,18 @@
                 continue
             first_ms, last_ms = reports
             if last_ms - max(first_ms, removed_ms) > FORMER_MEMBER_RETENTION_MS:
-                del self._members[name]
+                self._forget(name)
+
+    def _forget(self, name: str) -> None:
+        del self._members[name]
+        self._revision += 1
+
+
+def is_replaced(former: Announcement, announcement: Announcement) -> bool:
+    """Return whether a removed endpoint has returned or has got a successor."""
+    is_succeeded = (
+        former.is_draining
+        and former.group == announcement.group
+        and former.address == announcement.address
+    )
+    return former.endpoint == announcement.endpoint or is_succeeded
--- a/src/azurerelay/hosts/_control_host.py
+++ b/src/azurerelay/hosts/_control_host.py
@@ -124,7 +124,9 @@
             LINK_SWEEP_INTERVAL_MS, self._link.close_unused_connections
         )
         saved = self._cache.load()
-        self._node.restore_directory(saved.announcements, saved.departures)
+        self._node.restore_directory(
+            saved.announcements, saved.departures, saved.former_members
+        )
         self._node.start()
         self._cache.start()
         await self._service.start()
--- a/src/azurerelay/hosts/_directory_cache.py
+++ b/src/azurerelay/hosts/_directory_cache.py
@@ -22,10 +22,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SavedDirectory:
-    """The endpoints of a directory, and those that departed recently."""
+    """The endpoints of a directory, and those that departed recently.
+
+    `former_members` are removed endpoints that may hold commits no other has.
+    """
 
     announcements: tuple[Announcement, ...] = ()
     departures: tuple[Departure, ...] = ()
+    former_members: tuple[Announcement, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +38,7 @@
 
     announcements: tuple[msgspec.Raw, ...] = ()
     departures: tuple[msgspec.Raw, ...] = ()
+    former_members: tuple[msgspec.Raw, ...] = ()
 
 
 # Earlier builds saved the announcements alone.
@@ -53,7 +58,7 @@
         self._disk = disk
         self._directory = directory
         self._task: asyncio.Task[None] | None = None
-        self._saved_revision = -1
+        self._saved_revision = (-1, -1)
         self._lock = asyncio.Lock()
 
     def load(self) -> SavedDirectory:
@@ -72,6 +77,7 @@
         return SavedDirectory(
             _decode_entries(saved.announcements, _ANNOUNCEMENT_DECODER),
             _decode_entries(saved.departures, _DEPARTURE_DECODER),
+            _decode_entries(saved.former_members, _ANNOUNCEMENT_DECODER),
         )
 
     def start(self) -> None:
@@ -103,7 +109,8 @@
         An error must not end the periodic task.
         """
         async with self._lock:
-            revision = self._directory.revision
+            former_members = self._directory.former_members
+            revision = (self._directory.revision, former_members.revision)
             if revision == self._saved_revision:
                 return
             try:
@@ -117,9 +124,13 @@
 
 
 def _encode_directory(directory: EndpointDirectory) -> bytes:
-    announcements, departures = directory.announcements, directory.departures
+    saved = SavedDirectory(
+        directory.announcements,
+        directory.departures,
+        directory.former_members.announcements,
+    )
     try:
-        return msgspec.msgpack.encode(SavedDirectory(announcements, departures))
+        return msgspec.msgpack.encode(saved)
     except Exception as error:
         logging.warning(
             "leaving out the entries of %s that cannot be encoded: %s",
@@ -128,8 +139,9 @@
         )
     return msgspec.msgpack.encode(
         SavedDirectory(
-            tuple(entry for entry in announcements if _is_encodable(entry)),
-            tuple(entry for entry in departures if _is_encodable(entry)),
+            tuple(entry for entry in saved.announcements if _is_encodable(entry)),
+            tuple(entry for entry in saved.departures if _is_encodable(entry)),
+            tuple(entry for entry in saved.former_members if _is_encodable(entry)),
         )
     )
 
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -647,6 +647,8 @@
         self.entries: dict[str, RelayNode] = {}
         self.controls: dict[str, ClusterNode] = {}
         self.disks: dict[str, MemoryDisk] = {}
+        # Announcements, departures and former members, as `DirectoryCache` saves them.
+        self.saved_directories: dict[str, tuple[Any, Any, Any]] = {}
         self.identities: dict[str, str] = {}
         self.scopes: dict[str, ScopedTimerService] = {}
         self.addresses = [f"10.0.0.{n}:7440" for n in range(1, control_hosts + 1)]
@@ -706,15 +708,22 @@
         )
         self.controls[address] = node
         self.scopes[address] = scope
+        node.restore_directory(*self.saved_directories.get(address, ((), (), ())))
         node.start()
         return node
 
     def stop_control(self, address: str, lose_disk: bool = False) -> None:
         self.scopes[address].close()
-        del self.controls[address]
+        directory = self.controls.pop(address).directory
+        self.saved_directories[address] = (
+            directory.announcements,
+            directory.departures,
+            directory.former_members.announcements,
+        )
         self.disks[address].crash(self.random)
         if lose_disk:
             del self.disks[address]
+            del self.saved_directories[address]
 
     def start_entry(self, number: int) -> RelayNode:
         address = f"10.1.0.{number}:7440"
--- a/tests/test_decoder_properties.py
+++ b/tests/test_decoder_properties.py
@@ -238,6 +238,7 @@
     MESSAGES = (
         AnnouncementRelay(announcement()),
         DirectoryDigest((announcement(), announcement(endpoint="e2")), (), 2),
+        DirectoryDigest((), (), 2, former_members=(announcement(endpoint="e3"),)),
         LeaveRequest(1, announcement(), Departure("e1", 1)),
     )
     FRAMES = tuple(CONTROL_LINK_CODEC.encode(message) for message in MESSAGES)
@@ -280,7 +281,11 @@
     @given(
         changed_bytes(
             msgspec.msgpack.encode(
-                SavedDirectory((announcement(),) * 3, (Departure("e2", 7),))
+                SavedDirectory(
+                    (announcement(),) * 3,
+                    (Departure("e2", 7),),
+                    (announcement(endpoint="e3"),),
+                )
             )
         )
         | ODD_FRAMES
@@ -291,8 +296,13 @@
         saved = DirectoryCache(disk, EndpointDirectory()).load()
         directory = EndpointDirectory()
         directory.merge_all(saved.announcements, saved.departures, 0.0)
+        directory.merge_former_members(saved.former_members, 0.0)
         msgspec.msgpack.encode(
-            SavedDirectory(directory.announcements, directory.departures)
+            SavedDirectory(
+                directory.announcements,
+                directory.departures,
+                directory.former_members.announcements,
+            )
         )
 
 
--- a/tests/test_durability.py
+++ b/tests/test_durability.py
@@ -101,6 +101,34 @@
         self.assertEqual(self.rig.lost_commits, [])
         self.assertIs(self.rig.primary(), holder)
 
+    def test_control_hosts_that_restart_still_count_the_endpoints_that_are_gone(
+        self,
+    ) -> None:
+        """A host that starts knows neither them nor what they may hold by itself."""
+        restarts = {
+            "all at once, with their disks": [(self.rig.addresses, False)],
+            "each in turn, without its disk": [([a], True) for a in self.rig.addresses],
+        }
+        for name, steps in restarts.items():
+            with self.subTest(name):
+                self.rig = SynchronousRig()
+                deaf, holder = self.rig.first_replica, self.rig.second_replica
+                self.rig.let_only(holder, deaf)
+                holder.crash(silent=True)
+                self.rig.first_primary.crash(silent=True)
+                self.rig.timers.advance(20_000.0)
+                for addresses, loses_disk in steps:
+                    for address in addresses:
+                        self.rig.stop_control(address, loses_disk)
+                    for address in addresses:
+                        self.rig.start_control(address)
+                    self.rig.timers.advance(20_000.0)
+                self.assertEqual(self.rig.lost_commits, [])
+                self.assertEqual(self.rig.promotions.orders, [])
+                holder.restart()
+                self.rig.wait_for(self.rig.is_replaced)
+                self.assertEqual(self.rig.lost_commits, [])
+
     def test_a_primary_that_returns_ends_the_wait(self) -> None:
         deaf, holder = self.rig.first_replica, self.rig.second_replica
         self.rig.let_only(holder, deaf)
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -402,7 +402,8 @@
 
         asyncio.run(depart())
         saved = DirectoryCache(disk, EndpointDirectory()).load()
-        self.assertEqual(saved, SavedDirectory((), (Departure("e1", 1),)))
+        departures = (Departure("e1", 1),)
+        self.assertEqual(saved, SavedDirectory((), departures, (announcement(),)))
 
 
 class SocketsTest(unittest.TestCase):
