Entry hosts remember no endpoints that are gone

Seen while reading the code of former members: an entry host kept the last announcement of every endpoint that it ever removed, for as long as it ran, and searched all of them at each announcement. Callers saw nothing yet.

Cause: let every directory remember removed endpoints, and only control hosts expire them.

Evidence: test_entry_hosts_remember_no_endpoints_that_are_gone failed before.

Change: the directory of an entry host does not remember them.

tests.test_attachment, test_durability, test_odd_entries, test_cluster pass.

--- a/src/azurerelay/discovery/_endpoint_directory.py
+++ b/src/azurerelay/discovery/_endpoint_directory.py
@@ -31,10 +31,19 @@
 
     Once `set_groups` has named the configured groups, an announcement of another group
     replaces none of theirs, neither by its name nor by its address.
+
+    Only a directory that `keeps_former_members` remembers removed endpoints, as
+    promotions need it.
     """
 
-    def __init__(self, on_refused: Callable[[str], object] = lambda _: None) -> None:
+    def __init__(
+        self,
+        on_refused: Callable[[str], object] = lambda _: None,
+        *,
+        keeps_former_members: bool = True,
+    ) -> None:
         self._on_refused = on_refused
+        self._keeps_former_members = keeps_former_members
         self._announcements: dict[str, Announcement] = {}
         self._last_heard_ms: dict[str, float] = {}
         self._departures: dict[str, tuple[Departure, float]] = {}
@@ -252,7 +261,7 @@
 
     def _remove(self, endpoint: str, now_ms: float) -> None:
         removed = self._announcements.pop(endpoint, None)
-        if removed is not None:
+        if removed is not None and self._keeps_former_members:
             self._former_members.add(removed, now_ms)
         self._last_heard_ms.pop(endpoint, None)
         self._claims.pop(endpoint, None)
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -70,7 +70,9 @@
         self._timers = timers
         self._random = random_source
         self._events = events
-        self._directory = EndpointDirectory(self._record_refused_entry)
+        self._directory = EndpointDirectory(
+            self._record_refused_entry, keeps_former_members=False
+        )
         self._listed_endpoints: set[str] = set()
         self._groups: dict[str, GroupConnections] = {}
         self._removed_groups: list[GroupConnections] = []
--- a/tests/test_attachment.py
+++ b/tests/test_attachment.py
@@ -106,6 +106,17 @@
         self.rig.timers.advance(500.0)
         self.assertEqual(self.pushed, [1] * 6)
 
+    def test_entry_hosts_remember_no_endpoints_that_are_gone(self) -> None:
+        """Only promotions need them; at entry hosts they were kept for ever."""
+        server = self.rig.servers[f"{GROUP}-3-2"]
+        server.is_up = False
+        for node in self.rig.controls.values():
+            node.deregister(server.name, server.incarnation)
+        self.rig.timers.advance(5_000.0)
+        for entry in self.rig.entries.values():
+            self.assertIsNone(entry.directory.get(server.name))
+            self.assertEqual(entry.directory.former_members.announcements, ())
+
     def test_a_push_that_could_not_be_sent_is_sent_with_the_next_one(self) -> None:
         """It was noted as sent, and the host lacked the change until it asked again."""
         deliver, failures = self.rig.deliver, 0
