Former members of groups that are not configured are not kept for ever

Cause: a group that is not configured never has a primary whose reports could end the time for which its former members are kept.

Evidence: test_endpoints_of_groups_that_are_not_configured_are_not_kept_for_ever fails on the sources before.

--- a/src/azurerelay/discovery/_endpoint_directory.py
+++ b/src/azurerelay/discovery/_endpoint_directory.py
@@ -11,7 +11,11 @@
     is_valid_announcement,
     is_valid_departure,
 )
-from azurerelay.discovery._former_members import FormerMembers, is_replaced
+from azurerelay.discovery._former_members import (
+    FormerMembers,
+    PrimaryReports,
+    is_replaced,
+)
 
 DEPARTURE_RETENTION_MS: Final = 60_000.0  # longer than any heartbeat is delayed
 # Removed endpoints that are remembered, so that hosts which missed a few changes get
@@ -220,7 +224,9 @@
         )
         for name in silent:
             self._remove(name, now_ms)
-        self._former_members.forget_outdated(self._primary_reports)
+        self._former_members.forget_outdated(
+            self._primary_reports(), self._is_configured, now_ms
+        )
         for name, (_, since_ms) in list(self._departures.items()):
             if now_ms - since_ms > DEPARTURE_RETENTION_MS:
                 del self._departures[name]
@@ -251,13 +257,18 @@
             self._claims[new.endpoint] = self._claim_count
             self._claimed_ms[new.endpoint] = now_ms
 
-    def _primary_reports(self, group: str) -> tuple[float, float] | None:
-        """Return when the primary of a group first and last reported as such."""
-        primaries = self.primaries(group)
-        if not primaries:
-            return None
-        name = primaries[0].endpoint
-        return self._claimed_ms[name], self._last_heard_ms[name]
+    def _primary_reports(self) -> dict[str, PrimaryReports]:
+        """Return the reports of the primary with the newest claim, by group."""
+        newest: dict[str, str] = {}
+        for name, announcement in self._announcements.items():
+            if announcement.is_primary:
+                other = newest.get(announcement.group)
+                if other is None or self._claims[name] > self._claims[other]:
+                    newest[announcement.group] = name
+        return {
+            group: PrimaryReports(self._claimed_ms[name], self._last_heard_ms[name])
+            for group, name in newest.items()
+        }
 
     def _remove(self, endpoint: str, now_ms: float) -> None:
         removed = self._announcements.pop(endpoint, None)
--- a/tests/test_durability.py
+++ b/tests/test_durability.py
@@ -429,6 +429,21 @@
             self.assertEqual(counted_at(now_ms, report(sequence, 2)), {"gone", "lead"})
         self.assertEqual(counted_at(282_100.0, report(8, 2)), {"lead"})
 
+    def test_endpoints_of_groups_that_are_not_configured_are_not_kept_for_ever(
+        self,
+    ) -> None:
+        """Any program may report endpoints of unknown groups, under ever new names."""
+        directory = EndpointDirectory()
+        directory.set_groups({GROUP})
+        for name, group in (("odd", "unknown"), ("gone", GROUP)):
+            directory.merge(self._announcement(name, group=group), 0.0)
+        directory.expire(12_000.0, 20_000.0)
+        former = {a.endpoint for a in directory.former_members.announcements}
+        self.assertEqual(former, {"odd", "gone"})
+        directory.expire(12_000.0, 81_000.0)
+        former = {a.endpoint for a in directory.former_members.announcements}
+        self.assertEqual(former, {"gone"})
+
     def test_an_endpoint_that_returns_or_has_a_successor_is_counted_once(self) -> None:
         directory = EndpointDirectory()
         for name in ("left", "crashed", "replaced"):
