--- a/tests/test_durability.py
+++ b/tests/test_durability.py
@@ -48,6 +48,7 @@
     def test_a_deaf_replica_is_not_promoted_because_the_other_one_answers_late(
         self,
     ) -> None:
+        """One answer was enough, and acknowledged commits were lost."""
         deaf, holder = self.rig.first_replica, self.rig.second_replica
         self.rig.let_only(holder, deaf)
         holder.status_delay_ms = 480.0
@@ -68,6 +69,7 @@
     def test_a_promotion_waits_for_a_silent_endpoint_that_may_hold_commits(
         self,
     ) -> None:
+        """The only endpoint that answered was promoted without them."""
         deaf, holder = self.rig.first_replica, self.rig.second_replica
         self.rig.let_only(holder, deaf)
         holder.crash(silent=True)
@@ -234,7 +236,7 @@
         self.rig.write()
 
     def test_no_commit_is_acknowledged_between_the_query_and_the_switch(self) -> None:
-        """The chosen replica received nothing more, and the other one all commits."""
+        """The chosen replica lacked what the other one received before the switch."""
         for seed in range(1, 5):
             with self.subTest(seed=seed):
                 self._start_rig(seed)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -74,6 +74,7 @@
     def test_a_heartbeat_with_an_odd_field_is_refused_with_the_name_of_the_field(
         self,
     ) -> None:
+        """A number beyond 64 bits was accepted, and then no message could be encoded."""
         for key, value in ODD_FIELDS:
             with self.subTest(key=key, value=str(value)[:30]):
                 decoded = decode_announcement("i-1", heartbeat(**{key: value}))
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -126,6 +126,7 @@
         self.advance(self.stop_started_ms + since_stop_ms - self.rig.timers.now_ms())
 
     def test_a_statement_that_waits_for_a_connection_is_not_cut_off(self) -> None:
+        """Its connection was closed without an answer, though no endpoint had it."""
         *senders, waiter = (self.host.connect() for _ in range(3))
         self.rig.primary().work_ms = 20_000.0
         for sender in senders:
@@ -148,6 +149,7 @@
         self.assert_refused(caller, waiting, "BUSY")
 
     def test_a_statement_sent_shortly_before_the_stop_is_not_cut_off(self) -> None:
+        """All connections were closed while the endpoint was still at work on it."""
         self.rig.primary().work_ms = 300.0
         for replica in self.rig.replicas():
             replica.work_ms = 300.0
