Test of sessions that move while primaries change

Traced: high-1 was promoted at 58,434.7 ms without 10.902, whose acknowledgement was under way and reached the caller at 58,439.5 ms. The read need not see a commit that a promotion has rolled back (the rule of stale reads says so), so the relay did nothing wrong: the rig forgot rolled back commits only if they had been acknowledged before the switch.

--- a/tests/test_moved_database.py
+++ b/tests/test_moved_database.py
@@ -122,6 +122,25 @@
                     self._take_step(rig, choices, sessions)
                 self.assertEqual(rig.stale_reads, [])
 
+    def test_random_moves_while_primaries_change(self) -> None:
+        """A promotion may roll back the write that a session must read."""
+        for seed in (*range(RANDOM_RUNS // 2), 127):
+            with self.subTest(seed=seed):
+                rig = MovedRig(seed)
+                rig.start_with(LOW)
+                choices = random.Random(seed)
+                for server in rig.servers.values():
+                    server.lag_ms = choices.choice([20.0, 300.0, 3_000.0])
+                sessions = [rig.open("own", entry=2) for _ in range(4)]
+                for session in sessions:
+                    rig.run(session, "PREPARE w WRITE s")
+                for _ in range(RANDOM_STEPS):
+                    if choices.random() < 0.08:
+                        replicas = rig.replicas(choices.choice((LOW, HIGH)))
+                        rig.make_primary(choices.choice(replicas))
+                    self._take_step(rig, choices, sessions)
+                self.assertEqual(rig.stale_reads, [])
+
     def _take_step(
         self, rig: MovedRig, choices: random.Random, sessions: list[CallerSession]
     ) -> None:
