An entry of the log counts as durable only once it is stored

Cause: a leader appends an entry and stores it with its next flush. If it steps down before that, the flush does nothing, and the next request of the new leader set the durable index to the end of the log, whatever had been stored. A lost first message of the new leader leaves the entry in place.

Change: a follower stores whatever its log has beyond the durable index, and a truncation lowers the index.

--- a/src/azurerelay/consensus/_raft_node.py
+++ b/src/azurerelay/consensus/_raft_node.py
@@ -777,16 +777,23 @@
         return AppendReply(self._term, request.round, True, match_index)
 
     def _append_new(self, entries: tuple[Entry, ...]) -> None:
+        """Store the entries that the log lacks.
+
+        So are entries that this host has appended as the leader and not flushed yet.
+        """
+        has_new = False
         for position, entry in enumerate(entries):
             if self._log.term_at(entry.index) == entry.term:
                 continue
             if entry.index <= self._log.last_index:
                 self._log.truncate_from(entry.index)
+                self._durable_index = min(self._durable_index, entry.index - 1)
             self._log.append(entries[position:])
-            self._journal.append(entries[position:])
-            self._refresh_voters()
+            has_new = True
             break
-        self._durable_index = self._log.last_index
+        self._sync_log()
+        if has_new:
+            self._refresh_voters()
 
     def _on_snapshot_chunk(self, sender: str, chunk: SnapshotChunk) -> None:
         if chunk.term < self._term:
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -1,7 +1,7 @@
 import unittest
 from typing import Any
 
-from azurerelay.consensus import AppendReply, Journal, SnapshotChunk
+from azurerelay.consensus import AppendReply, AppendRequest, Journal, SnapshotChunk
 from azurerelay.storage import MemoryDisk
 from tests.consensus_rig import ConsensusRig
 
@@ -27,6 +27,41 @@
         rig.timers.advance(1_000)
         self.assertEqual(rig.applied(lost), [b"a", b"b"])
 
+    def test_an_entry_is_not_durable_before_it_is_stored(self) -> None:
+        """A leader that stepped down before a flush left a gap in its journal.
+
+        The first message of the next leader, with the entry that replaces the one that
+        was not flushed, is lost; its heartbeat arrives.
+        """
+        for seed in range(1, 11):
+            with self.subTest(seed=seed):
+                rig = ConsensusRig(seed=seed)
+                rig.propose(b"a")
+                rig.timers.advance(200)
+                leader = rig.wait_for_leader()
+                name = rig.name_of(leader)
+                successor = next(other for other in rig.names if other != name)
+                index = leader.log.last_index
+                heartbeat = AppendRequest(
+                    leader.term + 1,
+                    0,
+                    index,
+                    leader.log.term_at(index) or 0,
+                    leader.commit_index,
+                    (),
+                )
+                leader.propose(b"not flushed")
+                leader.on_message(successor, heartbeat)
+                rig.timers.advance(3_000)
+                self.assertTrue(rig.propose(b"b"))
+                rig.timers.advance(300)
+                rig.crash(name)
+                self.assertTrue(Journal(rig.disks[name]).load().is_ok())
+                rig.start(name)
+                rig.timers.advance(3_000)
+                applied = rig.applied(name)
+                self.assertEqual([applied[0], applied[-1]], [b"a", b"b"])
+
     def test_an_isolated_voter_rejoins_without_an_election(self) -> None:
         rig = ConsensusRig()
         leader = rig.wait_for_leader()
