--- a/src/azurerelay/consensus/_raft_node.py
+++ b/src/azurerelay/consensus/_raft_node.py
@@ -777,9 +777,10 @@
         return AppendReply(self._term, request.round, True, match_index)
 
     def _append_new(self, entries: tuple[Entry, ...]) -> None:
-        """Store the entries that the log lacks.
+        """Append the entries that the log lacks, and store all that is not durable.
 
-        So are entries that this host has appended as the leader and not flushed yet.
+        That may include an entry that this host appended as the leader of an earlier
+        term, if it stepped down before the flush.
         """
         has_new = False
         for position, entry in enumerate(entries):
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -30,8 +30,8 @@
     def test_an_entry_is_not_durable_before_it_is_stored(self) -> None:
         """A leader that stepped down before a flush left a gap in its journal.
 
-        The first message of the next leader, with the entry that replaces the one that
-        was not flushed, is lost; its heartbeat arrives.
+        The next leader's entry, which would replace the one that was not flushed, is
+        lost on its way. Only a heartbeat arrives.
         """
         for seed in range(1, 11):
             with self.subTest(seed=seed):
