Customers: keys of callers, and connections for each customer

What callers saw: with customers in the configuration, any word passed for a key, endpoints were told "azurerelay" as the customer of every statement, and a withdrawn key went on being served.

Cause: no part of the code knew customers. START's second word was dropped.

Change: the configuration document's customers are decoded and checked (a key of two customers, a name twice, a negative rate: findings with their place, without the key). An entry host finds the customer by the caller's key when a session opens and when each operation starts. An endpoint learns the customer when a connection is opened, so pools lend a connection to one customer only; at the limit of the host's share, an idle connection of another customer is closed in its favour. Among waiting statements of one priority, the second of a customer comes after the first of each other one. Leadership proofs take any idle connection.

Without customers in the configuration nothing changes: all callers then share one (empty) customer.

--- a/src/azurerelay/attachment/__init__.py
+++ b/src/azurerelay/attachment/__init__.py
@@ -1,5 +1,6 @@
 """Synchronization between entry hosts and the control hosts they are attached to."""
 
+from azurerelay.attachment._configuration_freshness import ConfigurationFreshness
 from azurerelay.attachment._control_follower import ControlFollower
 from azurerelay.attachment._entry_host_table import EntryHostTable
 from azurerelay.attachment._messages import (
@@ -20,6 +21,7 @@
 
 __all__ = [
     "ATTACHMENT_MESSAGES",
+    "ConfigurationFreshness",
     "ControlFollower",
     "ControlHost",
     "Detach",
--- a/src/azurerelay/attachment/_entry_host_table.py
+++ b/src/azurerelay/attachment/_entry_host_table.py
@@ -290,7 +290,7 @@
 def _is_large(
     change: ConfigurationChange | None, directory: DirectoryUpdate | None
 ) -> bool:
-    routes = len(change.routes) if change else 0
+    routes = len(change.routes) + len(change.customers) if change else 0
     return routes + (len(directory.announcements) if directory else 0) > (
         MAX_PLAIN_CHANGES
     )
--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -60,6 +60,9 @@
 # After a loss of power endpoints count the connections of the dead for three more
 # seconds. All hosts are crowded out then, and connections are about to come free.
 SETTLING_MS: Final = 3_500.0
+# What a new connection takes of an endpoint's slot: between half of a typical statement
+# and twice one. Endpoints do not state it.
+CONNECT_WORK_MS: Final = 12.0
 PROOF_PRIORITY: Final = -1  # before all callers
 DRAINED: Final = ConnectFailed("the endpoint is draining")
 
@@ -107,6 +110,7 @@
         self._created_ms = timers.now_ms()
         self._is_proving = False
         self._next_proof: Promise[Position | None] | None = None
+        self._next_proof_customer = ""
         self._changed: Promise[None] = Promise()
         self._failed_proofs_since_ms: float | None = None
         self._suspect: str | None = None
@@ -218,7 +222,9 @@
 
     # Reads
 
-    def covering_position(self, max_staleness_ms: float) -> Position | None:
+    def covering_position(
+        self, max_staleness_ms: float, customer: str = ""
+    ) -> Position | None:
         """Return a position that covers all commits older than the bound.
 
         None if no such position is known. Starts a proof in time to replace a
@@ -231,11 +237,11 @@
             refresh_ms = min(POSITION_REFRESH_MS, refresh_ms)
         if newest is None or now_ms - newest[0] > refresh_ms:
             if not self._is_proving:
-                self.prove_primary()
+                self.prove_primary(customer)
         return self._samples.covering(now_ms - max_staleness_ms)
 
     def choose_for_read(
-        self, required: Position, excluded: frozenset[str]
+        self, required: Position, excluded: frozenset[str], customer: str = ""
     ) -> EndpointPool | None:
         """Return the pool of the endpoint that should serve a read, None if none can.
 
@@ -265,7 +271,7 @@
                 self._topology.cross_region_penalty_ms(
                     member.pool.endpoint.failure_domain
                 ),
-                member.pool.service_ms,
+                member.pool.service_ms + self._connect_ms(member, customer),
                 member.pool.pending_statements,
                 member.pool.has_free_slot,
                 member.position,
@@ -280,6 +286,16 @@
         )
         return self._members[chosen.name].pool if chosen else None
 
+    def _connect_ms(self, member: _Member, customer: str) -> float:
+        """Return what opening a connection adds to a statement of a customer.
+
+        0 for callers without a customer, whose connections are kept open.
+        """
+        if not customer or member.pool.has_idle_connection(customer):
+            return 0.0
+        domain = member.pool.endpoint.failure_domain
+        return CONNECT_WORK_MS + self._topology.round_trip_ms(domain)
+
     def is_crowded(self, endpoint: str | None = None) -> bool:
         """Return whether other hosts hold the connections that this host needs.
 
@@ -378,14 +394,17 @@
             )
         pool.mark_lost()
 
-    def prove_primary(self) -> Promise[Position | None]:
+    def prove_primary(self, customer: str = "") -> Promise[Position | None]:
         """Prove the primary; return a position that covers all acknowledged commits.
 
         The position covers the commits acknowledged before this call; it is None if
-        the proof fails. Calls during a running proof share the next one.
+        the proof fails. Calls during a running proof share the next one. A proof runs
+        on any connection; one that has to be opened is opened for `customer`, so that a
+        read of that customer can use it afterwards.
         """
         if self._next_proof is None:
             self._next_proof = Promise()
+            self._next_proof_customer = customer
         promise = self._next_proof
         if not self._is_proving:
             spawn(self._run_proofs())
@@ -410,14 +429,14 @@
             while self._next_proof is not None:
                 promise, self._next_proof = self._next_proof, None
                 try:
-                    await self._prove_once(promise)
+                    await self._prove_once(promise, self._next_proof_customer)
                 finally:
                     promise.resolve(None)  # after an unexpected error
         finally:
             # The next call starts a proof again, also after an unexpected error.
             self._is_proving = False
 
-    async def _prove_once(self, proof: Promise[Position | None]) -> None:
+    async def _prove_once(self, proof: Promise[Position | None], customer: str) -> None:
         """Ask the primary for a proof; resolve `proof` with its position, or None."""
         pool = self.primary()
         if pool is None:
@@ -427,7 +446,13 @@
         wait_ms = (
             PROOF_TIMEOUT_MS if pool.open_connection_count else PROOF_CONNECT_TIMEOUT_MS
         )
-        granted = await pool.acquire(PROOF_PRIORITY, SessionProfile(), wait_ms)
+        granted = await pool.acquire(
+            PROOF_PRIORITY,
+            SessionProfile(),
+            wait_ms,
+            customer,
+            accepts_any_customer=True,
+        )
         if isinstance(granted, Err):
             self._record_missing_connection(pool, granted.err_value)
             proof.resolve(None)
--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -206,7 +206,7 @@
             self._write(encode_error_line(CallerError.MALFORMED, "a session is open"))
             self.close()
             return
-        opened = await self._node.open_session(message.database)
+        opened = await self._node.open_session(message.database, message.key)
         self._is_busy = False
         if isinstance(opened, CallerError):
             self._write(encode_error_line(opened, message.database))
--- a/src/azurerelay/hosts/_endpoint_client.py
+++ b/src/azurerelay/hosts/_endpoint_client.py
@@ -69,9 +69,9 @@
         """Send a command and return a promise of its reply."""
         return self._send(encode_command(command), command)
 
-    def start_session(self, endpoint: Announcement) -> ReplyPromise:
+    def start_session(self, endpoint: Announcement, customer: str) -> ReplyPromise:
         """Open the session; an endpoint other than the one named refuses it."""
-        return self._send(encode_session_start(endpoint), OpenSession())
+        return self._send(encode_session_start(endpoint, customer), OpenSession())
 
     def close(self) -> None:
         """Abort the connection; unsent data is discarded."""
@@ -156,11 +156,13 @@
         return self._opened_count
 
     def connect(
-        self, endpoint: Announcement
+        self, endpoint: Announcement, customer: str = ""
     ) -> Promise[Result[EndpointSession, ConnectFailed]]:
         """Open a session; fail if another endpoint has taken over the address."""
         promise: Promise[Result[EndpointSession, ConnectFailed]] = Promise()
-        task = self._loop.create_task(self._connect(endpoint, promise.resolve))
+        task = self._loop.create_task(
+            self._connect(endpoint, customer, promise.resolve)
+        )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return promise
@@ -168,6 +170,7 @@
     async def _connect(
         self,
         endpoint: Announcement,
+        customer: str,
         resolve: Callable[[Result[EndpointSession, ConnectFailed]], object],
     ) -> None:
         """Open a session; resolve the promise whatever happens."""
@@ -176,7 +179,7 @@
             host, port = split_address(endpoint.address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await self._open_connection(protocol, host, port)
-                started = await as_future(protocol.start_session(endpoint))
+                started = await as_future(protocol.start_session(endpoint, customer))
         except TimeoutError:
             protocol.close()
             resolve(Err(ConnectFailed("no session within the time allowed")))
--- a/src/azurerelay/hosts/_entry_host.py
+++ b/src/azurerelay/hosts/_entry_host.py
@@ -54,6 +54,7 @@
             random.Random(),
             events,
             meters,
+            settings.revocation_limit_ms,
         )
         self._callers = CallerServer(settings.caller_address, self._node, self._timers)
         self._readiness = HttpService(
--- a/src/azurerelay/platform/_caller_codec.py
+++ b/src/azurerelay/platform/_caller_codec.py
@@ -1,7 +1,7 @@
 """Codec of the line protocol between callers and entry hosts."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from result import Err, Ok, Result
@@ -29,16 +29,19 @@
     SessionState.IN_TRANSACTION: "T",
     SessionState.FAILED: "E",
 }
-# BUSY, ABORTED, LAGGING and READONLY guarantee that the attempt has had no effect.
+# BUSY, ABORTED, LAGGING, READONLY and TOOMANY guarantee that the attempt has had no
+# effect.
 _ERROR_CODES: Final = {
     CallerError.BUSY: "BUSY",
     CallerError.ABORTED: "ABORTED",
     CallerError.NOT_CAUGHT_UP: "LAGGING",
     CallerError.NOT_PRIMARY: "READONLY",
+    CallerError.OVER_QUOTA: "TOOMANY",
     CallerError.FAILED: "FAILED",
     CallerError.TIMED_OUT: "TIMEOUT",
     CallerError.IN_DOUBT: "INDOUBT",
     CallerError.UNKNOWN_DATABASE: "NODATABASE",
+    CallerError.UNKNOWN_KEY: "UNKNOWNKEY",
     CallerError.UNKNOWN_NAME: "NOSUCHNAME",
     CallerError.MALFORMED: "MALFORMED",
 }
@@ -47,6 +50,8 @@
 _NO_ENDPOINT: Final = "-"
 # No route has a longer name, and request IDs go into log lines.
 MAX_DATABASE_LENGTH: Final = MAX_NAME_LENGTH
+# No customer has a longer key, so a longer one stays unknown when it is cut.
+MAX_KEY_LENGTH: Final = MAX_NAME_LENGTH + 1
 MAX_REQUEST_ID_LENGTH: Final = 256  # characters
 MAX_ERROR_LENGTH: Final = 4_096  # characters
 LINE_TOO_LONG_ERROR: Final = "ERROR TOOLONG the message is too long\r\n"
@@ -54,9 +59,14 @@
 
 @dataclass(frozen=True, slots=True)
 class OpenSession:
-    """The first message of a caller, which names the database."""
+    """The first message of a caller, which names the database.
+
+    `key` identifies the caller's customer; it is empty if the caller sends none, and
+    left out of the representation, since it must not get into logs.
+    """
 
     database: str
+    key: str = field(default="", repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,10 +99,10 @@
             return Ok(MalformedStatement(request_id, parsed.err_value))
         return Ok(parsed.ok_value)
     if word == "START" and rest:
-        database = rest.partition(" ")[0]
+        database, _, key = rest.partition(" ")
         if not 0 < len(database) <= MAX_DATABASE_LENGTH:
             return Err(f"a database has 1 to {MAX_DATABASE_LENGTH} characters")
-        return Ok(OpenSession(database))
+        return Ok(OpenSession(database, key[:MAX_KEY_LENGTH]))
     if word == "TERMINATE" and not rest:
         return Ok(EndSession())
     return Err(f"unknown message {word[:20]!r}")
--- a/src/azurerelay/platform/_configuration_codec.py
+++ b/src/azurerelay/platform/_configuration_codec.py
@@ -5,9 +5,15 @@
 import msgspec
 from result import Err, Ok, Result
 
-from azurerelay.discovery import MAX_NAME_LENGTH
+from azurerelay.discovery import MAX_NAME_LENGTH, is_word
 from azurerelay.platform._json_object import decode_json_object
-from azurerelay.routes import Configuration, Consistency, DatabaseGroup, Route
+from azurerelay.routes import (
+    Configuration,
+    Consistency,
+    Customer,
+    DatabaseGroup,
+    Route,
+)
 from azurerelay.settings import Finding
 
 _CONSISTENCIES: Final = {
@@ -63,6 +69,44 @@
             return minimum
         return value
 
+    def amount(self, source: dict[str, Any], key: str, place: str) -> float | None:
+        """Return a number from 0 to `MAX_NUMBER`; None if the field is missing.
+
+        Any other value is reported, and 0 returned in its place.
+        """
+        value = source.get(key)
+        if value is None:
+            return None
+        is_number = type(value) in (int, float)
+        if not is_number or not 0 <= value <= MAX_NUMBER:
+            self.report(f"{place}.{key}", f"must be a number from 0 to {MAX_NUMBER}")
+            return 0.0
+        return float(value)
+
+    def flag(self, source: dict[str, Any], key: str, place: str) -> bool:
+        """Return a boolean, False if the field is missing; report any other value."""
+        value = source.get(key, False)
+        if type(value) is not bool:
+            self.report(f"{place}.{key}", "must be true or false")
+            return False
+        return value
+
+    def texts(
+        self, source: dict[str, Any], key: str, place: str, problem: str
+    ) -> tuple[str, ...]:
+        """Return a list of words; report `problem` for anything else.
+
+        The findings do not show the values, since those may be secret.
+        """
+        value = source.get(key, [])
+        if not isinstance(value, list):
+            self.report(f"{place}.{key}", "must be a list")
+            return ()
+        words = tuple(word for word in value if isinstance(word, str) and is_word(word))
+        if len(words) != len(value):
+            self.report(f"{place}.{key}", problem)
+        return words
+
     def objects(self, source: dict[str, Any], key: str) -> list[dict[str, Any]]:
         """Return the objects of a list; report a missing list or other items."""
         value = source.get(key)
@@ -96,6 +140,7 @@
         for index, item in enumerate(route_items)
     )
     _check_references(reader, route_items, routes, groups)
+    customers = _parse_customers(reader, document)
     limits = document.get("limits", {})
     idle_ms = DEFAULT_TRANSACTION_IDLE_MS
     if isinstance(limits, dict):
@@ -106,7 +151,7 @@
         reader.report("$.limits", "must be an object")
     if findings:
         return Err(tuple(findings[:MAX_FINDINGS]))
-    return Ok(Configuration(version, routes, groups, idle_ms, body))
+    return Ok(Configuration(version, routes, groups, idle_ms, body, customers))
 
 
 def _parse_route(reader: _FieldReader, item: dict[str, Any], place: str) -> Route:
@@ -128,6 +173,7 @@
         priority=reader.number(item, "priority", place, 0, 0),
         max_staleness_ms=reader.number(item, "max_staleness_ms", place, 0, 0),
         max_attempts=reader.number(item, "max_attempts", place, 0, 1),
+        is_public=reader.flag(item, "public", place),
     )
 
 
@@ -141,6 +187,48 @@
     )
 
 
+def _parse_customers(
+    reader: _FieldReader, document: dict[str, Any]
+) -> tuple[Customer, ...] | None:
+    """Return the customers; None if the document has no list of them."""
+    if document.get("tenants") is None:
+        return None
+    customers: list[Customer] = []
+    for number, item in enumerate(reader.objects(document, "tenants")):
+        place = f"$.tenants[{number}]"
+        name = reader.text(item, "name", place)
+        if name and not is_word(name):
+            reader.report(f"{place}.name", "must not hold blanks")
+        customers.append(
+            Customer(
+                name,
+                reader.texts(item, "api_keys", place, "must hold words only"),
+                reader.amount(item, "rate_per_s", place),
+                reader.amount(item, "burst", place) or 0.0,
+                reader.number(item, "priority", place, 0, 0),
+            )
+        )
+    _check_customers(reader, customers)
+    return tuple(customers)
+
+
+def _check_customers(reader: _FieldReader, customers: list[Customer]) -> None:
+    """Report names that are used twice, and keys that two customers share."""
+    names: set[str] = set()
+    owners: dict[str, int] = {}
+    for number, customer in enumerate(customers):
+        place = f"$.tenants[{number}]"
+        if customer.name in names:
+            reader.report(f"{place}.name", f"another one is named {customer.name!r}")
+        names.add(customer.name)
+        for index, key in enumerate(customer.keys):
+            if owners.setdefault(key, number) != number:
+                reader.report(
+                    f"{place}.api_keys[{index}]",
+                    f"$.tenants[{owners[key]}] has the same key",
+                )
+
+
 def _check_references(
     reader: _FieldReader,
     route_items: list[dict[str, Any]],
--- a/src/azurerelay/platform/_endpoint_codec.py
+++ b/src/azurerelay/platform/_endpoint_codec.py
@@ -26,6 +26,7 @@
 )
 
 _REPLICA_ROLE: Final = "replica"
+OWN_NAME: Final = "azurerelay"
 RELAY_REQUEST_ID: Final = "-"  # request ID of commands that no caller sent
 NO_SIGNATURE: Final = "-"
 _STATES_BY_CODE: Final = {
@@ -54,9 +55,13 @@
 _STATUS_RECEIVED_INDEX: Final = 2  # the last received position in a status row
 
 
-def encode_session_start(endpoint: Announcement) -> str:
-    """Return the first line to an endpoint, which names the endpoint and its group."""
-    return f"START {endpoint.group} azurerelay {endpoint.endpoint}\r\n"
+def encode_session_start(endpoint: Announcement, customer: str = "") -> str:
+    """Return the first line to an endpoint.
+
+    It names the group, the customer and the endpoint. The system's own connections, and
+    those of callers without a customer, carry the system's name.
+    """
+    return f"START {endpoint.group} {customer or OWN_NAME} {endpoint.endpoint}\r\n"
 
 
 @singledispatch
--- a/src/azurerelay/platform/_host_settings.py
+++ b/src/azurerelay/platform/_host_settings.py
@@ -14,6 +14,7 @@
 
 MIN_HEARTBEAT_INTERVAL_MS: Final = 1
 MAX_DISK_LOSSES: Final = 1_000
+MAX_QUOTA_SLACK: Final = 1e9  # operations
 _MS_PER_S: Final = 1_000
 
 
@@ -32,10 +33,13 @@
 
 
 class _Bounds(msgspec.Struct):
-    """Time limits; only `grace_period_s`, for the shutdown of a process, is used."""
+    """Time limits, and the tolerance of quotas."""
 
     drain_ms: float = 7_000
     grace_period_s: float = 6
+    revoke_when_partitioned: bool = False
+    revocation_ms: float = 5_000
+    quota_slack: float = 0
 
 
 class _CloudApi(msgspec.Struct):
@@ -70,7 +74,9 @@
     Addresses are `IP:PORT`. `seed_addresses` are the link addresses of control hosts;
     the link port is the same on all hosts. `regions` maps failure domains to regions,
     and `max_disk_losses` is the number of simultaneous disk losses to tolerate.
-    `heartbeat_interval_ms` is the interval at which endpoints send heartbeats.
+    `heartbeat_interval_ms` is the interval at which endpoints send heartbeats. Without
+    contact to control, customers' keys are refused after `revocation_limit_ms`, if it
+    is set. A customer may exceed its quota by `quota_slack` operations.
     """
 
     name: str
@@ -86,6 +92,8 @@
     heartbeat_interval_ms: float
     max_disk_losses: int
     grace_period_ms: float
+    revocation_limit_ms: float | None
+    quota_slack: float
     data_folder: str | None
     promotion_address: str | None
 
@@ -121,6 +129,12 @@
             heartbeat_interval_ms=document.heartbeat_interval_ms,
             max_disk_losses=document.fault_tolerance.machines,
             grace_period_ms=document.bounds.grace_period_s * _MS_PER_S,
+            revocation_limit_ms=(
+                document.bounds.revocation_ms
+                if document.bounds.revoke_when_partitioned
+                else None
+            ),
+            quota_slack=document.bounds.quota_slack,
             data_folder=document.data_directory,
             promotion_address=(
                 document.cloud_api.address if document.cloud_api else None
@@ -157,6 +171,8 @@
             0,
             MAX_DURATION_MS / _MS_PER_S,
         ),
+        "$.bounds.revocation_ms": (document.bounds.revocation_ms, 0, MAX_DURATION_MS),
+        "$.bounds.quota_slack": (document.bounds.quota_slack, 0, MAX_QUOTA_SLACK),
         "$.fault_tolerance.machines": (
             document.fault_tolerance.machines,
             0,
--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
@@ -46,16 +46,37 @@
 # Statements without an answer in a row after which the endpoint counts as lost; single
 # answers are also missed while the endpoint is healthy.
 MISSED_ANSWER_THRESHOLD: Final = 3
+NO_CUSTOMER: Final = ""
 NO_ANSWER: Final = ConnectFailed("the endpoint does not answer")
 
 
 @dataclass(slots=True)
 class _Waiter:
-    """A pending request for a connection; lower priority numbers are served first."""
+    """A pending request for a connection; lower priority numbers are served first.
+
+    `rank` is how many requests of the same customer and priority wait before it. With
+    `accepts_any_customer`, a connection of another customer serves as well.
+    """
 
     priority: int
     profile: SessionProfile
     promise: Promise[Result[PooledSession, ConnectFailed]]
+    customer: str
+    accepts_any_customer: bool
+    rank: int = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """The order in which requests are served, lowest first."""
+        return (self.priority, self.rank)
+
+    def shares_turn_with(self, other: "_Waiter") -> bool:
+        """Return whether both requests are of the same customer and priority."""
+        return (self.customer, self.priority) == (other.customer, other.priority)
+
+    def may_use(self, session: PooledSession) -> bool:
+        """Return whether a connection may carry the statement."""
+        return self.accepts_any_customer or session.customer == self.customer
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -70,7 +91,9 @@
     """A connection pool for one endpoint, limited to this host's share.
 
     Connections are reused because an endpoint takes a fixed number of connections from
-    all hosts together, and because opening one costs it as much as a statement.
+    all hosts together, and because opening one costs it as much as a statement. Each
+    serves one customer. Where all connections of the share are open and one of another
+    customer is idle, it is closed, and one for the waiting customer opened instead.
     `on_refused` is called with each failed attempt to connect and its duration in ms.
     """
 
@@ -93,7 +116,7 @@
         self._mean_use_gap_ms = INITIAL_USE_GAP_MS
         self._idle: list[_IdleSession] = []
         self._checked_out: set[PooledSession] = set()
-        self._connecting = 0
+        self._connecting: Counter[str] = Counter()
         self._waiters: deque[_Waiter] = deque()
         self._failing_since_ms: float | None = None
         self._retry_at_ms = 0.0
@@ -124,7 +147,8 @@
     @property
     def size(self) -> int:
         """The number of connections that are open or being opened."""
-        return len(self._idle) + len(self._checked_out) + self._connecting
+        connecting = self._connecting.total()
+        return len(self._idle) + len(self._checked_out) + connecting
 
     @property
     def service_ms(self) -> float:
@@ -152,6 +176,11 @@
             return False
         return self._failing_since_ms is None or now_ms >= self._retry_at_ms
 
+    @property
+    def _may_open(self) -> bool:
+        """Whether the delay after the endpoint has refused a connection is over."""
+        return self._timers.now_ms() >= self._reopen_at_ms
+
     @property
     def is_crowded(self) -> bool:
         """Whether all its connections are in use, or its limits refused the last one.
@@ -175,22 +204,34 @@
             return 0.0
         return self._timers.now_ms() - self._failing_since_ms
 
+    def has_idle_connection(self, customer: str) -> bool:
+        """Return whether a statement of a customer needs no new connection."""
+        return any(idle.session.customer == customer for idle in self._idle)
+
     def update(self, endpoint: Announcement, share: ConnectionShare) -> None:
         """Replace the announcement by one of the same incarnation, and the share."""
         self._endpoint = endpoint
         self._share = share
 
     def acquire(
-        self, priority: int, profile: SessionProfile, wait_ms: float
+        self,
+        priority: int,
+        profile: SessionProfile,
+        wait_ms: float,
+        customer: str = "",
+        accepts_any_customer: bool = False,
     ) -> Promise[Result[PooledSession, ConnectFailed]]:
         """Return a promise of a connection, which the caller must release.
 
-        Connections are granted by priority, lower numbers first. The promise holds a
+        Connections are granted by priority, lower numbers first. Among equal ones, the
+        second request of a customer comes after the first one of every other customer,
+        so that a customer with many statements delays each of the others by one. A
+        connection that has to be opened is opened for `customer`. The promise holds a
         ConnectFailed if the endpoint is lost or removed, if it refuses the connection,
         or if no connection is free within `wait_ms`.
         """
         self._record_use()
-        waiter = _Waiter(priority, profile, Promise())
+        waiter = _Waiter(priority, profile, Promise(), customer, accepts_any_customer)
         if self._is_closed:
             waiter.promise.resolve(Err(ConnectFailed("the endpoint is gone")))
             return waiter.promise
@@ -215,9 +256,8 @@
 
     def open_standby_connection(self) -> None:
         """Open a connection if the pool has none and an attempt is due."""
-        may_open = self.is_usable and self._timers.now_ms() >= self._reopen_at_ms
-        if not self.size and may_open:
-            spawn(self._open_connection())
+        if not self.size and self.is_usable and self._may_open:
+            spawn(self._open_connection(NO_CUSTOMER))
 
     def trim(self) -> None:
         """Close connections that reached their idle timeout; called periodically."""
@@ -293,37 +333,81 @@
         self._last_use_ms = now_ms
 
     def _enqueue(self, waiter: _Waiter) -> None:
-        """Insert a waiter behind all that have the same or a lower priority number."""
+        """Insert a waiter behind all that come before it or are equal in order."""
+        self._forget_done_waiters()
+        waiter.rank = sum(other.shares_turn_with(waiter) for other in self._waiters)
         index = len(self._waiters)
-        while index > 0 and self._waiters[index - 1].priority > waiter.priority:
+        while index > 0 and self._waiters[index - 1].order > waiter.order:
             index -= 1
         self._waiters.insert(index, waiter)
 
+    def _forget_done_waiters(self) -> None:
+        """Forget requests that are done; the ones behind them move up."""
+        self._waiters = deque(w for w in self._waiters if not w.promise.is_done)
+        ranks: Counter[tuple[str, int]] = Counter()
+        for waiter in self._waiters:
+            turn = (waiter.customer, waiter.priority)
+            waiter.rank = ranks[turn]
+            ranks[turn] += 1
+
     def _serve_waiters(self) -> None:
-        while self._waiters:
-            if self._waiters[0].promise.is_done:
-                self._waiters.popleft()
-                continue
-            session = self._take_idle(self._waiters[0].profile)
-            if session is None:
-                break
+        while (grant := self._next_grant()) is not None:
+            waiter, session = grant
+            self._waiters.remove(waiter)
             self._checked_out.add(session)
-            waiter = self._waiters.popleft()
             waiter.promise.resolve(Ok(session))
-        waiting = sum(not waiter.promise.is_done for waiter in self._waiters)
-        may_open = self._timers.now_ms() >= self._reopen_at_ms
-        if may_open and waiting > self._connecting and self.size < self._share.limit:
-            spawn(self._open_connection())
+        if self._may_open:
+            self._open_for_next_waiter()
 
-    def _take_idle(self, profile: SessionProfile) -> PooledSession | None:
-        """Remove and return the idle connection cheapest to match to a profile."""
+    def _next_grant(self) -> tuple[_Waiter, PooledSession] | None:
+        """Return the first waiter that an idle connection can serve, and remove that.
+
+        None if there is none, or if the connection should be closed in favour of a
+        waiter of another customer that comes first.
+        """
+        self._forget_done_waiters()
         self._idle = [idle for idle in self._idle if idle.session.is_open]
         if not self._idle:
             return None
+        connecting = self._connecting.copy()
+        room = self._share.limit - self.size
+        for waiter in self._waiters:
+            session = self._take_idle(waiter)
+            if session is not None:
+                return waiter, session
+            if connecting[waiter.customer]:
+                connecting[waiter.customer] -= 1
+            elif room > 0:
+                room -= 1
+            elif self._may_open:
+                return None
+        return None
+
+    def _open_for_next_waiter(self) -> None:
+        """Open a connection for the first waiter that none is being opened for.
+
+        At the limit of the share, an idle connection of another customer is closed.
+        """
+        connecting = self._connecting.copy()
+        for waiter in self._waiters:
+            if connecting[waiter.customer]:
+                connecting[waiter.customer] -= 1
+                continue
+            if self.size >= self._share.limit and self._idle:
+                self._idle.pop(0).session.close()
+            if self.size < self._share.limit:
+                spawn(self._open_connection(waiter.customer))
+            return
+
+    def _take_idle(self, waiter: _Waiter) -> PooledSession | None:
+        """Remove and return the idle connection cheapest to match to a statement."""
+        usable = [idle for idle in self._idle if waiter.may_use(idle.session)]
+        if not usable:
+            return None
         # Of equally cheap ones the last used, so that others reach their idle timeout.
         best = min(
-            reversed(self._idle),
-            key=lambda idle: idle.session.profile_mismatch(profile),
+            reversed(usable),
+            key=lambda idle: idle.session.profile_mismatch(waiter.profile),
         )
         self._idle.remove(best)
         return best.session
@@ -331,17 +415,17 @@
     def _add_idle(self, session: PooledSession) -> None:
         self._idle.append(_IdleSession(session, self._timers.now_ms()))
 
-    async def _open_connection(self) -> None:
-        self._connecting += 1
+    async def _open_connection(self, customer: str) -> None:
+        self._connecting[customer] += 1
         started_ms = self._timers.now_ms()
         outcome: Result[EndpointSession, ConnectFailed]
         try:
-            outcome = await self._connector.connect(self._endpoint)
+            outcome = await self._connector.connect(self._endpoint, customer)
         except Exception as error:
             outcome = Err(ConnectFailed(f"unexpected error: {error!r}"))
-        self._connecting -= 1
+        self._connecting[customer] -= 1
         if isinstance(outcome, Ok):
-            session = PooledSession(self._endpoint.endpoint, outcome.ok_value)
+            session = PooledSession(self._endpoint.endpoint, outcome.ok_value, customer)
             if self._is_closed:
                 session.close()
                 return
@@ -368,5 +452,5 @@
 
     def _fail_waiters(self, failure: ConnectFailed) -> None:
         """Fail the waiting requests, unless a connection may still become free."""
-        if not (self._checked_out or self._connecting):
+        if not (self._checked_out or self._connecting.total()):
             self._refuse_waiters(failure)
--- a/src/azurerelay/pooling/_pooled_session.py
+++ b/src/azurerelay/pooling/_pooled_session.py
@@ -21,9 +21,14 @@
     """Tracks the session state of a connection, and matches it to a caller's profile.
 
     The state is the session values, the prepared statements and the transaction state.
+    An endpoint learns the customer when the connection is opened, so the connection can
+    only serve callers of that customer.
     """
 
-    def __init__(self, endpoint: str, session: EndpointSession) -> None:
+    def __init__(
+        self, endpoint: str, session: EndpointSession, customer: str = ""
+    ) -> None:
+        self._customer = customer
         self._endpoint = endpoint
         self._session = session
         self._values: dict[str, str] = {}
@@ -36,6 +41,11 @@
         """The name of the endpoint."""
         return self._endpoint
 
+    @property
+    def customer(self) -> str:
+        """The customer whose statements it may carry; empty for those without one."""
+        return self._customer
+
     @property
     def is_open(self) -> bool:
         """Whether commands may be sent."""
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -62,6 +62,7 @@
 MIN_WRITE_TIME_MS: Final = 150.0
 
 SET_UP_FAILED: Final = "the connection could not be set up"
+KEY_REFUSED: Final = "no customer holds the key"
 HOST_STOPS: Final = "the host is being stopped"
 
 _CALLER_ERRORS: Final = {
@@ -91,7 +92,11 @@
         timers: TimerService,
         events: EventLog,
         meters: Meters,
+        key: str = "",
+        customer: str = "",
     ) -> None:
+        self._key = key
+        self._customer = customer
         self._progress: StatementProgress | None = None
         self._database = database
         self._route_table = route_table
@@ -229,9 +234,9 @@
     ) -> CallerReply:
         if self._transaction is not None:
             return await self._run_in_transaction(statement, shape, is_write)
-        found = self._route_table.find_route(self._database)
-        if found is None:
-            return self._unknown_database_reply()
+        found = self._find_route()
+        if isinstance(found, CallerReply):
+            return found
         route, group = found
         progress = self._begin_statement(statement, route)
         if is_write:
@@ -248,9 +253,9 @@
                 error=CallerError.MALFORMED,
                 error_text="a transaction is open already",
             )
-        found = self._route_table.find_route(self._database)
-        if found is None:
-            return self._unknown_database_reply()
+        found = self._find_route()
+        if isinstance(found, CallerReply):
+            return found
         route, group = found
         progress = self._begin_statement(statement, route)
         if not self._route_table.accepts_transactions:
@@ -397,7 +402,7 @@
                 )
                 continue
             progress.required_position = str(required)
-            pool = group.choose_for_read(required, excluded)
+            pool = group.choose_for_read(required, excluded, self._customer)
             if pool is None:
                 if self._is_crowded_out(progress, group):
                     return self._refuse_busy(progress)
@@ -450,6 +455,23 @@
             return self._forward_error(progress, failed_reply)
         return self._refuse_busy(progress)
 
+    def _find_route(self) -> tuple[Route, GroupConnections] | CallerReply:
+        """Return the route and the group of the next operation, or why it has none.
+
+        The caller's key is checked again, since it may have been withdrawn or given to
+        another customer since the last operation.
+        """
+        found = self._route_table.find_route(self._database)
+        if found is None:
+            return self._unknown_database_reply()
+        customer = self._route_table.identify(found[0], self._key)
+        if isinstance(customer, Err):
+            return CallerReply(
+                self.state, error=customer.err_value, error_text=KEY_REFUSED
+            )
+        self._customer = customer.ok_value
+        return found
+
     def _is_routed_to(self, group: GroupConnections) -> bool:
         found = self._route_table.find_route(self._database)
         return found is not None and found[1] is group
@@ -458,9 +480,9 @@
         self, progress: StatementProgress, shape: PreparedShape | None
     ) -> CallerReply:
         """Run a statement whose route was moved or removed before it was sent."""
-        found = self._route_table.find_route(self._database)
-        if found is None:
-            return self._unknown_database_reply()
+        found = self._find_route()
+        if isinstance(found, CallerReply):
+            return found
         progress.route, group = found
         statement = progress.statement
         if isinstance(statement, Begin):
@@ -479,11 +501,11 @@
         None if the position is unknown, because no primary has proven itself.
         """
         if route.consistency is Consistency.PRIMARY:
-            return await group.prove_primary()
+            return await group.prove_primary(self._customer)
         bound_ms = max(0.0, route.max_staleness_ms - STALENESS_MARGIN_MS)
-        position = group.covering_position(bound_ms)
+        position = group.covering_position(bound_ms, self._customer)
         if position is None:
-            return await group.prove_primary()
+            return await group.prove_primary(self._customer)
         if route.consistency is Consistency.BOUNDED:
             return position
         return self._write_position.required_position(
@@ -505,7 +527,9 @@
         if not progress.attempt_count and group.are_connections_scarce:
             patience_ms = self._patience_left_ms(progress)
             wait_ms = min(wait_ms, max(MIN_WAIT_MS, patience_ms))
-        granted = await pool.acquire(progress.route.priority, self._profile, wait_ms)
+        granted = await pool.acquire(
+            progress.route.priority, self._profile, wait_ms, self._customer
+        )
         progress.endpoint = pool.endpoint.endpoint
         if isinstance(granted, Err):
             progress.reason = granted.err_value.reason
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -6,6 +6,8 @@
 from functools import partial
 from typing import Any, Final
 
+from result import Err, Result
+
 from azurerelay.attachment import (
     ControlFollower,
     DirectoryUpdate,
@@ -27,6 +29,7 @@
     regional_connection_share,
 )
 from azurerelay.relay._caller_session import HOST_STOPS, CallerSession
+from azurerelay.relay._customer_keys import CustomerKeys
 from azurerelay.routes import Configuration, Route
 from azurerelay.statements import CallerError, EndpointConnector
 from azurerelay.telemetry import Meters
@@ -49,7 +52,11 @@
 
 
 class RelayNode:
-    """The routes, groups and caller sessions of one entry host."""
+    """The routes, groups and caller sessions of one entry host.
+
+    With a `revocation_limit_ms`, keys of customers are refused once the configuration
+    has been unconfirmed for that long, since they may have been withdrawn.
+    """
 
     def __init__(
         self,
@@ -62,6 +69,7 @@
         random_source: random.Random,
         events: EventLog,
         meters: Meters,
+        revocation_limit_ms: float | None = None,
     ) -> None:
         self._meters = meters
         self._name = name
@@ -93,6 +101,9 @@
             random_source,
             events,
         )
+        self._customer_keys = CustomerKeys(
+            self._control_follower.freshness, revocation_limit_ms
+        )
 
     @property
     def version(self) -> int:
@@ -200,9 +211,12 @@
             if leader.silent_ms > 0.0:
                 group.check_primary()
 
-    async def open_session(self, database: str) -> CallerSession | CallerError:
+    async def open_session(
+        self, database: str, key: str = ""
+    ) -> CallerSession | CallerError:
         """Return a new session, or the error for the caller.
 
+        `key` identifies the caller's customer where customers are configured.
         A host without a configuration first waits for one, for up to
         `FIRST_CONFIGURATION_TIMEOUT_MS`.
         """
@@ -216,9 +230,31 @@
         if self.version < 0:
             self._record_refused_session(database, "no configuration")
             return CallerError.BUSY
-        if database not in self._routes:
+        route = self._routes.get(database)
+        if route is None:
             return self.refuse_database(database)
-        return CallerSession(database, self, self._timers, self._events, self._meters)
+        customer = self.identify(route, key)
+        if isinstance(customer, Err):
+            return customer.err_value
+        return CallerSession(
+            database,
+            self,
+            self._timers,
+            self._events,
+            self._meters,
+            key,
+            customer.ok_value,
+        )
+
+    def identify(self, route: Route, key: str) -> Result[str, CallerError]:
+        """Return the customer of a caller by its key, or the error for the caller."""
+        customer = self._customer_keys.identify(route, key)
+        if isinstance(customer, Err):
+            reason = "no customer holds the caller's key"
+            if customer.err_value is CallerError.BUSY:
+                reason = f"{reason}, but the configuration may be out of date"
+            self._record_refused_session(route.database, reason)
+        return customer
 
     def refuse_database(self, database: str) -> CallerError:
         """Record that a database has no route; return the error for the caller.
@@ -280,6 +316,7 @@
             self._configured.resolve(None)
 
     def _apply_configuration(self, configuration: Configuration) -> None:
+        self._customer_keys.update(configuration.customers)
         self._routes = {route.database: route for route in configuration.routes}
         names = {group.name for group in configuration.groups}
         self._removed_groups = [g for g in self._removed_groups if g.connection_count]
--- a/src/azurerelay/relay/_route_table.py
+++ b/src/azurerelay/relay/_route_table.py
@@ -2,6 +2,8 @@
 
 from typing import Protocol
 
+from result import Result
+
 from azurerelay.groups import GroupConnections
 from azurerelay.routes import Route
 from azurerelay.statements import CallerError
@@ -29,5 +31,11 @@
     def find_route(self, database: str) -> tuple[Route, GroupConnections] | None:
         """Return the route of a database name and its group, None if unknown."""
 
+    def identify(self, route: Route, key: str) -> Result[str, CallerError]:
+        """Return the customer of a caller by its key, or the error for the caller.
+
+        The name is empty for callers that need no key. Errors are recorded.
+        """
+
     def refuse_database(self, database: str) -> CallerError:
         """Record that a database has no route; return the error for the caller."""
--- a/src/azurerelay/routes/__init__.py
+++ b/src/azurerelay/routes/__init__.py
@@ -7,6 +7,7 @@
     change_between,
 )
 from azurerelay.routes._consistency import Consistency
+from azurerelay.routes._customer import Customer
 from azurerelay.routes._database_group import DatabaseGroup
 from azurerelay.routes._route import Route
 
@@ -14,6 +15,7 @@
     "Configuration",
     "ConfigurationChange",
     "Consistency",
+    "Customer",
     "DatabaseGroup",
     "Route",
     "apply_change",
--- a/src/azurerelay/routes/_configuration.py
+++ b/src/azurerelay/routes/_configuration.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from azurerelay.routes._customer import Customer
 from azurerelay.routes._database_group import DatabaseGroup
 from azurerelay.routes._route import Route
 
@@ -19,3 +20,5 @@
     transaction_idle_ms: int = DEFAULT_TRANSACTION_IDLE_MS
     document: bytes = field(default=b"", repr=False)
     """The operator's document as accepted, so that it is read back unchanged."""
+    customers: tuple[Customer, ...] | None = None
+    """The customers; None if callers need no keys."""
--- a/src/azurerelay/routes/_route.py
+++ b/src/azurerelay/routes/_route.py
@@ -9,7 +9,8 @@
 class Route:
     """How statements for the database name `database` are served.
 
-    A lower `priority` number is served first when callers wait for a connection.
+    A lower `priority` number is served first when callers wait for a connection. Where
+    customers are configured, callers of a route that `is_public` need no key.
     """
 
     name: str
@@ -21,3 +22,4 @@
     priority: int
     max_staleness_ms: int
     max_attempts: int
+    is_public: bool = False
--- a/src/azurerelay/statements/_endpoint_session.py
+++ b/src/azurerelay/statements/_endpoint_session.py
@@ -67,6 +67,10 @@
     """Open connections to endpoints."""
 
     def connect(
-        self, endpoint: Announcement
+        self, endpoint: Announcement, customer: str = ""
     ) -> Promise[Result[EndpointSession, ConnectFailed]]:
-        """Connect to the endpoint; fails if its address belongs to another endpoint."""
+        """Connect to the endpoint on behalf of a customer.
+
+        Fails if the address belongs to another endpoint. Without a customer, the
+        connection serves the system itself, and callers that need no key.
+        """
