--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -475,9 +475,11 @@
         connect = FakeConnector.connect
         is_odd = True
 
-        def fail(connector: FakeConnector, endpoint: Announcement) -> Promise[Any]:
+        def fail(
+            connector: FakeConnector, endpoint: Announcement, customer: str = ""
+        ) -> Promise[Any]:
             if not is_odd or endpoint.endpoint != f"{GROUP}-2":
-                return connect(connector, endpoint)
+                return connect(connector, endpoint, customer)
             if rig.random.random() < 0.5:
                 raise OverflowError("port must be 0-65535.")
             promise: Promise[Any] = Promise()
