--- a/src/azurerelay/events/_events.py
+++ b/src/azurerelay/events/_events.py
@@ -24,6 +24,7 @@
     duration_ms: float
     attempts: int
     configuration_version: int
+    customer: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +39,7 @@
     attempts: int
     endpoint: str
     configuration_version: int
+    customer: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +74,9 @@
 
 @dataclass(frozen=True, slots=True)
 class SessionRefused(Event):
-    """A caller's session, or a statement of one, was refused because of its database.
+    """A caller's session, or a statement of one, was refused.
+
+    The reason is its database, or the key that the caller sent.
 
     `configuration_version` is -1 while the host has no configuration. That version was
     known to be the newest `configuration_age_ms` ago.
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -769,7 +769,9 @@
     def _begin_statement(self, statement: Statement, route: Route) -> StatementProgress:
         now_ms = self._timers.now_ms()
         deadline_ms = now_ms + route.statement_timeout_ms
-        self._progress = StatementProgress(statement, route, now_ms, deadline_ms)
+        self._progress = StatementProgress(
+            statement, route, now_ms, deadline_ms, customer=self._customer
+        )
         return self._progress
 
     def _may_send(self, progress: StatementProgress) -> bool:
--- a/src/azurerelay/relay/_statement_progress.py
+++ b/src/azurerelay/relay/_statement_progress.py
@@ -14,6 +14,7 @@
     how often a connection was ready for the statement, and `reason` is why it has not
     been served yet. `is_sent` is whether an endpoint has it and has not answered, and
     `has_unanswered_attempt` whether an earlier attempt has not been answered.
+    `customer` is empty for callers without one.
     """
 
     statement: Statement
@@ -26,3 +27,4 @@
     reason: str = "no endpoint could be used"
     is_sent: bool = False
     has_unanswered_attempt: bool = False
+    customer: str = ""
--- a/src/azurerelay/relay/_statement_recorder.py
+++ b/src/azurerelay/relay/_statement_recorder.py
@@ -68,6 +68,7 @@
                     duration_ms,
                     progress.attempt_count,
                     self._version(),
+                    progress.customer,
                 )
             )
 
@@ -100,6 +101,7 @@
                 progress.attempt_count,
                 progress.endpoint,
                 self._version(),
+                progress.customer,
             )
         )
 
