Connections and keys of customers: what the review of the part found

What callers saw (tests by a reviewer who had not written the part): a customer without a connection starved for 2.5 s at an endpoint that other hosts had filled, behind an idle connection of another customer; a statement that waited for a connection ran 5 s after its key was withdrawn, or in the name of the customer that had the key before; a restarted host next to an outdated control host served a withdrawn key; a request was never served after the host's share had shrunk; the order of requests was lost when some timed out.

Change: a full endpoint counts as having no room, so an idle connection of another customer is closed. Key and customer are checked again right before a statement is sent. Known keys are accepted once a configuration was confirmed since the start of the process. Requests are served again after a change of the share, and sorted again when some are done (new class RequestQueue). A document's null for the customers is an error instead of open access, a key in the place of the database stays out of the log, and the unused priority of customers is gone.

Left: a customer that is named like the system's own connections cannot be told from them by endpoints; a revocation_ms below about 1.5 s refuses hosts in contact with control.

--- a/src/azurerelay/attachment/_configuration_freshness.py
+++ b/src/azurerelay/attachment/_configuration_freshness.py
@@ -32,6 +32,7 @@
         self._unconfirmed_since_ms: float | None = None
         self._reply_delay_ms = 0.0
         self._control_version = -1
+        self._has_been_confirmed = False
 
     @property
     def age_ms(self) -> float:
@@ -46,6 +47,11 @@
         """Whether the configuration was the newest within `CONFIRMATION_LIMIT_MS`."""
         return self.age_ms <= CONFIRMATION_LIMIT_MS
 
+    @property
+    def has_been_confirmed(self) -> bool:
+        """Whether a configuration was confirmed since the start of this process."""
+        return self._has_been_confirmed
+
     @property
     def reply_delay_ms(self) -> float:
         """The time between the last answered request and the arrival of its reply."""
@@ -68,6 +74,7 @@
                 return
         confirmed_ms = sent_ms - reply.leader_silence_ms
         self._confirmed_ms = max(self._confirmed_ms, confirmed_ms)
+        self._has_been_confirmed = self._has_been_confirmed or self.is_confirmed
 
     def record_changes(self, version: int, control_host: str | None) -> None:
         """Log when the configuration becomes unconfirmed, or is confirmed again."""
--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -256,7 +256,7 @@
             name: member
             for name, member in self._members.items()
             if name not in excluded
-            and member.pool.is_usable
+            and member.pool.is_usable_for(customer)
             and (member.draining_since_ms is None or name == primary_name)
             and self._accepts_work(member, now_ms)
         }
@@ -273,7 +273,7 @@
                 ),
                 member.pool.service_ms + self._connect_ms(member, customer),
                 member.pool.pending_statements,
-                member.pool.has_free_slot,
+                member.pool.has_free_slot(customer),
                 member.position,
                 member.lag.lag_ms(now_ms),
                 name == primary_name,
@@ -296,7 +296,7 @@
         domain = member.pool.endpoint.failure_domain
         return CONNECT_WORK_MS + self._topology.round_trip_ms(domain)
 
-    def is_crowded(self, endpoint: str | None = None) -> bool:
+    def is_crowded(self, customer: str = "", endpoint: str | None = None) -> bool:
         """Return whether other hosts hold the connections that this host needs.
 
         Without an endpoint, this is asked of the primary. False where every host can
@@ -310,7 +310,7 @@
             ranked = self._tracker.ranked(self._timers.now_ms())
             endpoint = ranked[0] if ranked else None
         pool = self._pool(endpoint) if endpoint is not None else None
-        return pool is not None and pool.is_crowded
+        return pool is not None and pool.is_crowded(customer)
 
     # The primary
 
--- a/src/azurerelay/platform/_configuration_codec.py
+++ b/src/azurerelay/platform/_configuration_codec.py
@@ -191,7 +191,7 @@
     reader: _FieldReader, document: dict[str, Any]
 ) -> tuple[Customer, ...] | None:
     """Return the customers; None if the document has no list of them."""
-    if document.get("tenants") is None:
+    if "tenants" not in document:
         return None
     customers: list[Customer] = []
     for number, item in enumerate(reader.objects(document, "tenants")):
@@ -205,7 +205,6 @@
                 reader.texts(item, "api_keys", place, "must hold words only"),
                 reader.amount(item, "rate_per_s", place),
                 reader.amount(item, "burst", place) or 0.0,
-                reader.number(item, "priority", place, 0, 0),
             )
         )
     _check_customers(reader, customers)
--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
@@ -12,6 +12,7 @@
 from azurerelay.discovery import Announcement
 from azurerelay.pooling._connection_share import ConnectionShare, idle_timeout_ms
 from azurerelay.pooling._pooled_session import PooledSession
+from azurerelay.pooling._request_queue import ConnectionRequest, RequestQueue
 from azurerelay.pooling._session_profile import SessionProfile
 from azurerelay.statements import ConnectFailed, EndpointConnector, EndpointSession
 from azurerelay.timing import Promise, TimerService, spawn
@@ -50,35 +51,6 @@
 NO_ANSWER: Final = ConnectFailed("the endpoint does not answer")
 
 
-@dataclass(slots=True)
-class _Waiter:
-    """A pending request for a connection; lower priority numbers are served first.
-
-    `rank` is how many requests of the same customer and priority wait before it. With
-    `accepts_any_customer`, a connection of another customer serves as well.
-    """
-
-    priority: int
-    profile: SessionProfile
-    promise: Promise[Result[PooledSession, ConnectFailed]]
-    customer: str
-    accepts_any_customer: bool
-    rank: int = 0
-
-    @property
-    def order(self) -> tuple[int, int]:
-        """The order in which requests are served, lowest first."""
-        return (self.priority, self.rank)
-
-    def shares_turn_with(self, other: "_Waiter") -> bool:
-        """Return whether both requests are of the same customer and priority."""
-        return (self.customer, self.priority) == (other.customer, other.priority)
-
-    def may_use(self, session: PooledSession) -> bool:
-        """Return whether a connection may carry the statement."""
-        return self.accepts_any_customer or session.customer == self.customer
-
-
 @dataclass(frozen=True, slots=True, eq=False)
 class _IdleSession:
     """An idle connection and the time at which it became idle."""
@@ -117,7 +89,8 @@
         self._idle: list[_IdleSession] = []
         self._checked_out: set[PooledSession] = set()
         self._connecting: Counter[str] = Counter()
-        self._waiters: deque[_Waiter] = deque()
+        self._requests = RequestQueue()
+        self._is_endpoint_full = False
         self._failing_since_ms: float | None = None
         self._retry_at_ms = 0.0
         self._retry_delay_ms = RETRY_DELAY_MS
@@ -136,8 +109,7 @@
     @property
     def pending_statements(self) -> int:
         """The number of connections in use and of requests waiting for one."""
-        waiting = sum(not waiter.promise.is_done for waiter in self._waiters)
-        return len(self._checked_out) + waiting
+        return len(self._checked_out) + len(self._requests)
 
     @property
     def open_connection_count(self) -> int:
@@ -157,11 +129,6 @@
         remaining = math.exp2(-idle_ms / DECAY_HALF_LIFE_MS)
         return INITIAL_SERVICE_MS + remaining * (self._service_ms - INITIAL_SERVICE_MS)
 
-    @property
-    def has_free_slot(self) -> bool:
-        """Whether a request need not wait for another to release its connection."""
-        return bool(self._idle) or self.size < self._share.limit
-
     @property
     def is_usable(self) -> bool:
         """Whether connections may be requested now.
@@ -181,17 +148,6 @@
         """Whether the delay after the endpoint has refused a connection is over."""
         return self._timers.now_ms() >= self._reopen_at_ms
 
-    @property
-    def is_crowded(self) -> bool:
-        """Whether all its connections are in use, or its limits refused the last one.
-
-        The endpoint itself is not lost.
-        """
-        if self._is_closed or self._failing_since_ms is not None or self._idle:
-            return False
-        is_refused = self._timers.now_ms() < self._reopen_at_ms
-        return is_refused or len(self._checked_out) >= self._share.limit
-
     @property
     def is_unreached(self) -> bool:
         """Whether the endpoint is lost and there is no open connection to it."""
@@ -204,6 +160,44 @@
             return 0.0
         return self._timers.now_ms() - self._failing_since_ms
 
+    def has_free_slot(self, customer: str = "") -> bool:
+        """Return whether a statement need not wait for another to end.
+
+        A connection for it is idle or may be opened, if need be in place of an idle one
+        of another customer.
+        """
+        if self.has_idle_connection(customer):
+            return True
+        if self._idle:
+            return self._may_open
+        return self.size < self._share.limit
+
+    def is_usable_for(self, customer: str) -> bool:
+        """Return whether a connection for a customer may be requested now.
+
+        Like `is_usable`, but only connections of the customer count.
+        """
+        if not self.is_usable:
+            return False
+        sessions = (*self._checked_out, *(idle.session for idle in self._idle))
+        return (
+            self._may_open
+            or bool(self._connecting.get(customer))
+            or any(session.customer == customer for session in sessions)
+        )
+
+    def is_crowded(self, customer: str = "") -> bool:
+        """Return whether others hold the connections that a customer's statement needs.
+
+        All are in use, or the endpoint refused the last one because of its limits. The
+        endpoint itself is not lost.
+        """
+        if self._is_closed or self._failing_since_ms is not None:
+            return False
+        if self.has_idle_connection(customer):
+            return False
+        return not self._may_open or len(self._checked_out) >= self._share.limit
+
     def has_idle_connection(self, customer: str) -> bool:
         """Return whether a statement of a customer needs no new connection."""
         return any(idle.session.customer == customer for idle in self._idle)
@@ -212,6 +206,7 @@
         """Replace the announcement by one of the same incarnation, and the share."""
         self._endpoint = endpoint
         self._share = share
+        self._serve_requests()
 
     def acquire(
         self,
@@ -223,27 +218,27 @@
     ) -> Promise[Result[PooledSession, ConnectFailed]]:
         """Return a promise of a connection, which the caller must release.
 
-        Connections are granted by priority, lower numbers first. Among equal ones, the
-        second request of a customer comes after the first one of every other customer,
-        so that a customer with many statements delays each of the others by one. A
-        connection that has to be opened is opened for `customer`. The promise holds a
-        ConnectFailed if the endpoint is lost or removed, if it refuses the connection,
-        or if no connection is free within `wait_ms`.
+        Connections are granted in the order of `RequestQueue`. One that has to be
+        opened is opened for `customer`. The promise holds a ConnectFailed if the
+        endpoint is lost or removed, if it refuses the connection, or if no connection
+        is free within `wait_ms`.
         """
         self._record_use()
-        waiter = _Waiter(priority, profile, Promise(), customer, accepts_any_customer)
+        promise: Promise[Result[PooledSession, ConnectFailed]] = Promise()
         if self._is_closed:
-            waiter.promise.resolve(Err(ConnectFailed("the endpoint is gone")))
-            return waiter.promise
-        self._enqueue(waiter)
-        self._serve_waiters()
-        if not waiter.promise.is_done:
-            timed_out = Err(ConnectFailed("no connection was free in time"))
-            timer = self._timers.call_later(
-                wait_ms, lambda: waiter.promise.resolve(timed_out)
+            promise.resolve(Err(ConnectFailed("the endpoint is gone")))
+            return promise
+        self._requests.add(
+            ConnectionRequest(
+                priority, profile, promise, customer, accepts_any_customer
             )
-            waiter.promise.add_callback(timer.cancel)
-        return waiter.promise
+        )
+        self._serve_requests()
+        if not promise.is_done:
+            timed_out = Err(ConnectFailed("no connection was free in time"))
+            timer = self._timers.call_later(wait_ms, lambda: promise.resolve(timed_out))
+            promise.add_callback(timer.cancel)
+        return promise
 
     def release(self, session: PooledSession) -> None:
         """Put a connection back; it is closed if not reusable or the pool is closed."""
@@ -252,7 +247,7 @@
             self._add_idle(session)
         else:
             session.close()
-        self._serve_waiters()
+        self._serve_requests()
 
     def open_standby_connection(self) -> None:
         """Open a connection if the pool has none and an attempt is due."""
@@ -268,6 +263,7 @@
             if now_ms - idle.since_ms > timeout_ms:
                 self._idle.remove(idle)
                 idle.session.close()
+        self._serve_requests()
 
     def record_answer(self, duration_ms: float) -> None:
         """Record an answer and its duration; the endpoint no longer counts as lost."""
@@ -293,14 +289,12 @@
             self._failing_since_ms = now_ms
         self._retry_at_ms = now_ms + self._retry_delay_ms
         self._retry_delay_ms = min(MAX_RETRY_DELAY_MS, 2 * self._retry_delay_ms)
-        self._refuse_waiters(failure)
+        self._refuse_requests(failure)
 
     def refuse_callers(self, failure: ConnectFailed) -> None:
         """Fail the waiting requests of callers, which have priorities from 0 on."""
-        refused = [waiter for waiter in self._waiters if waiter.priority >= 0]
-        self._waiters = deque(w for w in self._waiters if w.priority < 0)
-        for waiter in refused:
-            waiter.promise.resolve(Err(failure))
+        for request in self._requests.remove_callers():
+            request.promise.resolve(Err(failure))
 
     def abort(self) -> None:
         """Close all connections now; statements that wait for answers get none."""
@@ -314,12 +308,11 @@
         for idle in self._idle:
             idle.session.close()
         self._idle.clear()
-        self._refuse_waiters(ConnectFailed("the endpoint is gone"))
+        self._refuse_requests(ConnectFailed("the endpoint is gone"))
 
-    def _refuse_waiters(self, failure: ConnectFailed) -> None:
-        waiters, self._waiters = self._waiters, deque()
-        for waiter in waiters:
-            waiter.promise.resolve(Err(failure))
+    def _refuse_requests(self, failure: ConnectFailed) -> None:
+        for request in self._requests.clear():
+            request.promise.resolve(Err(failure))
 
     def _record_duration(self, duration_ms: float) -> None:
         self._service_ms = self.service_ms
@@ -332,82 +325,83 @@
         self._mean_use_gap_ms += SMOOTHING * (gap_ms - self._mean_use_gap_ms)
         self._last_use_ms = now_ms
 
-    def _enqueue(self, waiter: _Waiter) -> None:
-        """Insert a waiter behind all that come before it or are equal in order."""
-        self._forget_done_waiters()
-        waiter.rank = sum(other.shares_turn_with(waiter) for other in self._waiters)
-        index = len(self._waiters)
-        while index > 0 and self._waiters[index - 1].order > waiter.order:
-            index -= 1
-        self._waiters.insert(index, waiter)
-
-    def _forget_done_waiters(self) -> None:
-        """Forget requests that are done; the ones behind them move up."""
-        self._waiters = deque(w for w in self._waiters if not w.promise.is_done)
-        ranks: Counter[tuple[str, int]] = Counter()
-        for waiter in self._waiters:
-            turn = (waiter.customer, waiter.priority)
-            waiter.rank = ranks[turn]
-            ranks[turn] += 1
-
-    def _serve_waiters(self) -> None:
+    def _serve_requests(self) -> None:
+        if not self._requests:
+            return
         while (grant := self._next_grant()) is not None:
-            waiter, session = grant
-            self._waiters.remove(waiter)
+            request, session = grant
+            self._requests.remove(request)
             self._checked_out.add(session)
-            waiter.promise.resolve(Ok(session))
+            request.promise.resolve(Ok(session))
         if self._may_open:
-            self._open_for_next_waiter()
+            self._open_for_requests()
 
-    def _next_grant(self) -> tuple[_Waiter, PooledSession] | None:
-        """Return the first waiter that an idle connection can serve, and remove that.
+    def _next_grant(self) -> tuple[ConnectionRequest, PooledSession] | None:
+        """Return the first request that an idle connection can serve, and remove that.
 
         None if there is none, or if the connection should be closed in favour of a
-        waiter of another customer that comes first.
+        request of another customer that comes first.
         """
-        self._forget_done_waiters()
         self._idle = [idle for idle in self._idle if idle.session.is_open]
         if not self._idle:
             return None
         connecting = self._connecting.copy()
-        room = self._share.limit - self.size
-        for waiter in self._waiters:
-            session = self._take_idle(waiter)
+        room = self._room
+        for request in self._requests:
+            session = self._take_idle(request)
             if session is not None:
-                return waiter, session
-            if connecting[waiter.customer]:
-                connecting[waiter.customer] -= 1
+                return request, session
+            if connecting[request.customer]:
+                connecting[request.customer] -= 1
             elif room > 0:
                 room -= 1
             elif self._may_open:
                 return None
         return None
 
-    def _open_for_next_waiter(self) -> None:
-        """Open a connection for the first waiter that none is being opened for.
+    @property
+    def _room(self) -> int:
+        """How many more connections may be opened without closing another one.
 
-        At the limit of the share, an idle connection of another customer is closed.
+        An endpoint that refused the last connection has no room: other hosts hold what
+        this host's share would allow.
         """
-        connecting = self._connecting.copy()
-        for waiter in self._waiters:
-            if connecting[waiter.customer]:
-                connecting[waiter.customer] -= 1
-                continue
-            if self.size >= self._share.limit and self._idle:
-                self._idle.pop(0).session.close()
-            if self.size < self._share.limit:
-                spawn(self._open_connection(waiter.customer))
-            return
+        return 0 if self._is_endpoint_full else self._share.limit - self.size
+
+    def _open_for_requests(self) -> None:
+        """Open a connection for the first request of each customer that needs one.
 
-    def _take_idle(self, waiter: _Waiter) -> PooledSession | None:
+        If there is no room, idle connections of other customers are closed.
+        """
+        connecting = self._connecting.copy()
+        opened_for: set[str] = set()
+        for request in self._requests:
+            customer = request.customer
+            if connecting[customer]:
+                connecting[customer] -= 1
+            elif customer not in opened_for:
+                if not self._make_room():
+                    return
+                opened_for.add(customer)
+                spawn(self._open_connection(customer))
+
+    def _make_room(self) -> bool:
+        """Close idle connections until one may be opened; return whether it may."""
+        if self._is_endpoint_full and self._idle:
+            self._idle.pop(0).session.close()
+        while self.size >= self._share.limit and self._idle:
+            self._idle.pop(0).session.close()
+        return self.size < self._share.limit
+
+    def _take_idle(self, request: ConnectionRequest) -> PooledSession | None:
         """Remove and return the idle connection cheapest to match to a statement."""
-        usable = [idle for idle in self._idle if waiter.may_use(idle.session)]
+        usable = [idle for idle in self._idle if request.may_use(idle.session)]
         if not usable:
             return None
         # Of equally cheap ones the last used, so that others reach their idle timeout.
         best = min(
             reversed(usable),
-            key=lambda idle: idle.session.profile_mismatch(waiter.profile),
+            key=lambda idle: idle.session.profile_mismatch(request.profile),
         )
         self._idle.remove(best)
         return best.session
@@ -424,18 +418,22 @@
         except Exception as error:
             outcome = Err(ConnectFailed(f"unexpected error: {error!r}"))
         self._connecting[customer] -= 1
+        if not self._connecting[customer]:
+            del self._connecting[customer]
         if isinstance(outcome, Ok):
             session = PooledSession(self._endpoint.endpoint, outcome.ok_value, customer)
             if self._is_closed:
                 session.close()
                 return
+            self._is_endpoint_full = False
             self._add_idle(session)
             self._failing_since_ms = None
             self._retry_delay_ms = RETRY_DELAY_MS
             self._reopen_delay_ms = REOPEN_DELAY_MS
-            self._serve_waiters()
+            self._serve_requests()
             return
         self._on_refused(outcome.err_value, self._timers.now_ms() - started_ms)
+        self._is_endpoint_full = outcome.err_value.is_at_limit
         if outcome.err_value.is_at_limit:
             # The endpoint is healthy; for some seconds it still counts the connections
             # of hosts that lost power.
@@ -445,12 +443,12 @@
                 MAX_REOPEN_DELAY_MS, 2.0 * self._reopen_delay_ms
             )
             self._reopen_at_ms = self._timers.now_ms() + delay_ms
-            self._timers.call_later(delay_ms, self._serve_waiters)
+            self._timers.call_later(delay_ms, self._serve_requests)
         else:
             self.mark_lost(outcome.err_value)
-        self._fail_waiters(outcome.err_value)
+        self._fail_requests(outcome.err_value)
 
-    def _fail_waiters(self, failure: ConnectFailed) -> None:
+    def _fail_requests(self, failure: ConnectFailed) -> None:
         """Fail the waiting requests, unless a connection may still become free."""
         if not (self._checked_out or self._connecting.total()):
-            self._refuse_waiters(failure)
+            self._refuse_requests(failure)
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -62,7 +62,7 @@
 MIN_WRITE_TIME_MS: Final = 150.0
 
 SET_UP_FAILED: Final = "the connection could not be set up"
-KEY_REFUSED: Final = "no customer holds the key"
+KEY_REFUSED: Final = "the key is not accepted"
 HOST_STOPS: Final = "the host is being stopped"
 
 _CALLER_ERRORS: Final = {
@@ -326,7 +326,7 @@
         min_write_ms = min(MIN_WRITE_TIME_MS, progress.route.statement_timeout_ms / 4)
         last_send_ms = progress.deadline_ms - min_write_ms
         while self._timers.now_ms() < last_send_ms and self._may_send(progress):
-            if not self._is_routed_to(group):
+            if not self._is_route_valid(group):
                 return await self._follow_route(progress, shape)
             pool = group.primary()
             if pool is None and self._is_crowded_out(progress, group):
@@ -345,7 +345,7 @@
             if sent_ms >= last_send_ms or not self._may_send(progress):
                 pool.release(session)
                 break
-            if not self._is_routed_to(group):
+            if not self._is_route_valid(group):
                 pool.release(session)
                 continue
             reply = await self._send(
@@ -390,7 +390,7 @@
         required: Position | None = None
         failed_reply: EndpointReply | None = None
         while self._may_retry(progress):
-            if not self._is_routed_to(group):
+            if not self._is_route_valid(group):
                 return await self._follow_route(progress, shape)
             if required is None:
                 required = await self._required_position(progress.route, group)
@@ -421,7 +421,7 @@
             if not self._may_send(progress):
                 pool.release(session)
                 break
-            if not self._is_routed_to(group):
+            if not self._is_route_valid(group):
                 pool.release(session)
                 continue
             sent_ms = self._timers.now_ms()
@@ -466,24 +466,32 @@
             return self._unknown_database_reply()
         customer = self._route_table.identify(found[0], self._key)
         if isinstance(customer, Err):
+            self._route_table.record_refused_key(self._database, customer.err_value)
             return CallerReply(
                 self.state, error=customer.err_value, error_text=KEY_REFUSED
             )
         self._customer = customer.ok_value
         return found
 
-    def _is_routed_to(self, group: GroupConnections) -> bool:
+    def _is_route_valid(self, group: GroupConnections) -> bool:
+        """Return whether route and key still lead to the group and the customer.
+
+        Both may change while a statement waits for a connection.
+        """
         found = self._route_table.find_route(self._database)
-        return found is not None and found[1] is group
+        if found is None or found[1] is not group:
+            return False
+        return self._route_table.identify(found[0], self._key) == Ok(self._customer)
 
     async def _follow_route(
         self, progress: StatementProgress, shape: PreparedShape | None
     ) -> CallerReply:
-        """Run a statement whose route was moved or removed before it was sent."""
+        """Run a statement whose route or key was changed before it was sent."""
         found = self._find_route()
         if isinstance(found, CallerReply):
             return found
         progress.route, group = found
+        progress.customer = self._customer
         statement = progress.statement
         if isinstance(statement, Begin):
             is_read = statement.is_read_only
@@ -801,7 +809,7 @@
         """
         if progress.attempt_count or self._patience_left_ms(progress) > 0.0:
             return False
-        is_crowded = group.is_crowded(endpoint)
+        is_crowded = group.is_crowded(self._customer, endpoint)
         if is_crowded:
             progress.reason = "all connections are in use"
         return is_crowded
--- a/src/azurerelay/relay/_customer_keys.py
+++ b/src/azurerelay/relay/_customer_keys.py
@@ -11,18 +11,19 @@
 
 # The customer of callers that need no key. Endpoints are told the system's own name.
 NO_CUSTOMER: Final = ""
-# A statement may be sent this long after its key was checked; about the time that a
-# statement waits for a connection.
-KEY_CHECK_MARGIN_MS: Final = 500.0
+# A key is checked right before its statement is sent, which may take this long to reach
+# the endpoint: several round trips between regions.
+SENDING_MARGIN_MS: Final = 200.0
 
 
 class CustomerKeys:
     """Find the customer of a caller by its key.
 
     An unknown key may belong to a newer configuration, so its caller is asked to retry
-    while this host's configuration may be out of date. With a `revocation_limit_ms`, a
-    key may also be withdrawn by a newer one: no key is accepted while the configuration
-    has been unconfirmed for that long. Without a limit, the known keys are accepted.
+    while this host's configuration may be out of date. A known key may have been
+    withdrawn by a newer one: it is accepted once a configuration has been confirmed
+    since the start of this process. With a `revocation_limit_ms`, the last confirmation
+    must not be older than that.
     """
 
     def __init__(
@@ -38,26 +39,30 @@
         if customers is not None:
             self._names = {key: c.name for c in customers for key in c.keys}
 
+    def holds(self, key: str) -> bool:
+        """Return whether a text is the key of a customer."""
+        return self._names is not None and key in self._names
+
     def identify(self, route: Route, key: str) -> Result[str, CallerError]:
         """Return the name of a caller's customer, or the error for the caller.
 
-        The name is `NO_CUSTOMER` if the route needs no key and the key is unknown.
+        The name is `NO_CUSTOMER` if the route needs no key and the key is unknown, or
+        may have been withdrawn.
         """
         if self._names is None:
             return Ok(NO_CUSTOMER)
         name = self._names.get(key)
-        if name is None and route.is_public:
+        if name is not None and not self._may_be_withdrawn:
+            return Ok(name)
+        if route.is_public:
             return Ok(NO_CUSTOMER)
-        if name is None:
-            is_certain = self._freshness.is_confirmed
-            return Err(CallerError.UNKNOWN_KEY if is_certain else CallerError.BUSY)
-        if self._may_be_revoked and not route.is_public:
-            return Err(CallerError.BUSY)
-        return Ok(name)
+        is_certain = name is None and self._freshness.is_confirmed
+        return Err(CallerError.UNKNOWN_KEY if is_certain else CallerError.BUSY)
 
     @property
-    def _may_be_revoked(self) -> bool:
+    def _may_be_withdrawn(self) -> bool:
+        if not self._freshness.has_been_confirmed:
+            return True
         if self._revocation_limit_ms is None:
             return False
-        limit_ms = self._revocation_limit_ms - KEY_CHECK_MARGIN_MS
-        return self._freshness.age_ms > limit_ms
+        return self._freshness.age_ms > self._revocation_limit_ms - SENDING_MARGIN_MS
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -38,6 +38,7 @@
 # How often a primary without a recent leadership proof is asked for one, so that its
 # loss is noticed without traffic; about the interval of endpoint heartbeats.
 PROOF_INTERVAL_MS: Final = 1_000.0
+KEY_AS_DATABASE: Final = "(a customer's key)"
 GROUP_CHECK_INTERVAL_MS: Final = 100.0
 # A primary is reported to control once it has failed proofs for this long: time for one
 # lost proof and a second attempt.
@@ -235,6 +236,7 @@
             return self.refuse_database(database)
         customer = self.identify(route, key)
         if isinstance(customer, Err):
+            self.record_refused_key(database, customer.err_value)
             return customer.err_value
         return CallerSession(
             database,
@@ -248,13 +250,14 @@
 
     def identify(self, route: Route, key: str) -> Result[str, CallerError]:
         """Return the customer of a caller by its key, or the error for the caller."""
-        customer = self._customer_keys.identify(route, key)
-        if isinstance(customer, Err):
-            reason = "no customer holds the caller's key"
-            if customer.err_value is CallerError.BUSY:
-                reason = f"{reason}, but the configuration may be out of date"
-            self._record_refused_session(route.database, reason)
-        return customer
+        return self._customer_keys.identify(route, key)
+
+    def record_refused_key(self, database: str, error: CallerError) -> None:
+        """Record that a caller was refused because of its key."""
+        reason = "no customer holds the caller's key"
+        if error is CallerError.BUSY:
+            reason = "a newer configuration may have added or withdrawn the key"
+        self._record_refused_session(database, reason)
 
     def refuse_database(self, database: str) -> CallerError:
         """Record that a database has no route; return the error for the caller.
@@ -272,6 +275,8 @@
 
     def _record_refused_session(self, database: str, reason: str) -> None:
         age_ms = min(1e9, self._control_follower.freshness.age_ms)
+        if self._customer_keys.holds(database):
+            database = KEY_AS_DATABASE  # the caller has swapped the two words
         self._events.record(SessionRefused(database, reason, self.version, age_ms))
 
     def find_route(self, database: str) -> tuple[Route, GroupConnections] | None:
--- a/src/azurerelay/relay/_route_table.py
+++ b/src/azurerelay/relay/_route_table.py
@@ -34,8 +34,11 @@
     def identify(self, route: Route, key: str) -> Result[str, CallerError]:
         """Return the customer of a caller by its key, or the error for the caller.
 
-        The name is empty for callers that need no key. Errors are recorded.
+        The name is empty for callers that need no key.
         """
 
+    def record_refused_key(self, database: str, error: CallerError) -> None:
+        """Record that a caller was refused because of its key."""
+
     def refuse_database(self, database: str) -> CallerError:
         """Record that a database has no route; return the error for the caller."""
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -5,13 +5,21 @@
 from dataclasses import replace
 from typing import Any
 
+from result import Ok
+
 from azurerelay.events import SessionRefused
 from azurerelay.platform import decode_configuration
-from azurerelay.relay._customer_keys import KEY_CHECK_MARGIN_MS
-from azurerelay.routes import Consistency, Customer, apply_change, change_between
+from azurerelay.relay._customer_keys import SENDING_MARGIN_MS
+from azurerelay.routes import (
+    Consistency,
+    Customer,
+    DatabaseGroup,
+    apply_change,
+    change_between,
+)
 from azurerelay.statements import CallerError, SessionState
 from azurerelay.timing import spawn
-from tests.platform_rig import PlatformRig, configuration, route
+from tests.platform_rig import GROUP, PlatformRig, configuration, route
 
 ACME = Customer("acme", ("key-1", "key-2"), 100.0, 100.0)
 ZENITH = Customer("zenith", ("key-3",), 10.0, 10.0)
@@ -89,6 +97,73 @@
         self.assertIsNone(self.rig.run(session, "WRITE 1 a").error)
         self.assertEqual(self.rig.runs[-1].customer, "zenith")
 
+    def _run_late(self, text: str, *customers: Customer) -> CallerError | None:
+        """Replace the customers while a statement of key-2 waits for a connection."""
+        groups = (DatabaseGroup(GROUP, 5, 0),)
+        routes = (route("strict", Consistency.PRIMARY, statement_timeout_ms=8_000),)
+        self._replace(groups=groups, routes=routes)
+        self.rig.timers.advance(3_000.0)
+        holder = self.rig.open("strict", key="key-3")
+        self.assertIsNone(self.rig.run(holder, "BEGIN").error)
+        waiting = self.rig.send(self.rig.open("strict", key="key-2"), text)
+        self.rig.timers.advance(50.0)
+        self._replace(customers=customers)
+        self.assertFalse(waiting.is_done)
+        self.assertIsNone(self.rig.run(holder, "COMMIT").error)
+        reply = self.rig.wait(waiting)
+        error: CallerError | None = reply.error
+        return error
+
+    def test_a_key_that_is_withdrawn_while_a_statement_waits_does_not_run_it(
+        self,
+    ) -> None:
+        """Guards against statements that wait longer than a withdrawal may take."""
+        acme = replace(ACME, keys=("key-1",))
+        for text in ("WRITE 1 late", "BEGIN"):
+            self.assertIs(
+                self._run_late(text, acme, ZENITH), CallerError.UNKNOWN_KEY, text
+            )
+            self._replace(customers=(ACME, ZENITH))
+        self.assertEqual(self.rig.runs, [])
+
+    def test_a_key_that_moves_while_a_statement_waits_changes_its_customer(
+        self,
+    ) -> None:
+        """Guards against work in the name of the customer that had the key before."""
+        acme = replace(ACME, keys=("key-1",))
+        zenith = replace(ZENITH, keys=("key-3", "key-2"))
+        self.assertIsNone(self._run_late("WRITE 1 late", acme, zenith))
+        self.assertEqual(self.rig.runs[-1].customer, "zenith")
+
+    def test_a_restarted_host_does_not_take_keys_from_an_outdated_control_host(
+        self,
+    ) -> None:
+        """Guards against a withdrawn key that is served again after a restart."""
+        addresses = self.rig.addresses
+        outdated = next(a for a in addresses if self.rig.controls[a] != self.rig.leader)
+        self.rig.isolate(outdated, [a for a in addresses if a != outdated])
+        leader = next(a for a in addresses if self.rig.controls[a] == self.rig.leader)
+        customers = (replace(ACME, keys=("key-2",)), ZENITH)
+        self.assertTrue(
+            self.rig.replace(
+                replace(self.configuration, version=2, customers=customers), leader
+            )
+        )
+        self.rig.cut_power("10.1.0.1:7440")
+        self.rig.isolate("10.1.0.1:7440", [a for a in addresses if a != outdated])
+        self.rig.timers.advance(4_000.0)
+        self.rig.start_entry(1)
+        self.rig.timers.advance(3_000.0)
+        self.assertIs(self._refusal("key-1"), CallerError.BUSY)
+        self.rig.heal()
+        self.rig.timers.advance(3_000.0)
+        self.assertIs(self._refusal("key-1"), CallerError.UNKNOWN_KEY)
+
+    def test_a_key_in_the_place_of_the_database_is_not_logged(self) -> None:
+        node = self.rig.entries["10.1.0.1:7440"]
+        self.rig.wait(spawn(node.open_session("key-1", "strict")))
+        self.assertNotIn("key-1", repr(self.rig.events.of(SessionRefused)))
+
     def test_public_routes_need_no_key(self) -> None:
         self._replace(
             routes=(
@@ -116,7 +191,7 @@
         node._customer_keys._revocation_limit_ms = 5_000.0
         session = self.rig.open("strict", key="key-1")
         self.rig.isolate("10.1.0.1:7440", self.rig.addresses)
-        self.rig.timers.advance(5_000.0 - KEY_CHECK_MARGIN_MS - 1_000.0)
+        self.rig.timers.advance(5_000.0 - SENDING_MARGIN_MS - 1_000.0)
         self.assertIsNone(self.rig.run(session, "READ 1").error)
         self.rig.timers.advance(1_500.0)
         self.assertIs(self.rig.run(session, "READ 1").error, CallerError.BUSY)
@@ -124,6 +199,16 @@
         self.rig.timers.advance(2_000.0)
         self.assertIsNone(self.rig.run(session, "READ 1").error)
 
+    def test_a_public_route_does_not_use_a_key_that_may_have_been_withdrawn(
+        self,
+    ) -> None:
+        node = self.rig.entries["10.1.0.1:7440"]
+        node._customer_keys._revocation_limit_ms = 5_000.0
+        self.rig.isolate("10.1.0.1:7440", self.rig.addresses)
+        self.rig.timers.advance(6_000.0)
+        public = route("open", Consistency.PRIMARY, is_public=True)
+        self.assertEqual(node.identify(public, "key-1"), Ok(""))
+
 
 class CustomerDocumentTest(unittest.TestCase):
     """The operator's document, and the changes that entry hosts get."""
@@ -153,7 +238,7 @@
     def test_invalid_customers_are_refused_with_their_place(self) -> None:
         """Guards against a document with two owners of a key, and against leaks."""
         valid = {"name": "acme", "api_keys": ["key-1"], "rate_per_s": 1, "burst": 1}
-        cases: list[tuple[list[Any], str]] = [
+        cases: list[tuple[Any, str]] = [
             ([valid, valid | {"name": "zenith"}], "$.tenants[1].api_keys[0]"),
             ([valid, valid | {"api_keys": []}], "$.tenants[1].name"),
             ([valid | {"name": ""}], "$.tenants[0].name"),
@@ -166,6 +251,7 @@
             ([valid | {"api_keys": ["key-1", 7]}], "$.tenants[0].api_keys"),
             ([valid | {"api_keys": ["a key"]}], "$.tenants[0].api_keys"),
             (["acme"], "$.tenants"),
+            (None, "$.tenants"),
         ]
         for customers, place in cases:
             findings = self._decode(customers).err_value
--- a/tests/test_pooling.py
+++ b/tests/test_pooling.py
@@ -142,6 +142,46 @@
         self.assertTrue(all(p.is_done for p in small))
         self.assertEqual(sum(p.is_done for p in large), 1)
 
+    def test_a_later_customer_comes_after_the_first_request_of_each_other(self) -> None:
+        """Guards against an order that is lost when requests time out."""
+        pool = self._pool(1, [])
+        used = self._acquire(pool, "x").value.ok_value
+        early = []
+        for _ in range(10):
+            pool.acquire(1, SessionProfile(), 100.0, "a")
+            early.append(self._acquire(pool, "b"))
+        self.timers.advance(150.0)
+        late = self._acquire(pool, "c")
+        pool.release(used)
+        pool.release(early[0].value.ok_value)
+        self.assertEqual([p.is_done for p in (*early[:2], late)], [True, False, True])
+
+    def test_a_customer_gets_a_place_at_a_full_endpoint(self) -> None:
+        """Load: other hosts hold what this host's share would still allow.
+
+        A customer without a connection starved behind one with an idle connection.
+        """
+        pool = self._pool(2, [])
+        pool.release(self._acquire(pool, "a").value.ok_value)
+        self.connector.refusals = [EndpointError.TOO_MANY_CONNECTIONS]
+        waiting = self._acquire(pool, "b")
+        self.assertFalse(pool.has_free_slot("b"))
+        self.assertFalse(pool.is_usable_for("b"))
+        self.assertTrue(pool.is_usable_for("a"))
+        waiting = self._acquire(pool, "b")
+        self.timers.advance(200.0)
+        self.assertEqual(waiting.value.ok_value.customer, "b")
+        self.assertFalse(pool.has_idle_connection("a"))
+
+    def test_a_smaller_share_does_not_strand_requests(self) -> None:
+        """Guards against idle connections over the limit that block new ones."""
+        pool = self._pool(4, [])
+        for session in [self._acquire(pool, c).value.ok_value for c in "acde"]:
+            pool.release(session)
+        pool.update(pool.endpoint, ConnectionShare(1, 1.0))
+        self.assertEqual(self._acquire(pool, "b").value.ok_value.customer, "b")
+        self.assertEqual(pool.size, 1)
+
     def test_a_failed_connect_tells_why_to_those_that_wait(self) -> None:
         """Whether nothing listens decides how much a suspicion counts."""
         pool = self._pool(2, [])
