Host settings: optional limits have defaults again

What developers saw: tests.test_control_host and tests.test_service_stop ended with six errors on, TypeError: missing 'revocation_limit_ms' and 'quota_slack'.

Cause: added both fields to HostSettings without defaults, although a settings file may leave them out.

Change: both have the defaults of a settings file without them. No test is changed.

Evidence: the two modules and tests.test_platform_codecs, 56 tests, pass.

--- a/src/azurerelay/platform/_host_settings.py
+++ b/src/azurerelay/platform/_host_settings.py
@@ -92,10 +92,10 @@
     heartbeat_interval_ms: float
     max_disk_losses: int
     grace_period_ms: float
-    revocation_limit_ms: float | None
-    quota_slack: float
     data_folder: str | None
     promotion_address: str | None
+    revocation_limit_ms: float | None = None
+    quota_slack: float = 0.0
 
 
 def parse_host_settings(
