--- /dev/null
+++ b/src/azurerelay/budgets/_byte_budget.py
@@ -0,0 +1,250 @@
+"""A budget of bytes that the connections of a process share."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Final, Protocol
+
+from azurerelay.timing import TimerService
+
+# Between two reviews while a connection waits for bytes. A connection without progress
+# for this long is closed in favour of those that wait; a packet that is lost once is
+# sent again within it.
+REVIEW_INTERVAL_MS: Final = 1_000.0
+# After this many reviews without a connection that stands still, the one with the least
+# progress is closed: otherwise clients that send a byte at a time could keep all bytes.
+MAX_FRUITLESS_REVIEWS: Final = 5
+
+
+class ByteHolder(Protocol):
+    """The owner of an account, usually a connection."""
+
+    def measure_bytes(self) -> None:
+        """Bring the account up to date, as it stands before a review."""
+
+    def on_bytes_granted(self) -> None:
+        """Go on: what the account was waiting for is reserved now."""
+
+    def close_for_bytes(self) -> None:
+        """Close the connection, since others wait for its bytes.
+
+        The account must hold no more than what cannot be freed now.
+        """
+
+
+class ByteAccount:
+    """What one connection holds of a budget."""
+
+    __slots__ = ("_budget", "_holder", "held", "moved", "wanted")
+
+    def __init__(self, budget: "ByteBudget", holder: ByteHolder) -> None:
+        self._budget = budget
+        self._holder: ByteHolder | None = holder
+        self.held = 0  # bytes; changed by the budget only
+        self.wanted = 0  # bytes that it waits to hold; 0 if it does not wait
+        self.moved = 0  # bytes read and written since the last review
+
+    @property
+    def holder(self) -> ByteHolder | None:
+        """The owner of the account; None once it is closed."""
+        return self._holder
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether the process has a limit at all."""
+        return self._budget.is_limited
+
+    def reserve(self, total: int) -> bool:
+        """Hold `total` bytes from now on, if they fit; otherwise wait for them.
+
+        While it waits, the account holds what it held, or less if `total` is less.
+        """
+        return self._budget.reserve(self, total)
+
+    def charge(self, total: int) -> None:
+        """Hold `total` bytes, which exist already, whether they fit or not."""
+        self._budget.charge(self, total)
+
+    def close(self, total: int = 0) -> None:
+        """Give all bytes back but `total`, and wait no longer.
+
+        The holder is not called any more, nor kept from being freed.
+        """
+        self._holder = None
+        self._budget.close(self, total)
+
+
+class ByteBudget:
+    """Grant bytes to connections in the order in which they ask for them.
+
+    Load that this answers: clients that together send, or do not read, more than the
+    memory of the process. A connection that does not get its bytes stops reading. Bytes
+    return when statements end and answers are read. If they do not, since all that hold
+    some stand still, a review closes those that hold the most.
+
+    Without a capacity, everything is granted, and no timers are needed.
+    """
+
+    def __init__(self, capacity: int | None, timers: TimerService | None) -> None:
+        assert capacity is None or timers is not None
+        self._capacity = capacity
+        self._timers = timers
+        self._held = 0
+        self._holders: dict[ByteAccount, None] = {}
+        self._waiting: deque[ByteAccount] = deque()
+        self._closed_count = 0
+        self._wait_count = 0
+        self._has_review = False
+        self._fruitless_reviews = 0
+        self._defers_grants = False
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether there is a limit."""
+        return self._capacity is not None
+
+    @property
+    def held(self) -> int:
+        """Bytes that all accounts hold."""
+        return self._held
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of accounts that wait for bytes."""
+        return len(self._waiting)
+
+    @property
+    def wait_count(self) -> int:
+        """How often an account had to wait, since the start."""
+        return self._wait_count
+
+    @property
+    def closed_count(self) -> int:
+        """How many connections were closed for their bytes, since the start."""
+        return self._closed_count
+
+    @property
+    def _free(self) -> int:
+        return (self._capacity or 0) - self._held
+
+    @property
+    def _wanted(self) -> int:
+        return sum(max(0, account.wanted - account.held) for account in self._waiting)
+
+    def open_account(self, holder: ByteHolder) -> ByteAccount:
+        """Return an account that holds nothing."""
+        return ByteAccount(self, holder)
+
+    def reserve(self, account: ByteAccount, total: int) -> bool:
+        """Hold `total` bytes if they fit, otherwise put the account in the queue."""
+        if self._capacity is None:
+            return True
+        is_next = not self._waiting or self._waiting[0] is account
+        if total <= account.held or (is_next and self._fits(account, total)):
+            self._stop_waiting(account)
+            self.charge(account, total)
+            return True
+        if account.wanted <= self._capacity < total:
+            self._call_later(0.0, lambda: self._close(account))
+        if not account.wanted:
+            self._waiting.append(account)
+            self._wait_count += 1
+            self._schedule_review()
+        account.wanted = total
+        return False
+
+    def charge(self, account: ByteAccount, total: int) -> None:
+        """Hold `total` bytes; relieve the budget soon if that is too much."""
+        if self._capacity is None:
+            return
+        self._hold(account, total)
+        if self._held > self._capacity:
+            self._call_later(0.0, self._relieve)
+        else:
+            self._grant()
+
+    def close(self, account: ByteAccount, total: int) -> None:
+        """Let an account wait no longer, and hold `total` bytes."""
+        self._stop_waiting(account)
+        self.charge(account, total)
+
+    def _stop_waiting(self, account: ByteAccount) -> None:
+        if account.wanted:
+            self._waiting.remove(account)
+            account.wanted = 0
+
+    def _hold(self, account: ByteAccount, total: int) -> None:
+        self._held += total - account.held
+        account.held = total
+        if total:
+            self._holders[account] = None
+        else:
+            self._holders.pop(account, None)
+
+    def _fits(self, account: ByteAccount, total: int) -> bool:
+        assert self._capacity is not None
+        return self._held - account.held + total <= self._capacity
+
+    def _grant(self) -> None:
+        """Grant what fits, in the order of the queue."""
+        if self._defers_grants:
+            return
+        self._defers_grants = True
+        while self._waiting and self._fits(self._waiting[0], self._waiting[0].wanted):
+            account = self._waiting.popleft()
+            total, account.wanted = account.wanted, 0
+            self._hold(account, total)
+            if account.holder is not None:
+                account.holder.on_bytes_granted()
+        self._defers_grants = False
+
+    def _relieve(self) -> None:
+        """Close connections until the budget is not exceeded."""
+        assert self._capacity is not None
+        for account in self._worst_first():
+            if self._held <= self._capacity:
+                break
+            self._close(account)
+        self._grant()
+
+    def _schedule_review(self) -> None:
+        if not self._has_review:
+            self._has_review = True
+            self._call_later(REVIEW_INTERVAL_MS, self._review)
+
+    def _call_later(self, delay_ms: float, callback: Callable[[], object]) -> None:
+        assert self._timers is not None
+        self._timers.call_later(delay_ms, callback)
+
+    def _review(self) -> None:
+        """Close connections that stand still while others wait for their bytes."""
+        self._has_review = False
+        for account in list(self._holders):
+            if account.holder is not None:
+                account.holder.measure_bytes()
+        self._defers_grants = True
+        closed_count = self._closed_count
+        for account in self._worst_first():
+            if account.moved or self._free >= self._wanted:
+                break
+            self._close(account)
+        self._fruitless_reviews += 1
+        if not self._waiting or closed_count != self._closed_count:
+            self._fruitless_reviews = 0
+        elif self._fruitless_reviews >= MAX_FRUITLESS_REVIEWS and self._holders:
+            self._fruitless_reviews = 0
+            self._close(self._worst_first()[0])
+        for account in self._holders:
+            account.moved = 0
+        self._defers_grants = False
+        self._grant()
+        if self._waiting:
+            self._schedule_review()
+
+    def _worst_first(self) -> list[ByteAccount]:
+        """Return the holders: the least progress first, then the most bytes."""
+        return sorted(self._holders, key=lambda account: (account.moved, -account.held))
+
+    def _close(self, account: ByteAccount) -> None:
+        if account.holder is not None:
+            self._closed_count += 1
+            account.holder.close_for_bytes()
--- a/src/azurerelay/platform/_host_settings.py
+++ b/src/azurerelay/platform/_host_settings.py
@@ -15,7 +15,10 @@
 MIN_HEARTBEAT_INTERVAL_MS: Final = 1
 MAX_DISK_LOSSES: Final = 1_000
 MAX_QUOTA_SLACK: Final = 1e9  # operations
+MAX_MEMORY_MB: Final = 1e9
+MAX_DESCRIPTORS: Final = 10**9
 _MS_PER_S: Final = 1_000
+_BYTES_PER_MB: Final = 1_024 * 1_024
 
 
 class _Listen(msgspec.Struct):
@@ -42,6 +45,13 @@
     quota_slack: float = 0
 
 
+class _Limits(msgspec.Struct):
+    """What the machine grants the process; None means no limit."""
+
+    memory_mb: float | None = None
+    file_descriptors: int | None = None
+
+
 class _CloudApi(msgspec.Struct):
     """The API that takes promotion orders."""
 
@@ -63,6 +73,7 @@
     heartbeat_interval_ms: float
     fault_tolerance: _Tolerance = msgspec.field(default_factory=_Tolerance)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     data_directory: str | None = None
     cloud_api: _CloudApi | None = None
 
@@ -76,7 +87,8 @@
     and `max_disk_losses` is the number of simultaneous disk losses to tolerate.
     `heartbeat_interval_ms` is the interval at which endpoints send heartbeats. Without
     contact to control, customers' keys are refused after `revocation_limit_ms`, if it
-    is set. A customer may exceed its quota by `quota_slack` operations.
+    is set. A customer may exceed its quota by `quota_slack` operations. The process
+    keeps within `memory_bytes` and `file_descriptors`, if they are set.
     """
 
     name: str
@@ -96,6 +108,8 @@
     promotion_address: str | None
     revocation_limit_ms: float | None = None
     quota_slack: float = 0.0
+    memory_bytes: int | None = None
+    file_descriptors: int | None = None
 
 
 def parse_host_settings(
@@ -135,6 +149,12 @@
                 else None
             ),
             quota_slack=document.bounds.quota_slack,
+            memory_bytes=(
+                int(document.limits.memory_mb * _BYTES_PER_MB)
+                if document.limits.memory_mb is not None
+                else None
+            ),
+            file_descriptors=document.limits.file_descriptors,
             data_folder=document.data_directory,
             promotion_address=(
                 document.cloud_api.address if document.cloud_api else None
@@ -179,6 +199,12 @@
             MAX_DISK_LOSSES,
         ),
     }
+    limits = document.limits
+    if limits.memory_mb is not None:
+        ranges["$.limits.memory_mb"] = (limits.memory_mb, 1, MAX_MEMORY_MB)
+    if limits.file_descriptors is not None:
+        descriptors = (limits.file_descriptors, 1, MAX_DESCRIPTORS)
+        ranges["$.limits.file_descriptors"] = descriptors
     for number, port in enumerate(document.internal_port_range):
         ranges[f"$.internal_port_range[{number}]"] = (port, 1, MAX_PORT)
     return [
