Memory tests: messages over the limit, and statements of medium size, are two tests

Cause: the message over the limit was sent as a block that began with START, again and again, so the block's line end made it a series of legal statements of 64 KiB each.

Change: one test sends a single message of 64 MB on each of the same 24 connections; the other sends 100 of the statements on each. The bound is the same.

--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -88,7 +88,16 @@
 
     def test_messages_far_over_the_limit(self) -> None:
         crowd = self.callers(24)
-        crowd.send(OPEN + STATEMENT.ljust(64 * KIB, b"x"), 64 * KIB, 1_000)
+        crowd.send(OPEN + STATEMENT, KIB)
+        crowd.send(b"x" * 64 * KIB, 64 * KIB, 1_000)
+        self.assert_bounded(self.hosts.entry)
+
+    def test_statements_of_medium_size_without_a_pause(self) -> None:
+        """Statements arrived faster than endpoints took them, and were all queued."""
+        crowd = self.callers(24)
+        crowd.send(OPEN, KIB)
+        statement = STATEMENT.ljust(64 * KIB - 2, b"x") + b"\r\n"
+        crowd.send(statement, 64 * KIB, 100)
         self.assert_bounded(self.hosts.entry)
 
     def test_statements_sent_ahead(self) -> None:
