Hosts keep within the memory and the descriptors of their settings

What callers saw: 160 unfinished messages of legal size, four connections that send 60 statements ahead, 24 answers of 10 MB that nobody reads, 24 unfinished HTTP bodies, or one caller that sets large session values took more than the 128 MB of a host's settings; 400 silent connections took more than its 200 descriptors.

Cause: each connection was bounded, or not at all (session values, the target of an HTTP request, replies that wait), and nothing bounded them together. Connections to endpoints kept the values of callers that had gone.

Change: callers, HTTP services and connections to endpoints ask the process's byte budget before they hold more than 8 KiB, and stop reading without. They read pieces of 8 KiB (64 KiB from endpoints) into a shared buffer. No statement starts while a caller does not read its replies, and large replies are encoded in parts. Readiness and metrics keep no bodies. The connection that is idle for longest gives way when there is one too many. The event log queues at most 4 MiB. Without limits in the settings, nothing waits and nothing is closed for its memory.

--- a/src/azurerelay/budgets/_byte_budget.py
+++ b/src/azurerelay/budgets/_byte_budget.py
@@ -64,13 +64,17 @@
         """Hold `total` bytes, which exist already, whether they fit or not."""
         self._budget.charge(self, total)
 
+    def shrink(self, total: int) -> None:
+        """Hold only `total` bytes, and wait for no more."""
+        self._budget.shrink(self, total)
+
     def close(self, total: int = 0) -> None:
-        """Give all bytes back but `total`, and wait no longer.
+        """Give all bytes back but `total`, which a statement in progress takes.
 
         The holder is not called any more, nor kept from being freed.
         """
         self._holder = None
-        self._budget.close(self, total)
+        self._budget.shrink(self, total)
 
 
 class ByteBudget:
@@ -162,7 +166,7 @@
         else:
             self._grant()
 
-    def close(self, account: ByteAccount, total: int) -> None:
+    def shrink(self, account: ByteAccount, total: int) -> None:
         """Let an account wait no longer, and hold `total` bytes."""
         self._stop_waiting(account)
         self.charge(account, total)
--- a/src/azurerelay/budgets/_connection_budget.py
+++ b/src/azurerelay/budgets/_connection_budget.py
@@ -9,42 +9,44 @@
     """Choose which connection is closed when there is one too many.
 
     Load that this answers: clients that connect and say nothing, or do not go away. The
-    connection that has been silent for longest goes first, since ordinary clients speak
-    as soon as they are connected. If all have spoken, the new one is closed: it has
-    nothing to lose yet, and its client can turn to another host.
+    connection that has been idle for longest goes first, since ordinary clients speak
+    soon after they have connected. If none is idle, the new one is closed: it has
+    nothing to lose yet, and its client can turn to another host. Accepting goes on,
+    since ordinary clients would wait behind the others in the kernel's queue.
     """
 
     def __init__(self, max_connections: int | None) -> None:
         self._max_connections = max_connections
-        self._connections: set[T] = set()
-        self._silent: dict[T, None] = {}  # in the order in which they connected
-        self._closed_count = 0
-
-    @property
-    def closed_count(self) -> int:
-        """How many connections were closed for another one, or refused."""
-        return self._closed_count
+        self._idle: dict[T, None] = {}  # the one that has been idle for longest first
+        self._busy: set[T] = set()
 
     def add(self, connection: T) -> T | None:
         """Count a new connection; return the one that must be closed, if any."""
-        victim: T | None = None
-        if (
-            self._max_connections is not None
-            and len(self._connections) >= self._max_connections
-        ):
-            self._closed_count += 1
-            victim = next(iter(self._silent), connection)
-            self.remove(victim)
-        if victim is not connection:
-            self._connections.add(connection)
-            self._silent[connection] = None
-        return victim
-
-    def mark_spoken(self, connection: T) -> None:
-        """Record that a connection has sent its first complete message."""
-        self._silent.pop(connection, None)
+        if self._max_connections is None:
+            return None
+        if len(self._idle) + len(self._busy) >= self._max_connections:
+            surplus = next(iter(self._idle), connection)
+            self.remove(surplus)
+            if surplus is connection:
+                return surplus
+        else:
+            surplus = None
+        self._idle[connection] = None
+        return surplus
+
+    def mark_busy(self, connection: T) -> None:
+        """Record that a complete message of a connection is being served."""
+        if connection in self._idle:
+            del self._idle[connection]
+            self._busy.add(connection)
+
+    def mark_idle(self, connection: T) -> None:
+        """Record that a connection has nothing that is served or left open."""
+        if connection in self._busy:
+            self._busy.discard(connection)
+            self._idle[connection] = None
 
     def remove(self, connection: T) -> None:
         """Forget a connection that is closed."""
-        self._connections.discard(connection)
-        self._silent.pop(connection, None)
+        self._busy.discard(connection)
+        self._idle.pop(connection, None)
--- a/src/azurerelay/events/_events.py
+++ b/src/azurerelay/events/_events.py
@@ -271,6 +271,18 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionDropped(Event):
+    """A connection was closed because the process is short of memory or descriptors.
+
+    `reason` is `memory` or `descriptors`; `held_bytes` is what the connection held.
+    """
+
+    service: str
+    reason: str
+    held_bytes: int
+
+
 @dataclass(frozen=True, slots=True)
 class ProcessChanged(Event):
     """A start, drain or stop of the process, or a reload of its settings."""
--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -3,16 +3,25 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
+from sys import getsizeof
 from typing import Any, Final
 
 from absl import logging
 from result import Err
 
+from azurerelay.budgets import FREE_BYTES, PIECE_BYTES, ConnectionBudget
 from azurerelay.events import CallersDrained
+from azurerelay.hosts._resource_limits import (
+    DESCRIPTORS,
+    MEMORY,
+    ResourceLimits,
+    unlimited_resources,
+)
 from azurerelay.hosts._sockets import set_socket_options, split_address
 from azurerelay.platform import (
     LINE_TOO_LONG_ERROR,
+    MAX_LINE_BYTES,
     CallerMessage,
     EndSession,
     LineSplitter,
@@ -20,6 +29,7 @@
     OpenSession,
     decode_caller_line,
     encode_caller_reply,
+    encode_caller_reply_parts,
     encode_error_line,
     encode_ready_line,
 )
@@ -36,7 +46,18 @@
 )
 from azurerelay.timing import TimerService, sleep, spawn
 
+SERVICE: Final = "callers"  # in events and metrics
 LISTEN_BACKLOG: Final = 512
+# The event loop accepts up to this many connections before it handles one of them.
+ACCEPT_BATCH: Final = 16
+# What a queued message takes besides its text.
+MESSAGE_BYTES: Final = 512
+# What a message of the largest size takes while it is read and decoded, if each of its
+# characters takes one byte, and at most.
+ASCII_MESSAGE_BYTES: Final = MESSAGE_BYTES + 2 * MAX_LINE_BYTES + MAX_LINE_BYTES // 4
+MESSAGE_LIMIT_BYTES: Final = MESSAGE_BYTES + 8 * MAX_LINE_BYTES + MAX_LINE_BYTES // 4
+SHORT_OF_MEMORY: Final = "the host is short of memory"
+TOO_MANY_CONNECTIONS: Final = "the host has too many connections"
 # A caller with more queued messages than this sends without reading its replies; its
 # connection is closed.
 MAX_PIPELINED_MESSAGES: Final = 64
@@ -53,24 +74,47 @@
 TRANSMISSION_MS: Final = 100.0
 
 
-class CallerProtocol(asyncio.Protocol):
-    """Connection of one caller; statements run one at a time, in order of arrival."""
+class _ServerState:
+    """What the connections of one server share."""
 
     def __init__(
-        self,
-        node: RelayNode,
-        timers: TimerService,
-        on_closed: Callable[["CallerProtocol"], object],
-        closes_when_idle: bool,
+        self, node: RelayNode, timers: TimerService, resources: ResourceLimits
     ) -> None:
-        self._node = node
-        self._timers = timers
+        self.node = node
+        self.timers = timers
+        self.resources = resources
+        self.callers: set[CallerProtocol] = set()
+        self.connections: ConnectionBudget[CallerProtocol] = ConnectionBudget(
+            resources.limits.max_callers
+        )
+        # The data of one piece, which is processed before another one is read.
+        self.piece = memoryview(bytearray(PIECE_BYTES))
+
+
+class CallerProtocol(asyncio.BufferedProtocol):
+    """Connection of one caller; statements run one at a time, in order of arrival.
+
+    It reads small pieces into a buffer of the server, so that a connection holds little
+    more than what it has asked the byte budget for.
+    """
+
+    def __init__(self, server: _ServerState, closes_when_idle: bool) -> None:
+        self._server = server
+        self._node = server.node
+        self._timers = timers = server.timers
         self._last_message_ms = timers.now_ms()
-        self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._splitter = LineSplitter()
         self._session: CallerSession | None = None
-        self._queued_messages: deque[CallerMessage] = deque()
+        self._queued_messages: deque[tuple[CallerMessage, int]] = deque()
+        self._account = server.resources.budget.open_account(self)
+        self._queued_bytes = 0
+        self._serving_bytes = 0
+        self._session_bytes = 0
+        self._next_session_count = FREE_BYTES
+        self._unsent_bytes = 0
+        self._is_reading_paused = False
+        self._is_writing_paused = False
         self._is_busy = False
         self._closes_when_idle = closes_when_idle
 
@@ -139,12 +183,31 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         set_socket_options(transport.get_extra_info("socket"))
+        if self._account.is_limited:
+            transport.set_write_buffer_limits(high=FREE_BYTES)
+        surplus = self._server.connections.add(self)
+        if surplus is not None:
+            surplus.drop_for_descriptors()
         if self._closes_when_idle:
             self._close_if_quiet()
 
+    def drop_for_descriptors(self) -> None:
+        """Close the connection, since there is one too many."""
+        self._server.resources.report_dropped(SERVICE, DESCRIPTORS)
+        self.dismiss(TOO_MANY_CONNECTIONS)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that the next piece is read into."""
+        return self._server.piece
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process the piece that has been read."""
+        self.data_received(bytes(self._server.piece[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Queue complete messages; close the connection on invalid input."""
         self._last_message_ms = self._timers.now_ms()
+        self._account.moved += len(data)
         lines = self._splitter.feed(data)
         if isinstance(lines, Err):
             self._write(LINE_TOO_LONG_ERROR)
@@ -156,23 +219,114 @@
                 self._write(encode_error_line(CallerError.MALFORMED, message.err_value))
                 self.close("unreadable message")
                 return
-            self._queued_messages.append(message.ok_value)
+            cost = MESSAGE_BYTES + 2 * getsizeof(line)
+            self._queued_messages.append((message.ok_value, cost))
+            self._queued_bytes += cost
         if len(self._queued_messages) > MAX_PIPELINED_MESSAGES:
             self._write(encode_error_line(CallerError.MALFORMED, "too many messages"))
             self.close("too many messages")
             return
         self._process_queue()
+        self._update_account()
+
+    def pause_writing(self) -> None:
+        """Start no statement until the caller has read its replies."""
+        self._is_writing_paused = True
+        self._update_account()
+
+    def resume_writing(self) -> None:
+        """Go on with the statements that have been sent ahead."""
+        self._is_writing_paused = False
+        self._update_account()
+        self._process_queue()
+        self._update_account()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Close the session, which rolls back an open transaction."""
-        self._queued_messages.clear()
+        self._forget_messages()
+        self._session_bytes = 0
+        self._account.close(self._serving_bytes)
         if self._session is not None:
             self._session.close()
-        self._on_closed(self)
+        self._server.connections.remove(self)
+        self._server.callers.discard(self)
+
+    def measure_bytes(self) -> None:
+        """Count what the caller has read since the last time."""
+        if self._is_writing_paused:
+            self._update_account()
+
+    def on_bytes_granted(self) -> None:
+        """Read on."""
+        self._update_account()
+
+    def close_for_bytes(self) -> None:
+        """Close the connection, since others wait for the memory that it holds."""
+        self._server.resources.report_dropped(SERVICE, MEMORY, self._account.held)
+        self._forget_messages()
+        if self._is_writing_paused and self._transport is not None:
+            if self._session is not None:
+                self._session.close(SHORT_OF_MEMORY)
+            self._transport.abort()
+        else:
+            self.dismiss(SHORT_OF_MEMORY)
+        self._account.shrink(self._serving_bytes)
+
+    def _forget_messages(self) -> None:
+        self._queued_messages.clear()
+        self._queued_bytes = 0
+        self._splitter.clear()
+
+    def _update_account(self) -> None:
+        """Hold what the connection needs to read on; pause reading until it may."""
+        account = self._account
+        unread = self._splitter.size
+        unsent = 0
+        if self._is_writing_paused and self._transport is not None:
+            unsent = self._transport.get_write_buffer_size()
+            account.moved += max(0, self._unsent_bytes - unsent)
+        self._unsent_bytes = unsent
+        total = unread + unsent + self._queued_bytes + self._serving_bytes
+        total += self._session_bytes
+        is_small = total <= FREE_BYTES and not self._is_writing_paused
+        if is_small and not account.held and not account.wanted:
+            return
+        if self._transport is None or self._transport.is_closing():
+            account.shrink(self._serving_bytes + unsent)
+            return
+        needed = 0 if is_small else total
+        if unread > FREE_BYTES:
+            is_ascii = self._splitter.is_ascii
+            needed += (
+                ASCII_MESSAGE_BYTES if is_ascii else MESSAGE_LIMIT_BYTES
+            ) - unread
+        if account.reserve(needed):
+            if self._is_reading_paused:
+                self._is_reading_paused = False
+                self._transport.resume_reading()
+            return
+        # The first two pieces are not counted: any connection may hold these.
+        is_begun = unread > FREE_BYTES + PIECE_BYTES
+        account.charge(total if is_begun else total - unread)
+        if not self._is_reading_paused:
+            self._is_reading_paused = True
+            self._transport.pause_reading()
+
+    def _count_session_bytes(
+        self, session: CallerSession, statement: Statement
+    ) -> None:
+        """Count a new session value; values that it replaced are found now and then."""
+        self._session_bytes += MESSAGE_BYTES + getsizeof(statement.text)
+        if self._session_bytes >= self._next_session_count:
+            self._session_bytes = session.state_bytes
+            self._next_session_count = 2 * self._session_bytes + FREE_BYTES
 
     def _process_queue(self) -> None:
         while self._queued_messages and not self._is_busy:
-            message = self._queued_messages.popleft()
+            if self._is_writing_paused and self._account.is_limited:
+                return
+            message, cost = self._queued_messages.popleft()
+            self._queued_bytes -= cost
             if isinstance(message, OpenSession):
                 self._is_busy = True
                 spawn(self._close_on_error(self._open_session(message)))
@@ -189,6 +343,8 @@
                 self._answer_malformed(self._session, message)
             else:
                 self._is_busy = True
+                self._serving_bytes = cost
+                self._server.connections.mark_busy(self)
                 spawn(self._close_on_error(self._execute(self._session, message)))
 
     async def _close_on_error(self, handler: Coroutine[Any, None, None]) -> None:
@@ -223,6 +379,7 @@
         try:
             reply = await session.handle(statement)
         except Exception:
+            self._serving_bytes = 0
             logging.exception(
                 "unexpected error in statement %s; closing its connection",
                 statement.request_id,
@@ -231,7 +388,16 @@
             self.close("unexpected error")
             return
         self._is_busy = False
-        self._write(encode_caller_reply(reply))
+        self._serving_bytes = 0
+        if self.is_idle:
+            self._server.connections.mark_idle(self)
+        for part in encode_caller_reply_parts(reply):
+            self._write(part)
+        if not _ends_operation(statement) and self._account.is_limited:
+            self._count_session_bytes(session, statement)
+        account = self._account
+        if account.held or account.wanted or self._session_bytes:
+            self._update_account()
         if self._closes_when_idle and self.is_idle and _ends_operation(statement):
             self.dismiss()
             return
@@ -249,6 +415,7 @@
         self._last_message_ms = self._timers.now_ms()
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(text.encode())
+            self._account.moved += len(text)
 
 
 def _ends_operation(statement: Statement) -> bool:
@@ -262,11 +429,18 @@
 class CallerServer:
     """Accept caller connections on one address."""
 
-    def __init__(self, address: str, node: RelayNode, timers: TimerService) -> None:
+    def __init__(
+        self,
+        address: str,
+        node: RelayNode,
+        timers: TimerService,
+        resources: ResourceLimits | None = None,
+    ) -> None:
         self._address = address
         self._node = node
         self._timers = timers
-        self._callers: set[CallerProtocol] = set()
+        self._state = _ServerState(node, timers, resources or unlimited_resources())
+        self._callers = self._state.callers
         self._listener: socket.socket | None = None
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -287,8 +461,9 @@
         self._listener = open_listener(*split_address(self._address))
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._create_protocol, sock=self._listener, backlog=LISTEN_BACKLOG
+            self._create_protocol, sock=self._listener, backlog=ACCEPT_BATCH
         )
+        self._listener.listen(LISTEN_BACKLOG)
 
     def close_idle_sessions(self) -> None:
         """Close quiet connections now, and all others once they become idle.
@@ -371,8 +546,6 @@
             caller.dismiss()
 
     def _create_protocol(self) -> CallerProtocol:
-        caller = CallerProtocol(
-            self._node, self._timers, self._callers.discard, self._closes_when_idle
-        )
+        caller = CallerProtocol(self._state, self._closes_when_idle)
         self._callers.add(caller)
         return caller
--- a/src/azurerelay/hosts/_control_host.py
+++ b/src/azurerelay/hosts/_control_host.py
@@ -29,6 +29,7 @@
 from azurerelay.hosts._link_sweep import LINK_SWEEP_INTERVAL_MS
 from azurerelay.hosts._metrics_service import MetricsService
 from azurerelay.hosts._promotion_client import HttpPromotionClient
+from azurerelay.hosts._resource_limits import ResourceLimits
 from azurerelay.platform import (
     CONFIGURATION_READ_PATH,
     CONFIGURATION_REPLACE_PATH,
@@ -105,10 +106,15 @@
             events,
         )
         self._cache = DirectoryCache(self._disk, self._node.directory)
-        self._metrics = MetricsService(settings.ip_address, meters, self._read_gauges)
+        self._resources = ResourceLimits.of_settings(
+            settings, self._timers, events, meters
+        )
+        self._metrics = MetricsService(
+            settings.ip_address, meters, self._read_gauges, self._resources
+        )
         self._meters = meters
         self._service = HttpService(
-            "control", settings.control_address, self._handle_request
+            "control", settings.control_address, self._handle_request, self._resources
         )
 
     @property
@@ -163,9 +169,13 @@
         await self._link.stop()
 
     def _read_gauges(self) -> dict[str, float]:
-        return self._node.gauges() | {
-            "link_dropped_messages": float(self._link.dropped),
-        }
+        return (
+            self._node.gauges()
+            | self._resources.gauges()
+            | {
+                "link_dropped_messages": float(self._link.dropped),
+            }
+        )
 
     def _on_message(self, sender: str, message: Any) -> None:
         self._node.on_message(sender, message)
--- a/src/azurerelay/hosts/_endpoint_client.py
+++ b/src/azurerelay/hosts/_endpoint_client.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from azurerelay.budgets import ByteAccount, ByteBudget
 from azurerelay.discovery import Announcement
 from azurerelay.hosts._sockets import set_socket_options, split_address
 from azurerelay.platform import (
@@ -39,13 +40,28 @@
 FIRST_ATTEMPT_TIMEOUT_S: Final = 0.28
 
 
-class EndpointProtocol(asyncio.Protocol):
+# A reply up to this size is not counted: there are few connections to endpoints.
+FREE_REPLY_BYTES: Final = 64 * 1024
+# A larger one is counted in steps, since its size is known only at its end.
+REPLY_STEP_BYTES: Final = 1024 * 1024
+# All connections read into the same buffer: a piece is processed before the next one.
+_PIECE: Final = memoryview(bytearray(64 * 1024))
+# How long a large reply waits for memory. It takes one of the few connections to the
+# endpoint meanwhile, for which ordinary statements wait.
+MAX_REPLY_WAIT_S: Final = 0.25
+SHORT_OF_MEMORY: Final = "the host is short of memory"
+
+
+class EndpointProtocol(asyncio.BufferedProtocol):
     """One connection; replies arrive in the order of the commands.
 
-    It is closed at the first reply that cannot be the one to its command.
+    It is closed at the first reply that cannot be the one to its command. While the
+    byte budget is short, large replies are read one after another.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: ByteBudget | None = None) -> None:
+        self._account = budget.open_account(self) if budget is not None else None
+        self._wait_timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
         self._splitter = LineSplitter()
         self._queue = ReplyQueue()
@@ -84,6 +100,14 @@
         self._transport = transport
         set_socket_options(transport.get_extra_info("socket"))
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that the next piece is read into."""
+        return _PIECE
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process the piece that has been read."""
+        self.data_received(bytes(_PIECE[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Add complete lines to the reply of the oldest pending command."""
         lines = self._splitter.feed(data)
@@ -94,9 +118,57 @@
         for line in lines.ok_value:
             if not self.is_open or not self._process_line(line):
                 return
+        if self._account is not None:
+            self._account.moved += len(data)
+            self._update_account(self._account)
+
+    def measure_bytes(self) -> None:
+        """Do nothing: the account is always up to date."""
+
+    def on_bytes_granted(self) -> None:
+        """Read on."""
+        if self._account is not None:
+            self._update_account(self._account)
+
+    def close_for_bytes(self) -> None:
+        """Close the connection, since others wait for the memory of its reply."""
+        self._give_up()
+
+    def _update_account(self, account: ByteAccount) -> None:
+        """Hold what the reply takes and the next step; pause reading until it may."""
+        held = self._splitter.size
+        if self._assembler is not None:
+            held += self._assembler.size
+        if held <= FREE_REPLY_BYTES and not account.held and not account.wanted:
+            return
+        if not self.is_open:
+            account.close()
+            return
+        steps = held // REPLY_STEP_BYTES + 1 if held > FREE_REPLY_BYTES else 0
+        assert self._transport is not None
+        if account.reserve(steps * REPLY_STEP_BYTES):
+            if self._wait_timer is not None:
+                self._wait_timer.cancel()
+                self._wait_timer = None
+                self._transport.resume_reading()
+        elif self._wait_timer is None:
+            self._transport.pause_reading()
+            self._wait_timer = asyncio.get_running_loop().call_later(
+                MAX_REPLY_WAIT_S, self._give_up
+            )
+
+    def _give_up(self) -> None:
+        """Close the connection, since its reply does not get the memory in time."""
+        if self._account is not None:
+            self._account.close()
+        self._fail(ConnectionLost(SHORT_OF_MEMORY))
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail all pending commands."""
+        if self._wait_timer is not None:
+            self._wait_timer.cancel()
+        if self._account is not None:
+            self._account.close()
         reason = str(error) if error else "the endpoint closed the connection"
         self._fail(ConnectionLost(reason))
 
@@ -139,14 +211,21 @@
     def _fail(self, lost: ConnectionLost) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.abort()
+        # The garbage collector, which runs rarely, must not be what frees the reply.
+        self._assembler = None
+        self._splitter.clear()
         self._queue.fail_all(lost)
 
 
 class TcpEndpointConnector:
     """Open sessions with endpoints over TCP."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, budget: ByteBudget | None = None
+    ) -> None:
         self._loop = loop
+        # Without a limit, nothing is counted.
+        self._budget = budget if budget is not None and budget.is_limited else None
         self._tasks: set[asyncio.Task[None]] = set()
         self._opened_count = 0
 
@@ -174,7 +253,7 @@
         resolve: Callable[[Result[EndpointSession, ConnectFailed]], object],
     ) -> None:
         """Open a session; resolve the promise whatever happens."""
-        protocol = EndpointProtocol()
+        protocol = EndpointProtocol(self._budget)
         try:
             host, port = split_address(endpoint.address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/src/azurerelay/hosts/_entry_host.py
+++ b/src/azurerelay/hosts/_entry_host.py
@@ -12,6 +12,7 @@
 from azurerelay.hosts._http_service import HttpRequest, HttpServerResponse, HttpService
 from azurerelay.hosts._link_sweep import LINK_SWEEP_INTERVAL_MS
 from azurerelay.hosts._metrics_service import MetricsService
+from azurerelay.hosts._resource_limits import ResourceLimits
 from azurerelay.messages import TaggedCodec
 from azurerelay.platform import READINESS_PATH, HostSettings
 from azurerelay.relay import RelayNode, schedule_stop
@@ -43,7 +44,10 @@
             ENTRY_LINK_CODEC,
             peer_names_contain_addresses=True,
         )
-        self._connector = TcpEndpointConnector(loop)
+        self._resources = ResourceLimits.of_settings(
+            settings, self._timers, events, meters
+        )
+        self._connector = TcpEndpointConnector(loop, self._resources.budget)
         self._node = RelayNode(
             settings.name,
             Topology(settings.failure_domain, settings.regions),
@@ -56,11 +60,19 @@
             meters,
             settings.revocation_limit_ms,
         )
-        self._callers = CallerServer(settings.caller_address, self._node, self._timers)
+        self._callers = CallerServer(
+            settings.caller_address, self._node, self._timers, self._resources
+        )
         self._readiness = HttpService(
-            "readiness", settings.readiness_address, self._handle_readiness
+            "readiness",
+            settings.readiness_address,
+            self._handle_readiness,
+            self._resources,
+            keeps_bodies=False,
+        )
+        self._metrics = MetricsService(
+            settings.ip_address, meters, self._read_gauges, self._resources
         )
-        self._metrics = MetricsService(settings.ip_address, meters, self._read_gauges)
         self._is_draining = False
 
     @property
@@ -107,11 +119,15 @@
         await self._link.stop()
 
     def _read_gauges(self) -> dict[str, float]:
-        return self._node.gauges() | {
-            "caller_sessions": float(self._callers.connection_count),
-            "endpoint_connections_opened": float(self._connector.opened_count),
-            "link_dropped_messages": float(self._link.dropped),
-        }
+        return (
+            self._node.gauges()
+            | self._resources.gauges()
+            | {
+                "caller_sessions": float(self._callers.connection_count),
+                "endpoint_connections_opened": float(self._connector.opened_count),
+                "link_dropped_messages": float(self._link.dropped),
+            }
+        )
 
     def _on_message(self, sender: str, message: Any) -> None:
         self._node.on_message(sender, message)
--- a/src/azurerelay/hosts/_json_event_log.py
+++ b/src/azurerelay/hosts/_json_event_log.py
@@ -23,6 +23,8 @@
 # whether the statement can have run.
 REFUSAL_LINES_PER_S: Final = 60
 MAX_QUEUED_LINES: Final = 2_000
+# Longer lines, as with a traceback or long names, fill the queue sooner.
+MAX_QUEUED_BYTES: Final = 4 * 1024 * 1024
 WINDOW_MS: Final = 1_000.0
 _MS_PER_S: Final = 1_000
 
@@ -46,6 +48,7 @@
         self._written_counts: dict[str, int] = {}
         self._left_out_counts: dict[str, int] = {}
         self._queued_lines: deque[bytes] = deque()
+        self._queued_bytes = 0
         os.set_blocking(descriptor, False)
 
     @property
@@ -110,7 +113,9 @@
             except OSError:
                 # The reader is gone; the host goes on without a log.
                 self._queued_lines.clear()
+                self._queued_bytes = 0
                 return
+            self._queued_bytes -= count
             if count < len(data):
                 self._queued_lines[0] = data[count:]
                 return
@@ -140,12 +145,14 @@
             self._enqueue_line(_encode_line(line))
 
     def _enqueue_line(self, line: bytes) -> None:
-        if len(self._queued_lines) >= MAX_QUEUED_LINES:
+        is_full = self._queued_bytes + len(line) > MAX_QUEUED_BYTES
+        if is_full or len(self._queued_lines) >= MAX_QUEUED_LINES:
             self._left_out_counts["queue_full"] = (
                 self._left_out_counts.get("queue_full", 0) + 1
             )
         else:
             self._queued_lines.append(line)
+            self._queued_bytes += len(line)
         self.flush()
 
 
--- a/src/azurerelay/hosts/_metrics_service.py
+++ b/src/azurerelay/hosts/_metrics_service.py
@@ -4,6 +4,7 @@
 from typing import Any, Final
 
 from azurerelay.hosts._http_service import HttpRequest, HttpServerResponse, HttpService
+from azurerelay.hosts._resource_limits import ResourceLimits
 from azurerelay.telemetry import LATENCY_BOUNDS_MS, Meters
 
 METRICS_PORT: Final = 9464  # default of OpenTelemetry's Prometheus exporter
@@ -66,10 +67,20 @@
     lengthen the start of the host.
     """
 
-    def __init__(self, ip_address: str, meters: Meters, gauges: Gauges) -> None:
+    def __init__(
+        self,
+        ip_address: str,
+        meters: Meters,
+        gauges: Gauges,
+        resources: ResourceLimits | None = None,
+    ) -> None:
         self._collector = _PrometheusCollector(meters, gauges)
         self._service = HttpService(
-            "metrics", f"{ip_address}:{METRICS_PORT}", self._handle_request
+            "metrics",
+            f"{ip_address}:{METRICS_PORT}",
+            self._handle_request,
+            resources,
+            keeps_bodies=False,
         )
 
     async def start(self) -> None:
--- a/src/azurerelay/platform/__init__.py
+++ b/src/azurerelay/platform/__init__.py
@@ -12,6 +12,7 @@
     OpenSession,
     decode_caller_line,
     encode_caller_reply,
+    encode_caller_reply_parts,
     encode_error_line,
     encode_ready_line,
 )
@@ -65,6 +66,7 @@
     "decode_departure",
     "decode_promotion_status",
     "encode_caller_reply",
+    "encode_caller_reply_parts",
     "encode_command",
     "encode_error_line",
     "encode_findings",
--- a/src/azurerelay/platform/_caller_codec.py
+++ b/src/azurerelay/platform/_caller_codec.py
@@ -1,6 +1,6 @@
 """Codec of the line protocol between callers and entry hosts."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -54,6 +54,7 @@
 MAX_KEY_LENGTH: Final = MAX_NAME_LENGTH + 1
 MAX_REQUEST_ID_LENGTH: Final = 256  # characters
 MAX_ERROR_LENGTH: Final = 4_096  # characters
+MAX_PART_LENGTH: Final = 64 * 1024  # characters
 LINE_TOO_LONG_ERROR: Final = "ERROR TOOLONG the message is too long\r\n"
 
 
@@ -123,12 +124,28 @@
 
 def encode_caller_reply(reply: CallerReply) -> str:
     """Return all lines of a reply."""
+    return "".join(encode_caller_reply_parts(reply))
+
+
+def encode_caller_reply_parts(reply: CallerReply) -> Iterator[str]:
+    """Return all lines of a reply, in parts of about `MAX_PART_LENGTH` characters.
+
+    A large reply is sent part by part, without a copy of the whole.
+    """
     ready = encode_ready_line(reply.state, reply.position)
     if reply.error is not None:
-        return encode_error_line(reply.error, reply.error_text) + ready
-    rows = "".join(f"DATAROW {row}\r\n" for row in reply.rows)
+        yield encode_error_line(reply.error, reply.error_text) + ready
+        return
+    lines: list[str] = []
+    length = 0
+    for row in reply.rows:
+        lines.append(f"DATAROW {row}\r\n")
+        length += len(row)
+        if length >= MAX_PART_LENGTH:
+            yield "".join(lines)
+            lines, length = [], 0
     signature = reply.signature or _NO_ENDPOINT
-    return f"{rows}COMPLETE {signature}\r\n{ready}"
+    yield f"{''.join(lines)}COMPLETE {signature}\r\n{ready}"
 
 
 def _parse_statement(request_id: str, text: str) -> Result[Statement, str]:
--- a/src/azurerelay/platform/_endpoint_codec.py
+++ b/src/azurerelay/platform/_endpoint_codec.py
@@ -2,6 +2,7 @@
 
 import re
 from functools import singledispatch
+from sys import getsizeof
 from typing import Any, Final
 
 from result import Err, Ok, Result
@@ -155,6 +156,12 @@
         self._error: EndpointError | None = None
         self._error_text = ""
         self._length = 0
+        self._size = 0
+
+    @property
+    def size(self) -> int:
+        """About how many bytes the rows take so far."""
+        return self._size
 
     def feed(self, line: str) -> Result[EndpointReply | None, str]:
         """Add a line; return the reply if the line completes it, otherwise None.
@@ -167,6 +174,7 @@
         word, _, rest = line.partition(" ")
         if word == "DATAROW" and not self._has_outcome:
             self._rows.append(rest)
+            self._size += getsizeof(rest)
         elif word == "COMPLETE" and not self._has_outcome:
             self._signature = "" if rest == NO_SIGNATURE else rest
         elif word == "ERROR" and not self._has_outcome:
--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -246,9 +246,13 @@
         return waiter.promise
 
     def release(self, session: PooledSession) -> None:
-        """Put a connection back; it is closed if not reusable or the pool is closed."""
+        """Put a connection back; it is closed if not reusable or the pool is closed.
+
+        One that keeps too much of its callers is closed, too.
+        """
         self._checked_out.discard(session)
-        if session.is_reusable and not self._is_closed:
+        is_reusable = session.is_reusable and not session.is_oversized
+        if is_reusable and not self._is_closed:
             self._add_idle(session)
         else:
             session.close()
--- a/src/azurerelay/pooling/_pooled_session.py
+++ b/src/azurerelay/pooling/_pooled_session.py
@@ -1,5 +1,7 @@
 """A pooled connection, whose session state is matched to each caller."""
 
+from typing import Final
+
 from result import Err, Ok, Result
 
 from azurerelay.pooling._session_profile import PreparedShape, SessionProfile
@@ -16,6 +18,11 @@
 )
 from azurerelay.timing import Promise
 
+# Characters of session values and prepared shapes that were set on a connection. Above
+# it, the connection is closed rather than lent to the next caller: a caller may set
+# values as large as a message, and nothing else would remove them.
+MAX_STATE_LENGTH: Final = 64 * 1024
+
 
 class PooledSession:
     """Tracks the session state of a connection, and matches it to a caller's profile.
@@ -35,6 +42,7 @@
         self._prepared: set[PreparedShape] = set()
         self._state = SessionState.IDLE
         self._outstanding = 0
+        self._state_length = 0
 
     @property
     def endpoint(self) -> str:
@@ -67,6 +75,11 @@
         """The last position that the endpoint reported."""
         return self._session.position
 
+    @property
+    def is_oversized(self) -> bool:
+        """Whether it keeps more of its callers' values and shapes than is worth it."""
+        return self._state_length > MAX_STATE_LENGTH
+
     def profile_mismatch(self, profile: SessionProfile) -> int:
         """Return the most commands that setting a caller's values takes; 0 for none."""
         if self._values == profile.values:
@@ -119,8 +132,13 @@
                 return Err(f"{name} was refused: {outcome.ok_value.error_text}")
             if isinstance(command, ResetSession):
                 self._values, self._prepared = {}, set()
+                self._state_length = 0
             elif isinstance(command, SetSessionValue):
+                self._state_length -= len(self._values.get(command.name, ""))
+                self._state_length += len(command.value)
                 self._values[command.name] = command.value
+            elif isinstance(command, PrepareShape):
+                self._state_length += len(command.shape)
         if statement is not None:
             self._prepared.add(statement)
         return Ok(None)
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from functools import singledispatchmethod
+from sys import getsizeof
 from typing import Final
 
 from result import Err, Ok
@@ -128,6 +129,16 @@
             return SessionState.IN_TRANSACTION
         return SessionState.IDLE
 
+    @property
+    def state_bytes(self) -> int:
+        """About how much memory the session values and prepared statements take."""
+        values, prepared = self._profile.values, self._profile.prepared
+        return sum(
+            getsizeof(name) + getsizeof(text) for name, text in values.items()
+        ) + sum(
+            getsizeof(name) + getsizeof(shape.shape) for name, shape in prepared.items()
+        )
+
     @property
     def statement_in_progress(self) -> StatementProgress | None:
         """The statement that is being served; None if there is none."""
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -30,6 +30,7 @@
 from azurerelay.hosts._http_service import HttpRequest, HttpServerResponse, HttpService
 from azurerelay.hosts._json_event_log import (
     LINES_PER_S,
+    MAX_QUEUED_BYTES,
     MAX_QUEUED_LINES,
     REFUSAL_LINES_PER_S,
     JsonEventLog,
@@ -170,6 +171,18 @@
         self.assertIn("queue_full", self.log.left_out_counts)
         self.assertLessEqual(len(self.log._queued_lines), MAX_QUEUED_LINES)
 
+    def test_long_lines_that_nobody_reads_take_no_more_than_their_bound(self) -> None:
+        """Only the number of lines was bounded, and a line may hold a long text."""
+        for number in range(100):
+            self.log.write_log_record("error", "x" * 200_000, f"place {number}", "")
+        queued = sum(len(line) for line in self.log._queued_lines)
+        self.assertLessEqual(queued, MAX_QUEUED_BYTES)
+        self.assertGreater(self.log.left_out_counts["queue_full"], 0)
+        while self.log._queued_lines:
+            os.read(self.reader, 1_000_000)
+            self.log.flush()
+        self.assertEqual(self.log._queued_bytes, 0)
+
     def test_written_lines_can_be_parsed(self) -> None:
         self.log.record(refused_statement(1))
         line = parse_log_line("12.5 host-1 " + os.read(self.reader, 10_000).decode())
--- a/tests/test_pooling.py
+++ b/tests/test_pooling.py
@@ -23,7 +23,7 @@
     RESERVED_FOR_CONTROL,
 )
 from azurerelay.statements import ConnectFailed, EndpointError, Position
-from azurerelay.timing import ManualTimerService, Promise
+from azurerelay.timing import ManualTimerService, Promise, spawn
 from tests.platform_rig import FakeSession, PlatformRig
 
 
@@ -215,6 +215,17 @@
         pool.release(session)
         self.assertFalse(session.is_open)
 
+    def test_a_connection_with_large_session_values_is_closed_on_release(self) -> None:
+        """The values of callers that had gone stayed in memory, with each connection."""
+        pool = self._pool(1, [])
+        for value, is_kept in (("x" * 100, True), ("x" * 1_000_000, False)):
+            profile = SessionProfile({"a": value})
+            session = pool.acquire(1, profile, 500.0).value.ok_value
+            spawn(session.apply_profile(profile, None))
+            self.timers.advance(50.0)
+            pool.release(session)
+            self.assertEqual(session.is_open, is_kept)
+
 
 def _begin() -> Any:
     from azurerelay.statements import BeginTransaction
