Byte budget: a statement in progress is not ended for its memory

What callers would see: while others waited for memory, a caller whose large statement ran for more than a second at an endpoint lost its connection, and the statement was in doubt.

Cause: found in review. The review of the budget took a caller without moved bytes for one that stands still, also while it waited for an endpoint. Closing it freed nothing, since the statement keeps its memory until it ends.

Change: a statement or HTTP request in progress counts as progress, and connections that would free nothing are left out.

--- a/src/azurerelay/budgets/_byte_budget.py
+++ b/src/azurerelay/budgets/_byte_budget.py
@@ -18,8 +18,11 @@
 class ByteHolder(Protocol):
     """The owner of an account, usually a connection."""
 
-    def measure_bytes(self) -> None:
-        """Bring the account up to date, as it stands before a review."""
+    def measure_bytes(self) -> int:
+        """Bring the account up to date; return how many bytes closing would free.
+
+        Work in progress counts as progress of the connection.
+        """
 
     def on_bytes_granted(self) -> None:
         """Go on: what the account was waiting for is reserved now."""
@@ -222,9 +225,6 @@
     def _review(self) -> None:
         """Close connections that stand still while others wait for their bytes."""
         self._has_review = False
-        for account in list(self._holders):
-            if account.holder is not None:
-                account.holder.measure_bytes()
         self._defers_grants = True
         closed_count = self._closed_count
         for account in self._worst_first():
@@ -234,9 +234,10 @@
         self._fruitless_reviews += 1
         if not self._waiting or closed_count != self._closed_count:
             self._fruitless_reviews = 0
-        elif self._fruitless_reviews >= MAX_FRUITLESS_REVIEWS and self._holders:
+        elif self._fruitless_reviews >= MAX_FRUITLESS_REVIEWS:
             self._fruitless_reviews = 0
-            self._close(self._worst_first()[0])
+            for account in self._worst_first()[:1]:
+                self._close(account)
         for account in self._holders:
             account.moved = 0
         self._defers_grants = False
@@ -245,8 +246,17 @@
             self._schedule_review()
 
     def _worst_first(self) -> list[ByteAccount]:
-        """Return the holders: the least progress first, then the most bytes."""
-        return sorted(self._holders, key=lambda account: (account.moved, -account.held))
+        """Return the holders: the least progress first, then the most bytes.
+
+        Those that are left out would free nothing if they were closed.
+        """
+        ranked = []
+        for account in list(self._holders):
+            holder = account.holder
+            freed = holder.measure_bytes() if holder is not None else 0
+            if freed > 0:
+                ranked.append((account.moved, -freed, account))
+        return [account for *_, account in sorted(ranked, key=lambda rank: rank[:2])]
 
     def _close(self, account: ByteAccount) -> None:
         if account.holder is not None:
--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -251,10 +251,17 @@
         self._server.connections.remove(self)
         self._server.callers.discard(self)
 
-    def measure_bytes(self) -> None:
-        """Count what the caller has read since the last time."""
+    def measure_bytes(self) -> int:
+        """Count what the caller has read since the last time.
+
+        A statement in progress is in doubt if it is ended, and its memory stays taken
+        until then.
+        """
         if self._is_writing_paused:
             self._update_account()
+        if self._is_busy:
+            self._account.moved += 1
+        return self._account.held - self._serving_bytes
 
     def on_bytes_granted(self) -> None:
         """Read on."""
--- a/src/azurerelay/hosts/_endpoint_client.py
+++ b/src/azurerelay/hosts/_endpoint_client.py
@@ -122,8 +122,9 @@
             self._account.moved += len(data)
             self._update_account(self._account)
 
-    def measure_bytes(self) -> None:
-        """Do nothing: the account is always up to date."""
+    def measure_bytes(self) -> int:
+        """Return what the account holds, which is always up to date."""
+        return self._account.held if self._account is not None else 0
 
     def on_bytes_granted(self) -> None:
         """Read on."""
--- a/src/azurerelay/hosts/_http_service.py
+++ b/src/azurerelay/hosts/_http_service.py
@@ -160,10 +160,13 @@
         self._is_writing_paused = False
         self._update_account()
 
-    def measure_bytes(self) -> None:
+    def measure_bytes(self) -> int:
         """Count what the client has read since the last time."""
         if self._is_writing_paused:
             self._update_account()
+        if self._unanswered:
+            self._account.moved += 1
+        return self._account.held - self._unanswered_bytes
 
     def on_bytes_granted(self) -> None:
         """Read on."""
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -25,9 +25,11 @@
         self.is_granted = False
         self.is_closed = False
         self.moved_before_review = 0
+        self.in_progress = 0
 
-    def measure_bytes(self) -> None:
+    def measure_bytes(self) -> int:
         self.account.moved += self.moved_before_review
+        return self.account.held - self.in_progress
 
     def on_bytes_granted(self) -> None:
         self.is_granted = True
@@ -84,6 +86,15 @@
         self.assertTrue(slow.is_closed and waiting.is_granted)
         self.assertFalse(faster.is_closed)
 
+    def test_a_holder_of_work_in_progress_only_is_not_closed(self) -> None:
+        """A statement at an endpoint was ended in doubt, and no memory was freed."""
+        working, waiting, _, _ = self.holders
+        working.account.reserve(90)
+        working.in_progress = 90
+        waiting.account.reserve(40)
+        self.timers.advance(30_000.0)
+        self.assertFalse(working.is_closed)
+
     def test_bytes_that_exist_beyond_the_capacity_close_the_worst_holder(self) -> None:
         """The size of an answer is known only when it is there."""
         large, small, _, _ = self.holders
