--- a/src/azurerelay/attachment/_messages.py
+++ b/src/azurerelay/attachment/_messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from azurerelay.discovery import Announcement, Departure
+from azurerelay.quotas import AdmissionLimits, AdmissionReport
 from azurerelay.routes import ConfigurationChange
 from azurerelay.statements import Position
 
@@ -124,4 +125,10 @@
     configuration_version: int | None = None
 
 
-ATTACHMENT_MESSAGES = (SyncRequest, SyncReply, Detach)
+ATTACHMENT_MESSAGES = (
+    SyncRequest,
+    SyncReply,
+    Detach,
+    AdmissionReport,
+    AdmissionLimits,
+)
--- a/src/azurerelay/cluster/_messages.py
+++ b/src/azurerelay/cluster/_messages.py
@@ -5,6 +5,7 @@
 
 from azurerelay.attachment import ControlHost, SuspectedPrimaryReport
 from azurerelay.discovery import Announcement, Departure
+from azurerelay.quotas import AdmissionCounts
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,4 +150,5 @@
     ProposalReply,
     BarrierRequest,
     BarrierReply,
+    AdmissionCounts,
 )
--- /dev/null
+++ b/src/azurerelay/quotas/_messages.py
@@ -0,0 +1,46 @@
+"""Messages about the operations of customers.
+
+They are sent several times a second, so counts are encoded as arrays without names.
+"""
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+
+class OperationCount(NamedTuple):
+    """Operations of a customer: those that arrived, and those that were started."""
+
+    customer: str
+    offered: int
+    started: int
+
+
+class AdmissionFraction(NamedTuple):
+    """The fraction of a customer's operations that an entry host may admit."""
+
+    customer: str
+    fraction: float
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionReport:
+    """The operations at an entry host since its last report to its control host."""
+
+    counts: tuple[OperationCount, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionCounts:
+    """The sums of the reports to a control host since it last sent them to others."""
+
+    counts: tuple[OperationCount, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionLimits:
+    """The limited customers, from a control host to its entry hosts.
+
+    Customers that are not listed are not limited.
+    """
+
+    fractions: tuple[AdmissionFraction, ...]
