Connect quotas with entry hosts and control hosts

What callers saw: operations beyond a customer's quota were served.

Cause: the decisions of quotas were not connected to anything.

Change: AdmissionControl reports the operations of an entry host every 100 ms and applies the limits of its control host; sessions refuse an operation over the quota with OVER_QUOTA before it is queued. QuotaExchange sends limits every 100 ms and exchanges counts every 200 ms, each only with content. Events tell which customers are limited and which entry hosts limit by themselves; metrics count operations for 100 customers. Deployments without limited customers send and draw nothing.

--- a/src/azurerelay/attachment/_entry_host_table.py
+++ b/src/azurerelay/attachment/_entry_host_table.py
@@ -104,6 +104,16 @@
             for host in self._hosts.values()
         )
 
+    @property
+    def attached(self) -> tuple[str, ...]:
+        """The names of the attached entry hosts, with those that are draining."""
+        oldest_ms = self._timers.now_ms() - ATTACHMENT_TIMEOUT_MS
+        return tuple(
+            name
+            for name, host in self._hosts.items()
+            if host.last_request_ms >= oldest_ms
+        )
+
     @property
     def suspected_primaries(self) -> tuple[SuspectedPrimaryReport, ...]:
         """The primaries that attached entry hosts suspect.
--- a/src/azurerelay/cluster/_cluster_config.py
+++ b/src/azurerelay/cluster/_cluster_config.py
@@ -13,6 +13,7 @@
     on a seed that still has the disk of its very first start, and is empty on any
     other host. `max_disk_losses` is the number of disks that may be lost at the same
     time. `heartbeat_interval_ms` is the interval between the heartbeats of an endpoint.
+    A customer may exceed its quota by `quota_slack` operations.
     """
 
     name: str
@@ -22,3 +23,4 @@
     initial_voters: tuple[str, ...]
     max_disk_losses: int
     heartbeat_interval_ms: float
+    quota_slack: float = 0.0
--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -37,6 +37,7 @@
 )
 from azurerelay.cluster._primary_prober import PrimaryProber
 from azurerelay.cluster._promotion_controller import PromotionController
+from azurerelay.cluster._quota_exchange import QuotaExchange
 from azurerelay.cluster._voter_plan import host_address
 from azurerelay.cluster._voter_set_controller import VoterSetController
 from azurerelay.consensus import (
@@ -172,6 +173,7 @@
         incarnation = random_source.randrange(1, INCARNATION_SPACE)
         self._requester = Requester(link, timers, incarnation)
         self._entry_hosts = EntryHostTable(link, timers, self._directory, incarnation)
+        self._quotas = QuotaExchange(config.quota_slack, link, timers, events)
         self._failure_domains: dict[str, str] = {
             host_address(config.name): config.failure_domain
         }
@@ -263,6 +265,7 @@
             "followed_by_entry_hosts": float(self._entry_hosts.count),
             "endpoints": float(len(self._directory.announcements)),
             "promotions_waiting": float(self._promotion_controller.waiting_count),
+            "customers_limited": float(self._quotas.limited_count),
         }
 
     def start(self) -> None:
@@ -270,6 +273,9 @@
         self._raft.start()
         self._timers.call_every(JOIN_INTERVAL_MS, self._send_join_requests)
         self._replicator.start()
+        self._quotas.start(
+            lambda: self._entry_hosts.attached, self._peers, self._count_entry_hosts
+        )
         self._timers.call_every(REPORT_INTERVAL_MS, self._send_report)
         self._primary_prober.start(
             lambda: self._state.configuration,
@@ -312,6 +318,8 @@
                 spawn(self._answer_barrier(sender, message))
             case LeaveReply() | ProposalReply() | BarrierReply():
                 self._requester.on_reply(sender, message.request_id, message)
+            case _:
+                self._quotas.on_message(message)
 
     # Operators
 
@@ -530,6 +538,7 @@
         if configuration is not None:
             self._directory.set_groups(group.name for group in configuration.groups)
             self._entry_hosts.set_configuration(configuration)
+            self._quotas.update(configuration.customers)
 
     def _on_role_change(self) -> None:
         self._events.record(
--- a/src/azurerelay/events/_events.py
+++ b/src/azurerelay/events/_events.py
@@ -84,6 +84,48 @@
     configuration_age_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class CustomerLimited(Event):
+    """A control host has begun to limit a customer, whose demand exceeds its quota.
+
+    `fraction` of its operations may start. `tokens` is how many it could start beyond
+    its rate, negative if it has started too many; `count_age_ms` is the time since its
+    operations were last counted.
+    """
+
+    customer: str
+    fraction: float
+    tokens: float
+    demand_per_s: float
+    count_age_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class CustomerUnlimited(Event):
+    """A control host has stopped limiting a customer after `limited_ms`."""
+
+    customer: str
+    limited_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class LocalQuotasStarted(Event):
+    """An entry host limits customers by itself, because control is silent.
+
+    Each customer may start its rate divided by `entry_hosts` here.
+    """
+
+    silent_ms: float
+    entry_hosts: int
+
+
+@dataclass(frozen=True, slots=True)
+class LocalQuotasEnded(Event):
+    """An entry host limits customers by what control says again."""
+
+    local_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointLost(Event):
     """Calls to an endpoint have started to fail."""
--- a/src/azurerelay/events/_explanation.py
+++ b/src/azurerelay/events/_explanation.py
@@ -22,6 +22,8 @@
         "PromotionWaiting",
         "PromotionAnswered",
         "ControlHostChosen",
+        "LocalQuotasEnded",
+        "LocalQuotasStarted",
         "ProcessChanged",
         "RoleChanged",
         "EventsLeftOut",
--- a/src/azurerelay/hosts/_control_host.py
+++ b/src/azurerelay/hosts/_control_host.py
@@ -94,6 +94,7 @@
                 initial_voters=initial_voters if identity == INITIAL_IDENTITY else (),
                 max_disk_losses=settings.max_disk_losses,
                 heartbeat_interval_ms=settings.heartbeat_interval_ms,
+                quota_slack=settings.quota_slack,
             ),
             self._link,
             TcpEndpointConnector(loop),
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -239,6 +239,9 @@
             return found
         route, group = found
         progress = self._begin_statement(statement, route)
+        refusal = self._route_table.admit(self._customer)
+        if refusal is not None:
+            return self._refuse_over_quota(progress, refusal)
         if is_write:
             return await self._run_on_primary(progress, group, shape)
         return await self._run_on_any_endpoint(progress, group, shape)
@@ -260,6 +263,9 @@
         progress = self._begin_statement(statement, route)
         if not self._route_table.accepts_transactions:
             return self._refuse_busy(progress)
+        refusal = self._route_table.admit(self._customer)
+        if refusal is not None:
+            return self._refuse_over_quota(progress, refusal)
         if statement.is_read_only:
             return await self._run_on_any_endpoint(progress, group, None)
         return await self._run_on_primary(progress, group, None)
@@ -544,6 +550,8 @@
             MIN_ATTEMPT_TIMEOUT_MS,
         )
         if isinstance(applied, Ok) and isinstance(applied.ok_value, Ok):
+            if not progress.attempt_count:
+                self._route_table.record_started(self._customer)
             progress.attempt_count += 1
             return session
         session.close()
@@ -871,6 +879,13 @@
         has_run = "unknown" if may_have_run else "no"
         return self._refuse(progress, CallerError.BUSY, has_run)
 
+    def _refuse_over_quota(
+        self, progress: StatementProgress, reason: str
+    ) -> CallerReply:
+        """Refuse an operation of a customer that has used up its quota."""
+        progress.reason = reason
+        return self._refuse(progress, CallerError.OVER_QUOTA, "no")
+
     def _forward_error(
         self, progress: StatementProgress, reply: EndpointReply
     ) -> CallerReply:
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -28,6 +28,7 @@
     connection_share,
     regional_connection_share,
 )
+from azurerelay.relay._admission_control import AdmissionControl
 from azurerelay.relay._caller_session import HOST_STOPS, CallerSession
 from azurerelay.relay._customer_keys import CustomerKeys
 from azurerelay.routes import Configuration, Route
@@ -104,6 +105,9 @@
         self._customer_keys = CustomerKeys(
             self._control_follower.freshness, revocation_limit_ms
         )
+        self._admission_control = AdmissionControl(
+            self._control_follower, link, timers, random_source, events, meters
+        )
 
     @property
     def version(self) -> int:
@@ -152,6 +156,7 @@
     def start(self) -> None:
         """Follow control, and start the periodic checks of groups."""
         self._control_follower.start(self._suspicions, self._on_change)
+        self._admission_control.start()
         self._timers.call_every(PROOF_INTERVAL_MS, self._prove_primaries)
         self._timers.call_every(GROUP_CHECK_INTERVAL_MS, self._check_groups)
         self._timers.call_later(START_RAMP_MS, self._end_ramp)
@@ -193,6 +198,7 @@
             if self._control_follower.entry_hosts != self._entry_host_count:
                 self._entry_host_count = self._control_follower.entry_hosts
                 self._update_groups()
+        self._admission_control.on_message(sender, message)
 
     def _apply_control_proofs(self, reply: SyncReply) -> None:
         """Record the leadership proofs that a control host has passed on.
@@ -274,6 +280,14 @@
         age_ms = min(1e9, self._control_follower.freshness.age_ms)
         self._events.record(SessionRefused(database, reason, self.version, age_ms))
 
+    def admit(self, customer: str) -> str | None:
+        """Decide whether an operation of a customer may start; why not, or None."""
+        return self._admission_control.admit(customer)
+
+    def record_started(self, customer: str) -> None:
+        """Record that an operation got a connection for its first attempt."""
+        self._admission_control.record_started(customer)
+
     def find_route(self, database: str) -> tuple[Route, GroupConnections] | None:
         """Return the route of a database name and its group, None if unknown."""
         route = self._routes.get(database)
@@ -317,6 +331,7 @@
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._customer_keys.update(configuration.customers)
+        self._admission_control.update(configuration.customers)
         self._routes = {route.database: route for route in configuration.routes}
         names = {group.name for group in configuration.groups}
         self._removed_groups = [g for g in self._removed_groups if g.connection_count]
