Keep quotas while entry hosts are cut off from control

Cause: control noticed silent hosts only after two to three seconds, and the other hosts used up the whole quota beside them. Hosts held their rate without any room for uneven arrivals, so that a steady demand at few hosts was refused after the loss of a control host.

Change: a control host reserves the share of its own hosts that miss one request. A host holds its rate after 650 ms, with half a second's operations saved up. A host that moves between control hosts is not taken for a lost one; with three hosts that had reserved a fifth of the quotas.

--- a/src/azurerelay/attachment/_entry_host_table.py
+++ b/src/azurerelay/attachment/_entry_host_table.py
@@ -23,6 +23,8 @@
 from azurerelay.timing import TimerService
 
 ATTACHMENT_TIMEOUT_MS: Final = 2_000.0  # four regular request intervals
+# One regular request is missing, and a delay of half an interval has passed.
+SILENT_AFTER_MS: Final = 750.0
 SUSPICION_TIMEOUT_MS: Final = 1_000.0  # two regular request intervals
 MAX_KEPT_VERSIONS: Final = 16  # hosts at older versions get the whole configuration
 # What was sent to a host less than this long ago is not sent again, although the host
@@ -114,6 +116,14 @@
             if host.last_request_ms >= oldest_ms
         )
 
+    @property
+    def silent_share(self) -> float:
+        """The share of the attached entry hosts that have missed a regular request."""
+        attached = self.attached
+        oldest_ms = self._timers.now_ms() - SILENT_AFTER_MS
+        silent = sum(self._hosts[name].last_request_ms < oldest_ms for name in attached)
+        return silent / max(1, len(attached))
+
     @property
     def suspected_primaries(self) -> tuple[SuspectedPrimaryReport, ...]:
         """The primaries that attached entry hosts suspect.
--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -274,7 +274,10 @@
         self._timers.call_every(JOIN_INTERVAL_MS, self._send_join_requests)
         self._replicator.start()
         self._quotas.start(
-            lambda: self._entry_hosts.attached, self._peers, self._count_entry_hosts
+            lambda: self._entry_hosts.attached,
+            self._peers,
+            self._count_entry_hosts,
+            lambda: self._entry_hosts.silent_share,
         )
         self._timers.call_every(REPORT_INTERVAL_MS, self._send_report)
         self._primary_prober.start(
--- a/src/azurerelay/cluster/_quota_exchange.py
+++ b/src/azurerelay/cluster/_quota_exchange.py
@@ -41,6 +41,7 @@
         self._attached: Callable[[], Iterable[str]] = tuple
         self._peers: Callable[[], Iterable[str]] = tuple
         self._count_entry_hosts: Callable[[], int] = lambda: 1
+        self._silent_share: Callable[[], float] = lambda: 0.0
 
     @property
     def limited_count(self) -> int:
@@ -52,11 +53,13 @@
         attached: Callable[[], Iterable[str]],
         peers: Callable[[], Iterable[str]],
         count_entry_hosts: Callable[[], int],
+        silent_share: Callable[[], float],
     ) -> None:
         """Start to send limits to attached entry hosts, and counts to control hosts."""
         self._attached = attached
         self._peers = peers
         self._count_entry_hosts = count_entry_hosts
+        self._silent_share = silent_share
         self._timers.call_every(LIMITS_INTERVAL_MS, self._send_limits)
         self._timers.call_every(COUNTS_INTERVAL_MS, self._send_counts)
 
@@ -83,7 +86,9 @@
                 self._link.send(peer, counts)
 
     def _send_limits(self) -> None:
-        self._ledger.set_entry_hosts(self._count_entry_hosts())
+        if not (self._ledger.is_limiting or self._has_sent_limits or self._limited):
+            return
+        self._ledger.set_entry_hosts(self._count_entry_hosts(), self._silent_share())
         limits = self._ledger.limits()
         self._record_limits(limits)
         if limits or self._has_sent_limits:
--- a/src/azurerelay/quotas/_admission_gate.py
+++ b/src/azurerelay/quotas/_admission_gate.py
@@ -12,9 +12,9 @@
 from azurerelay.routes import Customer
 from azurerelay.timing import TimerService
 
-# Control answers every 500 ms. After one missing answer, a host admits no more than it
+# Control answers every 500 ms. Once an answer is missing, a host admits no more than it
 # did before: it may have missed that a customer is limited now.
-HOLD_AFTER_MS: Final = 750.0
+HOLD_AFTER_MS: Final = 650.0
 # Another control host is found within this time after the loss of one.
 LOCAL_AFTER_MS: Final = 2_000.0
 # Limits are repeated every 100 ms while there are any, so five in a row were lost, or
--- a/src/azurerelay/quotas/_customer_admission.py
+++ b/src/azurerelay/quotas/_customer_admission.py
@@ -9,6 +9,9 @@
 # enough to follow the demand.
 STARTED_RATE_WINDOW_S: Final = 2.0
 QUOTA_WINDOW_S: Final = 5.0
+# Held operations may arrive unevenly. If only one could be saved up, much of a steady
+# demand at few hosts would be refused.
+HELD_BURST_S: Final = 0.5
 _MS_PER_S: Final = 1_000.0
 
 
@@ -52,7 +55,10 @@
         """
         if self._allowance is None:
             rate_per_s = max(share_per_s, self._held_rate)
-            self._allowance = LocalAllowance(since_ms, rate_per_s, phase)
+            burst = rate_per_s * HELD_BURST_S
+            self._allowance = LocalAllowance(
+                since_ms, rate_per_s, phase + 0.5 * burst, 1.0 + burst
+            )
         return self._allowance.take(now_ms)
 
     def take_local(
@@ -67,7 +73,7 @@
             self._is_local = True
             tokens = phase
             if self._allowance is not None:
-                tokens = self._allowance.tokens(since_ms)
+                tokens = min(1.0, self._allowance.tokens(since_ms))
             silence_s = (since_ms - self._contact_ms) / _MS_PER_S
             excess = self._started_since_contact - share_per_s * silence_s
             tokens -= min(max(0.0, excess), share_per_s * QUOTA_WINDOW_S)
--- a/src/azurerelay/quotas/_customer_tokens.py
+++ b/src/azurerelay/quotas/_customer_tokens.py
@@ -8,6 +8,9 @@
 # Operations that were started longer ago no longer count towards the quota, so a
 # larger deficit need not be made up.
 MAX_DEFICIT_S: Final = 5.0
+# Tokens are spent within this time. With a much shorter one the fraction would
+# oscillate, since counts arrive up to 0.4 s late.
+SPENDING_TIME_S: Final = 1.0
 _MS_PER_S: Final = 1_000.0
 
 
@@ -57,12 +60,9 @@
         return now_ms - self._counted_ms
 
     def fraction(self, demand_per_s: float, reserved_share: float) -> float:
-        """Return the fraction of a demand that may start.
-
-        The rate and the tokens are then used up within a second. With shorter times
-        the fraction would oscillate, since counts arrive up to 0.4 s late.
-        """
-        available = self._rate_per_s * (1.0 - reserved_share) + self._tokens
+        """Return the fraction of a demand that may start."""
+        rate_per_s = self._rate_per_s * (1.0 - reserved_share)
+        available = rate_per_s + self._tokens / SPENDING_TIME_S
         if available >= demand_per_s:
             return 1.0
         return available / demand_per_s if available > 0.0 else 0.0
--- a/src/azurerelay/quotas/_quota_ledger.py
+++ b/src/azurerelay/quotas/_quota_ledger.py
@@ -17,9 +17,13 @@
 # Entry hosts that control has lost may still serve callers, each with its share of the
 # quotas. Shares are reserved for them for this long, which is longer than a window.
 SILENT_HOST_WINDOW_MS: Final = 10_000.0
+# A host that moves between control hosts is counted by both for about a second.
+MOVE_WINDOW_MS: Final = 2_000.0
 # Customers use 62 % of their rate on average, so a fifth of it can be reserved without
 # refusing their operations. Hosts that have lost power run nothing.
 MAX_RESERVED_SHARE: Final = 0.2
+# Until the number of entry hosts has been counted anew after the loss of some.
+SILENT_SHARE_WINDOW_MS: Final = 3_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +49,9 @@
         self._extra = BUCKET_SLACK_SHARE * slack
         self._buckets: dict[str, CustomerTokens] = {}
         self._own_counts = OperationCounts()
+        self._recent_negative_count = SlidingMaximum(MOVE_WINDOW_MS)
         self._recent_entry_hosts = SlidingMaximum(SILENT_HOST_WINDOW_MS)
+        self._recent_silent_share = SlidingMaximum(SILENT_SHARE_WINDOW_MS)
         self._reserved_share = 0.0
 
     @property
@@ -68,11 +74,18 @@
                 bucket.replace_quota(customer, self._extra)
             self._buckets[customer.name] = bucket
 
-    def set_entry_hosts(self, count: int) -> None:
-        """Set the number of entry hosts that control hears."""
-        recent = self._recent_entry_hosts.record(self._timers.now_ms(), count)
-        silent_share = 1.0 - count / max(1.0, recent)
-        self._reserved_share = min(MAX_RESERVED_SHARE, silent_share)
+    def set_entry_hosts(self, count: int, silent_share: float) -> None:
+        """Set the number of entry hosts, and which share of the attached is silent.
+
+        The share is known earlier than that hosts are missing from the number.
+        """
+        now_ms = self._timers.now_ms()
+        steady_count = -self._recent_negative_count.record(now_ms, -count)
+        recent = self._recent_entry_hosts.record(now_ms, steady_count)
+        missing_share = 1.0 - count / max(1.0, recent)
+        silent_share = self._recent_silent_share.record(now_ms, silent_share)
+        reserved_share = max(missing_share, silent_share)
+        self._reserved_share = min(MAX_RESERVED_SHARE, reserved_share)
 
     def record_report(self, report: AdmissionReport) -> None:
         """Count the operations of an attached entry host."""
