--- /dev/null
+++ b/tests/test_quotas.py
@@ -0,0 +1,312 @@
+"""Tests for quotas: the gate, the ledger, their messages, and the whole way."""
+
+import random
+import unittest
+from bisect import bisect_left
+from dataclasses import replace
+from functools import partial
+from typing import Any
+
+from result import Err
+
+from azurerelay.attachment import ATTACHMENT_MESSAGES, Detach, SyncReply, SyncRequest
+from azurerelay.cluster import CONTROL_LINK_CODEC
+from azurerelay.events import (
+    CustomerLimited,
+    CustomerUnlimited,
+    LocalQuotasEnded,
+    LocalQuotasStarted,
+    StatementRefused,
+)
+from azurerelay.messages import TaggedCodec
+from azurerelay.quotas import (
+    AdmissionCounts,
+    AdmissionFraction,
+    AdmissionGate,
+    AdmissionLimits,
+    AdmissionReport,
+    OperationCount,
+    QuotaLedger,
+)
+from azurerelay.relay._admission_control import MAX_CUSTOMER_LABELS
+from azurerelay.routes import Customer
+from azurerelay.statements import CallerError, SessionState
+from azurerelay.timing import ManualTimerService
+from tests.platform_rig import PlatformRig, configuration
+from tests.quota_rig import QuotaRig
+
+ACME = Customer("acme", ("key-1",), 100.0, 40.0)
+FREE = Customer("free", ("key-9",))
+CLOSED = Customer("closed", ("key-3",), 0.0, 0.0)
+
+
+class GateTest(unittest.TestCase):
+    """The gate of one of ten entry hosts."""
+
+    def setUp(self) -> None:
+        self.timers = ManualTimerService()
+        self.gate = AdmissionGate(self.timers, random.Random(1))
+        self.gate.update((ACME, FREE, CLOSED))
+        self.gate.record_contact(10, 0.0)
+
+    def _offer(self, duration_ms: int, customer: str = "acme") -> int:
+        """Offer an operation each ms; return how many were admitted and started."""
+        count = 0
+        for _ in range(duration_ms):
+            self.timers.advance(1.0)
+            if self.gate.admit(customer):
+                self.gate.record_started(customer)
+                count += 1
+        return count
+
+    def test_control_states_the_fraction_of_limited_customers(self) -> None:
+        self.gate.apply_limits(AdmissionLimits((AdmissionFraction("acme", 0.3),)))
+        for customer, low, high in (
+            ("acme", 120, 180),
+            ("free", 500, 500),
+            ("", 500, 500),
+            ("closed", 0, 0),
+        ):
+            self.assertTrue(low <= self._offer(500, customer) <= high, customer)
+            self.gate.record_contact()
+
+    def test_limits_end_with_an_empty_list_or_when_they_are_not_repeated(self) -> None:
+        """Guards against a limit for ever if the message that ends it is lost."""
+        limits = AdmissionLimits((AdmissionFraction("acme", 0.0),))
+        self.gate.apply_limits(limits)
+        self.assertEqual(self._offer(100), 0)
+        self.gate.apply_limits(AdmissionLimits(()))
+        self.assertEqual(self._offer(100), 100)
+        self.gate.apply_limits(limits)
+        self.timers.advance(501.0)
+        self.gate.record_contact()
+        self.assertEqual(self._offer(100), 100)
+
+    def test_a_silence_of_control_limits_by_itself(self) -> None:
+        """Guards against a jump of demand that control cannot limit here."""
+        for _ in range(10):
+            self.gate.record_contact()
+            self.assertTrue(self.gate.admit("acme"))
+            self.gate.record_started("acme")
+            self.timers.advance(200.0)
+        self.gate.record_contact()
+        self._offer(650)
+        held = self._offer(1_349)
+        self.assertTrue(5 <= held <= 30, held)
+        # A tenth of the quota, of which the jump has used up more than a window.
+        self.assertEqual(self._offer(5_000), 0)
+        self.assertTrue(95 <= self._offer(10_000) <= 105)
+        self.assertEqual(self._offer(1_000, "free"), 1_000)
+        self.gate.record_contact()
+        self.assertEqual(self._offer(100), 100)
+
+    def test_unconfirmed_reports_are_repeated_after_a_silence(self) -> None:
+        """Guards against operations that a lost control host alone has counted."""
+        self.assertIsNone(self.gate.take_report())
+        self._offer(10)
+        self.assertEqual(
+            self.gate.take_report(), AdmissionReport((OperationCount("acme", 10, 10),))
+        )
+        self.gate.record_contact(10, self.timers.now_ms())
+        self.timers.advance(500.0)
+        self._offer(20)
+        self.gate.take_report()
+        self.timers.advance(900.0)
+        self.gate.record_contact()
+        self.assertEqual(
+            self.gate.take_report(), AdmissionReport((OperationCount("acme", 0, 20),))
+        )
+        self.timers.advance(6_000.0)
+        self.gate.record_contact()
+        self.assertIsNone(self.gate.take_report())
+
+
+class LedgerTest(unittest.TestCase):
+    """The ledger of one control host; the bucket of acme holds 40 + 10."""
+
+    def setUp(self) -> None:
+        self.timers = ManualTimerService()
+        self.ledger = QuotaLedger(self.timers, 20.0)
+        self.ledger.update((ACME, FREE))
+
+    def _record(self, offered: int, started: int) -> None:
+        counts = (
+            OperationCount("acme", offered, started),
+            OperationCount("free", 9_999, 9_999),
+            OperationCount("unknown", 9_999, 9_999),
+        )
+        self.ledger.record_counts(AdmissionCounts(counts))
+
+    def test_the_fraction_is_what_rate_and_tokens_allow(self) -> None:
+        self._record(100, 50)
+        (limit,) = self.ledger.limits()
+        self.assertEqual((limit.tokens, limit.demand_per_s), (0.0, 500.0))
+        self.assertAlmostEqual(limit.fraction, 100.0 / 500.0)
+        self._record(0, 200)
+        self.assertEqual(self.ledger.limits()[0].fraction, 0.0)
+        self.timers.advance(3_000.0)
+        self.assertEqual(self.ledger.limits(), ())
+
+    def test_a_lowered_rate_lowers_the_tokens(self) -> None:
+        self.ledger.update((replace(ACME, rate_per_s=10.0, burst=0.0),))
+        self._record(100, 0)
+        (limit,) = self.ledger.limits()
+        self.assertEqual(limit.tokens, 10.0)
+        self.assertAlmostEqual(limit.fraction, 20.0 / 500.0)
+
+    def test_a_share_is_reserved_for_hosts_that_control_lost(self) -> None:
+        """Guards against a quota that other hosts use up beside the silent ones."""
+        for count, silent_share, reserved in (
+            (100, 0.0, 0),
+            (100, 0.1, 10),
+            (50, 0.0, 20),
+        ):
+            self.timers.advance(3_000.0)
+            self.ledger.set_entry_hosts(count, silent_share)
+            self._record(1_000, 90)
+            before = self.ledger.limits()[0].tokens
+            self.timers.advance(100.0)
+            gained = self.ledger.limits()[0].tokens - before
+            self.assertAlmostEqual(gained, (100 - reserved) / 10)
+
+
+class MessagesTest(unittest.TestCase):
+    """Links between builds, and what is sent when."""
+
+    def test_hosts_of_earlier_builds_drop_the_messages(self) -> None:
+        """Guards against links that fail while both builds run."""
+        earlier = TaggedCodec((SyncRequest, SyncReply, Detach))
+        counts = (OperationCount("acme", 3, 2),)
+        for message in (
+            AdmissionReport(counts),
+            AdmissionCounts(counts),
+            AdmissionLimits((AdmissionFraction("acme", 0.5),)),
+        ):
+            frame = CONTROL_LINK_CODEC.encode(message)
+            self.assertEqual(CONTROL_LINK_CODEC.decode(frame).ok_value, message)
+            self.assertIsInstance(earlier.decode(frame), Err)
+        self.assertNotIn(AdmissionCounts, ATTACHMENT_MESSAGES)
+
+    def test_a_jump_is_limited_in_time_on_all_hosts(self) -> None:
+        """Guards against delays with which a customer would exceed its quota."""
+        for seed in range(10):
+            rig = QuotaRig(seed, 140, (replace(ACME, burst=0.0),))
+            rig.offer_from("acme", lambda at: 62.0 if at < 3e3 else 465.0, rig.hosts)
+            rig.timers.advance(3_450.0)
+            limited = [control.limited_count for control in rig.controls]
+            self.assertEqual(limited, [1] * len(rig.controls), seed)
+
+
+class QuotaSystemTest(unittest.TestCase):
+    """Callers of three entry hosts, with five control hosts."""
+
+    def setUp(self) -> None:
+        self.rig = PlatformRig()
+        busy = Customer("busy", ("key-1",), 20.0, 10.0)
+        calm = Customer("calm", ("key-2",), 20.0, 10.0)
+        self.rig.start(configuration(customers=(busy, calm, FREE)))
+        self.replies: dict[str, list[Any]] = {"key-1": [], "key-2": []}
+
+    def _call_regularly(self, key: str, interval_ms: float) -> None:
+        for entry in (1, 2, 3):
+            session = self.rig.open("strict", entry, key)
+            self.rig.timers.call_every(
+                interval_ms, partial(self._call, session, key, [])
+            )
+
+    def _call(self, session: Any, key: str, pending: list[Any]) -> None:
+        if pending and not pending[-1].is_done:
+            return
+        pending.append(self.rig.send(session, "WRITE 1 a"))
+        pending[-1].add_callback(lambda: self.replies[key].append(pending[-1].value))
+
+    def test_the_quota_holds_over_all_hosts_together(self) -> None:
+        for _ in range(4):
+            self._call_regularly("key-1", 50.0)
+        self._call_regularly("key-2", 300.0)
+        self.rig.timers.advance(12_000.0)
+        times = [run.at_ms for run in self.rig.runs if run.customer == "busy"]
+        windows = [
+            bisect_left(times, at_ms + 5_000.0) - first
+            for first, at_ms in enumerate(times)
+        ]
+        self.assertLessEqual(max(windows), (20 * 5 + 10) * 1.1 + 20)
+        self.assertGreaterEqual(len(times), 20 * 12 * 0.9)
+        refused = [r for r in self.replies["key-1"] if r.error is not None]
+        self.assertEqual({r.error for r in refused}, {CallerError.OVER_QUOTA})
+        self.assertEqual({r.state for r in refused}, {SessionState.IDLE})
+        self.assertTrue(all(r.error is None for r in self.replies["key-2"]))
+        events = self.rig.events.of(StatementRefused)
+        self.assertEqual(len(events), len(refused))
+        self.assertEqual({(e.has_run, e.attempts) for e in events}, {("no", 0)})
+        self.assertEqual(
+            {e.customer for e in self.rig.events.of(CustomerLimited)}, {"busy"}
+        )
+
+    def test_statements_of_a_transaction_are_one_operation(self) -> None:
+        """Guards against refusals inside a transaction, and against counting twice."""
+        session = self.rig.open("strict", key="key-1")
+        node = self.rig.entries["10.1.0.1:7440"]
+        self.rig.run(session, "BEGIN")
+        gate = node._admission_control._gate
+        gate.apply_limits(AdmissionLimits((AdmissionFraction("busy", 0.0),)))
+        for text in ("WRITE 1 a", "READ 1", "COMMIT"):
+            self.assertIsNone(self.rig.run(session, text).error)
+        gate.apply_limits(AdmissionLimits((AdmissionFraction("busy", 0.0),)))
+        for text in ("BEGIN", "READ 1", "WRITE 1 a"):
+            reply = self.rig.run(session, text)
+            self.assertIs(reply.error, CallerError.OVER_QUOTA)
+        self.assertIsNone(
+            self.rig.run(self.rig.open("strict", key="key-2"), "READ 1").error
+        )
+        counters = self.rig.meters.counters
+        started = counters[("operations_started_total", (("customer", "busy"),))]
+        self.assertEqual(started, 1)
+
+    def test_a_host_without_control_says_that_it_limits_by_itself(self) -> None:
+        self.rig.isolate("10.1.0.1:7440", self.rig.addresses)
+        self.rig.timers.advance(3_000.0)
+        (event,) = self.rig.events.of(LocalQuotasStarted)
+        self.assertEqual(event.entry_hosts, 3)
+        session = self.rig.open("strict", key="key-1")
+        outcomes = {self.rig.run(session, "READ 1").error for _ in range(10)}
+        self.assertEqual(outcomes, {None, CallerError.OVER_QUOTA})
+        self.rig.heal()
+        self.rig.timers.advance(2_000.0)
+        self.assertEqual(len(self.rig.events.of(LocalQuotasEnded)), 1)
+
+    def test_idle_fleets_send_nothing_and_ended_limits_are_reported(self) -> None:
+        sent: list[Any] = []
+        deliver = self.rig.deliver
+
+        def record(sender: str, peer: str, message: Any) -> None:
+            sent.append(message)
+            deliver(sender, peer, message)
+
+        self.rig.deliver = record  # type: ignore[method-assign]
+        quota_messages = (AdmissionReport, AdmissionCounts, AdmissionLimits)
+        session = self.rig.open("strict", key="key-2")
+        self.rig.timers.advance(2_000.0)
+        self.assertFalse([m for m in sent if isinstance(m, quota_messages)])
+        self.rig.run(session, "READ 1")
+        for control in self.rig.controls.values():
+            over = AdmissionCounts((OperationCount("calm", 500, 60),))
+            control.on_message(self.rig.addresses[0], over)
+        self.rig.timers.advance(8_000.0)
+        self.assertTrue(self.rig.events.of(CustomerUnlimited))
+        self.assertTrue([m for m in sent if isinstance(m, AdmissionLimits)])
+        sent.clear()
+        self.rig.timers.advance(2_000.0)
+        self.assertFalse([m for m in sent if isinstance(m, quota_messages)])
+
+    def test_metrics_name_a_bounded_number_of_customers(self) -> None:
+        control = self.rig.entries["10.1.0.1:7440"]._admission_control
+        for number in range(3 * MAX_CUSTOMER_LABELS):
+            control.admit(f"customer-{number}")
+        labels = {
+            dict(labels)["customer"]
+            for name, labels in self.rig.meters.counters
+            if name == "operations_total"
+        }
+        self.assertEqual(len(labels), MAX_CUSTOMER_LABELS + 1)
+        self.assertIn("other", labels)
