--- a/src/azurerelay/relay/_route_table.py
+++ b/src/azurerelay/relay/_route_table.py
@@ -28,6 +28,12 @@
     def accepts_statements(self) -> bool:
         """Whether statements are sent; False while the host is being stopped."""
 
+    def admit(self, customer: str) -> str | None:
+        """Decide whether an operation of a customer may start; why not, or None."""
+
+    def record_started(self, customer: str) -> None:
+        """Record that an operation got a connection for its first attempt."""
+
     def find_route(self, database: str) -> tuple[Route, GroupConnections] | None:
         """Return the route of a database name and its group, None if unknown."""
 
@@ -37,11 +43,5 @@
         The name is empty for callers that need no key. Errors are recorded.
         """
 
-    def admit(self, customer: str) -> str | None:
-        """Decide whether an operation of a customer may start; why not, or None."""
-
-    def record_started(self, customer: str) -> None:
-        """Record that an operation got a connection for its first attempt."""
-
     def refuse_database(self, database: str) -> CallerError:
         """Record that a database has no route; return the error for the caller."""
