Placement: a choice by recent answers, and an experiment that compares ways

What callers saw: a host of a large fleet gets about one answer a second from an endpoint. Its estimates returned to 30 ms within seconds, failed answers did not count, and reads went on to an endpoint that failed half of them.

Cause: EndpointPool's average weighs the newest answer by 0.2 at any rate of answers, and only successful answers and missing ones are recorded.

Change: `LoadEstimate` averages durations and failures by age, and sets an endpoint aside until one statement has tried it. `choose_by_recent_answers` takes the lowest expected cost. The pool's average is a class of its own, so that the experiment uses it; its values are the same, and so is `choose_endpoint`.

Evidence: tests.test_pooling, tests.test_layers.

--- a/src/azurerelay/experiments/__init__.py
+++ b/src/azurerelay/experiments/__init__.py
@@ -10,12 +10,22 @@
 )
 from azurerelay.experiments._history import History, OperationKind, OperationRecord
 from azurerelay.experiments._load_mix import ALERT_DESK_MIX, CHILDCARE_MIX, LoadMix
+from azurerelay.experiments._placement_experiment import (
+    DisruptedPeriod,
+    Disruption,
+    PlacementExperiment,
+    PlacementPolicy,
+    PlacementReport,
+    PlacementScenario,
+)
 from azurerelay.experiments._simulated_caller import SimulatedCaller
 
 __all__ = [
     "ALERT_DESK_MIX",
     "CHILDCARE_MIX",
     "Checker",
+    "DisruptedPeriod",
+    "Disruption",
     "Experiment",
     "ExperimentReport",
     "Fault",
@@ -25,6 +35,10 @@
     "LoadMix",
     "OperationKind",
     "OperationRecord",
+    "PlacementExperiment",
+    "PlacementPolicy",
+    "PlacementReport",
+    "PlacementScenario",
     "SimulatedCaller",
     "Violation",
     "random_faults",
--- a/src/azurerelay/pooling/__init__.py
+++ b/src/azurerelay/pooling/__init__.py
@@ -7,13 +7,21 @@
     idle_timeout_ms,
     regional_connection_share,
 )
-from azurerelay.pooling._endpoint_pool import EndpointPool
+from azurerelay.pooling._duration_average import DurationAverage
+from azurerelay.pooling._endpoint_pool import (
+    MAX_RETRY_DELAY_MS,
+    RETRY_DELAY_MS,
+    EndpointPool,
+)
 from azurerelay.pooling._lag_estimate import LagEstimate
+from azurerelay.pooling._load_estimate import LoadEstimate, LoadKnowledge
 from azurerelay.pooling._placement import (
     ReadCandidate,
     RequiredPosition,
     catch_up_ms,
+    choose_by_recent_answers,
     choose_endpoint,
+    expected_costs,
     read_cost_ms,
 )
 from azurerelay.pooling._pooled_session import PooledSession
@@ -21,9 +29,14 @@
 from azurerelay.pooling._session_profile import PreparedShape, SessionProfile
 
 __all__ = [
+    "MAX_RETRY_DELAY_MS",
+    "RETRY_DELAY_MS",
     "ConnectionShare",
+    "DurationAverage",
     "EndpointPool",
     "LagEstimate",
+    "LoadEstimate",
+    "LoadKnowledge",
     "PooledSession",
     "PositionSamples",
     "PreparedShape",
@@ -31,9 +44,11 @@
     "RequiredPosition",
     "SessionProfile",
     "catch_up_ms",
+    "choose_by_recent_answers",
     "choose_endpoint",
     "connected_hosts",
     "connection_share",
+    "expected_costs",
     "regional_connection_share",
     "idle_timeout_ms",
     "read_cost_ms",
--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -1,6 +1,5 @@
 """The pool of this host's connections to one endpoint."""
 
-import math
 import random
 from collections import Counter, deque
 from collections.abc import Callable
@@ -11,6 +10,7 @@
 
 from azurerelay.discovery import Announcement
 from azurerelay.pooling._connection_share import ConnectionShare, idle_timeout_ms
+from azurerelay.pooling._duration_average import SMOOTHING, DurationAverage
 from azurerelay.pooling._pooled_session import PooledSession
 from azurerelay.pooling._session_profile import SessionProfile
 from azurerelay.statements import ConnectFailed, EndpointConnector, EndpointSession
@@ -29,11 +29,6 @@
 # Fraction by which the reopen delay varies at random, so that hosts that were refused
 # at the same time do not try again together.
 REOPEN_JITTER: Final = 0.5
-SMOOTHING: Final = 0.2  # weight of the newest value in a moving average
-INITIAL_SERVICE_MS: Final = 30.0  # a typical statement; used until one is measured
-# Without new measurements the average decays to `INITIAL_SERVICE_MS` with this
-# half-life, so that an endpoint that was slow is tried again.
-DECAY_HALF_LIFE_MS: Final = 2_000.0
 # Idle connections are closed after this time while the pool has more than one; it is a
 # few times the cost of opening a connection from another region. For some seconds an
 # endpoint still counts the connections of hosts that lost power, so these hosts can
@@ -121,8 +116,7 @@
         self._failing_since_ms: float | None = None
         self._retry_at_ms = 0.0
         self._retry_delay_ms = RETRY_DELAY_MS
-        self._service_ms = INITIAL_SERVICE_MS
-        self._service_updated_ms = timers.now_ms()
+        self._durations = DurationAverage(timers.now_ms())
         self._missed_answers = 0
         self._is_closed = False
         self._reopen_at_ms = 0.0
@@ -153,9 +147,7 @@
     @property
     def service_ms(self) -> float:
         """The moving average of statement durations; decays while none is measured."""
-        idle_ms = self._timers.now_ms() - self._service_updated_ms
-        remaining = math.exp2(-idle_ms / DECAY_HALF_LIFE_MS)
-        return INITIAL_SERVICE_MS + remaining * (self._service_ms - INITIAL_SERVICE_MS)
+        return self._durations.service_ms(self._timers.now_ms())
 
     @property
     def has_free_slot(self) -> bool:
@@ -274,7 +266,7 @@
         self._failing_since_ms = None
         self._retry_delay_ms = RETRY_DELAY_MS
         self._missed_answers = 0
-        self._record_duration(duration_ms)
+        self._durations.record(duration_ms, self._timers.now_ms())
 
     def record_missed_answer(self, waited_ms: float) -> None:
         """Record a statement without an answer.
@@ -282,7 +274,7 @@
         After `MISSED_ANSWER_THRESHOLD` of them in a row the endpoint counts as lost.
         """
         self._missed_answers += 1
-        self._record_duration(waited_ms)
+        self._durations.record(waited_ms, self._timers.now_ms())
         if self._missed_answers >= MISSED_ANSWER_THRESHOLD:
             self.mark_lost()
 
@@ -321,11 +313,6 @@
         for waiter in waiters:
             waiter.promise.resolve(Err(failure))
 
-    def _record_duration(self, duration_ms: float) -> None:
-        self._service_ms = self.service_ms
-        self._service_ms += SMOOTHING * (duration_ms - self._service_ms)
-        self._service_updated_ms = self._timers.now_ms()
-
     def _record_use(self) -> None:
         now_ms = self._timers.now_ms()
         gap_ms = min(now_ms - self._last_use_ms, MAX_GAP_FACTOR * self._mean_use_gap_ms)
--- a/src/azurerelay/pooling/_placement.py
+++ b/src/azurerelay/pooling/_placement.py
@@ -1,10 +1,12 @@
 """Choice of the endpoint that serves a read."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Final
 
+from azurerelay.pooling._duration_average import INITIAL_SERVICE_MS
+from azurerelay.pooling._load_estimate import LoadKnowledge
 from azurerelay.statements import Position
 
 # Among endpoints whose costs differ by at most this, one is chosen at random, so that
@@ -16,6 +18,13 @@
 # Added, with a round trip, to the cost of such a replica, because it may refuse the
 # read. A refused read does not run and takes no slot.
 REFUSAL_PENALTY_MS: Final = 40.0
+# How many answers of the group's average duration count like an endpoint's own ones, so
+# that an endpoint of which little or nothing recent is known is taken for an average
+# one.
+ASSUMED_ANSWERS: Final = 1.0
+# What a failed attempt costs a caller: about the time of two more attempts, one in
+# another region. An endpoint that fails half its reads is left for another region.
+FAILURE_COST_MS: Final = 200.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +34,9 @@
     `cross_region_penalty_ms` is the penalty for leaving the host's region,
     `pending_statements` the number of this host's statements that run there or wait for
     a connection, and `position` the last position that the endpoint reported.
+    `service_ms` includes `connect_ms`, what opening a connection adds to the statement.
+    `load` and `connect_ms` are used by `choose_by_recent_answers`, in place of
+    `service_ms`.
     """
 
     name: str
@@ -36,6 +48,8 @@
     position: Position | None
     lag_ms: float
     is_primary: bool
+    load: LoadKnowledge = LoadKnowledge()
+    connect_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +83,19 @@
     )
 
 
+def _qualifying(
+    candidates: Iterable[ReadCandidate], required: RequiredPosition
+) -> Iterator[tuple[float, ReadCandidate]]:
+    """Yield the candidates that may have the position, each with its penalty in ms."""
+    for candidate in candidates:
+        wait_ms = catch_up_ms(candidate, required)
+        if wait_ms <= MAX_CATCH_UP_MS:
+            penalty_ms = (
+                candidate.round_trip_ms + REFUSAL_PENALTY_MS if wait_ms > 0.0 else 0.0
+            )
+            yield penalty_ms, candidate
+
+
 def choose_endpoint(
     candidates: Iterable[ReadCandidate],
     required: RequiredPosition,
@@ -82,14 +109,10 @@
     slightly behind are considered, at a penalty; otherwise all reads of a burst that
     requires the newest position would go to the primary.
     """
-    costs: list[tuple[float, ReadCandidate]] = []
-    for candidate in candidates:
-        wait_ms = catch_up_ms(candidate, required)
-        if wait_ms <= MAX_CATCH_UP_MS:
-            penalty_ms = (
-                candidate.round_trip_ms + REFUSAL_PENALTY_MS if wait_ms > 0.0 else 0.0
-            )
-            costs.append((read_cost_ms(candidate) + penalty_ms, candidate))
+    costs = [
+        (read_cost_ms(candidate) + penalty_ms, candidate)
+        for penalty_ms, candidate in _qualifying(candidates, required)
+    ]
     if not costs:
         return None
     best_ms = min(cost_ms for cost_ms, _ in costs)
@@ -100,3 +123,92 @@
             if cost_ms <= best_ms + TIE_TOLERANCE_MS
         ]
     )
+
+
+def expected_cost_ms(candidate: ReadCandidate, average_ms: float) -> float:
+    """Return a read's expected cost, given the average duration in the group.
+
+    Own answers are averaged with the group's average, which counts more the older they
+    are. A statement that is in progress for longer raises the expectation at once.
+    """
+    load = candidate.load
+    mean_ms = (load.answers * load.mean_ms + ASSUMED_ANSWERS * average_ms) / (
+        load.answers + ASSUMED_ANSWERS
+    )
+    waiting = (
+        candidate.pending_statements
+        if candidate.has_free_slot
+        else 2 * candidate.pending_statements
+    )
+    return (
+        candidate.round_trip_ms
+        + candidate.cross_region_penalty_ms
+        + candidate.connect_ms
+        + load.failure_fraction * FAILURE_COST_MS
+        + max(mean_ms, load.unanswered_ms) * (1 + waiting)
+    )
+
+
+def expected_costs(
+    candidates: Iterable[ReadCandidate],
+    required: RequiredPosition,
+    random_source: random.Random,
+) -> list[tuple[float, ReadCandidate]]:
+    """Return the endpoints to choose from by recent answers, and their costs.
+
+    Endpoints that are set aside are left out, and returning ones part of the time,
+    unless no other one is left. So are endpoints with a higher penalty for their
+    region, unless they cost less than every one with a lower penalty.
+    """
+    qualifying = list(_qualifying(candidates, required))
+    options = [
+        (penalty_ms, candidate)
+        for penalty_ms, candidate in qualifying
+        if not candidate.load.is_set_aside
+        and (
+            candidate.load.weight >= 1.0
+            or random_source.random() < candidate.load.weight
+        )
+    ] or qualifying
+    answers = sum(candidate.load.answers for _, candidate in options)
+    durations_ms = sum(
+        candidate.load.answers * candidate.load.mean_ms for _, candidate in options
+    )
+    average_ms = (durations_ms + ASSUMED_ANSWERS * INITIAL_SERVICE_MS) / (
+        answers + ASSUMED_ANSWERS
+    )
+    costs = [
+        (penalty_ms + expected_cost_ms(candidate, average_ms), candidate)
+        for penalty_ms, candidate in options
+    ]
+    return [
+        (cost_ms, candidate)
+        for cost_ms, candidate in costs
+        if all(
+            cost_ms < other_ms
+            for other_ms, other in costs
+            if other.cross_region_penalty_ms < candidate.cross_region_penalty_ms
+        )
+    ]
+
+
+def choose_by_recent_answers(
+    candidates: Iterable[ReadCandidate],
+    required: RequiredPosition,
+    random_source: random.Random,
+) -> ReadCandidate | None:
+    """Return the endpoint with the lowest cost expected from recent answers, if any.
+
+    Answers the load of many hosts that choose at the same time, each from few and old
+    answers of its own, while an endpoint is slow, fails part of its statements, or
+    alternates between down and up. Only the host's own statements in progress are known
+    exactly. Hosts do not move together, since no two of them have the same answers;
+    equal costs, as after a start, are decided at random.
+    """
+    costs = expected_costs(candidates, required, random_source)
+    if not costs:
+        return None
+    best_ms = min(cost_ms for cost_ms, _ in costs)
+    return random_source.choice(
+        [candidate for cost_ms, candidate in costs if cost_ms <= best_ms]
+    )
