Reads choose by recent answers where connections are scarce

What callers saw: on the deployment with more entry hosts than connections, reads went on to endpoints that failed half of their statements or did not answer, at the price of a retry each, and queued at slow ones.

Cause: failed answers were recorded nowhere, one missed answer only raised an average by a fifth, and a statement in progress told nothing before its end.

Change: where `GroupConnections.are_connections_scarce`, pools keep a `LoadEstimate`, fed by successes, FAILED, TIMED_OUT and BUSY answers, missed answers and losses, and `choose_for_read` uses `choose_by_recent_answers`. Connections know since when a command is unanswered. An endpoint that joins a group later starts with a low weight. Elsewhere no estimate is kept, so that the host's random numbers and choices are the same as before.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -1,10 +1,10 @@
 """Compares ways to choose the endpoint of a read while hosts know little and late.
 
 `python -m bench.placement` prints a table with one line for each number of hosts, age
-of knowledge and policy. All policies get load of the same rate and waves, and the same
-disruptions: one endpoint is slow, fails half of its statements, alternates between down
-and up, or does not answer, one after the other. `--seeds`, `--ages`, `--hosts`,
-`--load`, `--spread` and `--calm` select other runs.
+of knowledge and policy. All policies get the same arrivals and the same disruptions:
+one endpoint is slow, fails half of its statements, alternates between down and up, or
+does not answer, one after the other. `--seeds`, `--ages`, `--hosts`, `--load`,
+`--spread` and `--calm` select other runs.
 """
 
 import argparse
--- a/src/azurerelay/experiments/_placement_experiment.py
+++ b/src/azurerelay/experiments/_placement_experiment.py
@@ -47,6 +47,7 @@
 FAILURE_SHARE: Final = 0.5
 FLAP_MS: Final = 1_500.0  # an endpoint is down, then up, for this time each
 SAMPLE_MS: Final = 20.0
+RETURN_WATCH_MS: Final = 3_000.0
 CALLER_ROUND_TRIP_MS: Final = 2.0
 _POSITION: Final = Position(1, 1)
 _REQUIRED: Final = RequiredPosition(_POSITION, 0.0)
@@ -115,8 +116,9 @@
     of the worst failure domain, `unevenness` the mean coefficient of variation of busy
     slots, `full_and_idle` the fraction of time with one endpoint full and another idle,
     both over the endpoints without a disruption. `messages` is the number of statements
-    sent to endpoints for each one of a caller, and `failed_attempts` counts those
-    without success.
+    sent to endpoints for each one of a caller, `failed_attempts` counts those without
+    success, and `return_queue` is the longest queue within `RETURN_WATCH_MS` at an
+    endpoint that was down.
     """
 
     statements: int
@@ -127,6 +129,7 @@
     full_and_idle: float
     messages: float
     failed_attempts: int
+    return_queue: int
 
 
 @dataclass(slots=True, eq=False)
@@ -177,6 +180,8 @@
         self._scenario = scenario
         self._policy = policy
         self._random = random.Random(scenario.seed)
+        # Of its own, so that all policies get the same arrivals.
+        self._arrivals = random.Random(f"{scenario.seed} arrivals")
         self._timers = ManualTimerService()
         regions = {
             _domain(number): f"region-{number * REGIONS // DOMAINS}"
@@ -206,6 +211,7 @@
         self._full_and_idle = 0
         self._messages = 0
         self._failed_attempts = 0
+        self._return_queue = 0
 
     def run(self) -> PlacementReport:
         """Play the scenario and return its report."""
@@ -228,6 +234,7 @@
             self._full_and_idle * SAMPLE_MS / self._timers.now_ms(),
             self._messages / len(latencies),
             self._failed_attempts,
+            self._return_queue,
         )
 
     # Callers
@@ -236,7 +243,7 @@
         """Schedule the next candidate of a Poisson process thinned by the wave."""
         peak_per_ms = self._scenario.statements_per_s * (1.0 + WAVE) / DOMAINS / 1_000.0
         self._timers.call_later(
-            self._random.expovariate(peak_per_ms), partial(self._arrive, domain)
+            self._arrivals.expovariate(peak_per_ms), partial(self._arrive, domain)
         )
 
     def _arrive(self, domain: int) -> None:
@@ -246,15 +253,15 @@
         self._schedule_arrival(domain)
         phase = now_ms / WAVE_PERIOD_MS - domain / DOMAINS
         level = (1.0 + WAVE * math.sin(2.0 * math.pi * phase)) / (1.0 + WAVE)
-        if self._random.random() >= level:
+        if self._arrivals.random() >= level:
             return
         hosts = self._scenario.hosts
         local = range(domain, hosts, DOMAINS) or range(hosts)
         self._place(
             _Statement(
-                self._random.choice(local),
+                self._arrivals.choice(local),
                 domain,
-                self._random.random() < PRIMARY_SHARE,
+                self._arrivals.random() < PRIMARY_SHARE,
                 now_ms,
             )
         )
@@ -346,7 +353,7 @@
         known = self._connections[attempt.statement.host][attempt.endpoint]
         now_ms = self._timers.now_ms()
         if is_lost:
-            known.load.record_loss(now_ms)
+            known.load.record_failure(now_ms)
         else:
             self._learn(lambda: known.load.record_failure(self._timers.now_ms()))
         attempt.statement.excluded.add(attempt.endpoint)
@@ -509,6 +516,14 @@
             variance = sum((count - mean) ** 2 for count in busy) / len(busy)
             self._variations.append(math.sqrt(variance) / mean)
         self._full_and_idle += SLOTS in busy and 0 in busy
+        for period in self._scenario.periods:
+            end_ms = period.start_ms + period.duration_ms
+            if (
+                period.disruption is Disruption.DOWN
+                and end_ms <= now_ms < end_ms + RETURN_WATCH_MS
+            ):
+                queue = len(self._endpoints[period.endpoint].queue)
+                self._return_queue = max(self._return_queue, queue)
 
 
 def _domain(number: int) -> str:
--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -29,6 +29,7 @@
     ReadCandidate,
     RequiredPosition,
     SessionProfile,
+    choose_by_recent_answers,
     choose_endpoint,
 )
 from azurerelay.statements import (
@@ -63,6 +64,11 @@
 # What a new connection takes of an endpoint's slot: between half of a typical statement
 # and twice one. Endpoints do not state it.
 CONNECT_WORK_MS: Final = 12.0
+# Answers that count against an endpoint where load is estimated. With the last one the
+# endpoint says that its queue is full.
+FAILURES: Final = frozenset(
+    {EndpointError.FAILED, EndpointError.TIMED_OUT, EndpointError.BUSY}
+)
 PROOF_PRIORITY: Final = -1  # before all callers
 DRAINED: Final = ConnectFailed("the endpoint is draining")
 
@@ -169,6 +175,7 @@
         now_ms = self._timers.now_ms()
         listed = {endpoint.endpoint: endpoint for endpoint in endpoints}
         shares = {name: share_of(endpoint) for name, endpoint in listed.items()}
+        previous = {name: member.pool for name, member in self._members.items()}
         self._are_connections_scarce = any(s.is_scarce for s in shares.values())
         for name, endpoint in listed.items():
             self._update_member(endpoint, shares[name], now_ms)
@@ -179,6 +186,9 @@
                 member.unlisted_since_ms = now_ms
             elif now_ms - member.unlisted_since_ms > UNLISTED_RETENTION_MS:
                 self._remove(name)
+        for name, member in self._members.items():
+            has_joined = bool(previous) and previous.get(name) is not member.pool
+            member.pool.estimate_load(self._are_connections_scarce, has_joined)
         self._tracker.update(member.pool.endpoint for member in self._members.values())
         self._notify()
 
@@ -247,7 +257,8 @@
 
         `required` is the position that its log must have, and `excluded` the names of
         endpoints to leave out. Lost endpoints are tried again in the background while
-        another one can serve the read.
+        another one can serve the read. Where there are more hosts than connections, the
+        choice is by recent answers: each host then knows little of an endpoint.
         """
         primary = self.primary()
         primary_name = primary.endpoint.endpoint if primary else None
@@ -265,27 +276,37 @@
             for name in usable.keys() - reached.keys():
                 usable[name].pool.open_standby_connection()
         candidates = [
-            ReadCandidate(
-                name,
-                self._topology.round_trip_ms(member.pool.endpoint.failure_domain),
-                self._topology.cross_region_penalty_ms(
-                    member.pool.endpoint.failure_domain
-                ),
-                member.pool.service_ms + self._connect_ms(member, customer),
-                member.pool.pending_statements,
-                member.pool.has_free_slot,
-                member.position,
-                member.lag.lag_ms(now_ms),
-                name == primary_name,
-            )
+            self._read_candidate(name, member, customer, name == primary_name)
             for name, member in (reached or usable).items()
         ]
         age_ms = self._samples.age_ms(required, now_ms)
-        chosen = choose_endpoint(
-            candidates, RequiredPosition(required, age_ms), self._random
+        choose = (
+            choose_by_recent_answers
+            if self._are_connections_scarce
+            else choose_endpoint
         )
+        chosen = choose(candidates, RequiredPosition(required, age_ms), self._random)
         return self._members[chosen.name].pool if chosen else None
 
+    def _read_candidate(
+        self, name: str, member: _Member, customer: str, is_primary: bool
+    ) -> ReadCandidate:
+        domain = member.pool.endpoint.failure_domain
+        connect_ms = self._connect_ms(member, customer)
+        return ReadCandidate(
+            name,
+            self._topology.round_trip_ms(domain),
+            self._topology.cross_region_penalty_ms(domain),
+            member.pool.service_ms + connect_ms,
+            member.pool.pending_statements,
+            member.pool.has_free_slot,
+            member.position,
+            member.lag.lag_ms(self._timers.now_ms()),
+            is_primary,
+            member.pool.load,
+            connect_ms,
+        )
+
     def _connect_ms(self, member: _Member, customer: str) -> float:
         """Return what opening a connection adds to a statement of a customer.
 
@@ -343,12 +364,14 @@
     def record_reply(
         self, pool: EndpointPool, sent_ms: float, reply: EndpointReply
     ) -> None:
-        """Record the position in a reply and, if it succeeded, its duration."""
+        """Record the position in a reply, and its duration or that it is a failure."""
         now_ms = self._timers.now_ms()
         failing_ms = pool.failing_ms
         round_trip_ms = self._topology.round_trip_ms(pool.endpoint.failure_domain)
         if reply.is_success:
             pool.record_answer(max(0.0, now_ms - sent_ms - round_trip_ms))
+        elif reply.error in FAILURES:
+            pool.record_failed_answer()
         if failing_ms > 0.0 and reply.is_success:
             self._events.record(
                 EndpointRegained(pool.endpoint.endpoint, self._name, failing_ms)
--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -11,6 +11,7 @@
 from azurerelay.discovery import Announcement
 from azurerelay.pooling._connection_share import ConnectionShare, idle_timeout_ms
 from azurerelay.pooling._duration_average import SMOOTHING, DurationAverage
+from azurerelay.pooling._load_estimate import LoadEstimate, LoadKnowledge
 from azurerelay.pooling._pooled_session import PooledSession
 from azurerelay.pooling._session_profile import SessionProfile
 from azurerelay.statements import ConnectFailed, EndpointConnector, EndpointSession
@@ -117,6 +118,7 @@
         self._retry_at_ms = 0.0
         self._retry_delay_ms = RETRY_DELAY_MS
         self._durations = DurationAverage(timers.now_ms())
+        self._load: LoadEstimate | None = None
         self._missed_answers = 0
         self._is_closed = False
         self._reopen_at_ms = 0.0
@@ -149,6 +151,17 @@
         """The moving average of statement durations; decays while none is measured."""
         return self._durations.service_ms(self._timers.now_ms())
 
+    @property
+    def load(self) -> LoadKnowledge:
+        """What recent answers tell of the endpoint, if that is estimated."""
+        if self._load is None:
+            return LoadKnowledge()
+        return self._load.knowledge(
+            self._timers.now_ms(),
+            max((session.unanswered_ms for session in self._checked_out), default=0.0),
+            self.pending_statements,
+        )
+
     @property
     def has_free_slot(self) -> bool:
         """Whether a request need not wait for another to release its connection."""
@@ -205,6 +218,19 @@
         self._endpoint = endpoint
         self._share = share
 
+    def estimate_load(self, is_on: bool, has_joined: bool) -> None:
+        """Start or stop to estimate the load; without a change, nothing happens.
+
+        An endpoint that has just joined others starts with a low weight: it may be
+        cold, and all hosts learn of it at about the same time.
+        """
+        if not is_on:
+            self._load = None
+        elif self._load is None:
+            self._load = LoadEstimate(self._random)
+            if has_joined:
+                self._load.begin_return(self._timers.now_ms())
+
     def acquire(
         self,
         priority: int,
@@ -267,6 +293,13 @@
         self._retry_delay_ms = RETRY_DELAY_MS
         self._missed_answers = 0
         self._durations.record(duration_ms, self._timers.now_ms())
+        if self._load is not None:
+            self._load.record_answer(duration_ms, self._timers.now_ms())
+
+    def record_failed_answer(self) -> None:
+        """Record that the endpoint failed or refused a statement."""
+        if self._load is not None:
+            self._load.record_failure(self._timers.now_ms())
 
     def record_missed_answer(self, waited_ms: float) -> None:
         """Record a statement without an answer.
@@ -275,6 +308,8 @@
         """
         self._missed_answers += 1
         self._durations.record(waited_ms, self._timers.now_ms())
+        if self._load is not None:
+            self._load.record_failure(self._timers.now_ms())
         if self._missed_answers >= MISSED_ANSWER_THRESHOLD:
             self.mark_lost()
 
@@ -285,6 +320,8 @@
             self._failing_since_ms = now_ms
         self._retry_at_ms = now_ms + self._retry_delay_ms
         self._retry_delay_ms = min(MAX_RETRY_DELAY_MS, 2 * self._retry_delay_ms)
+        if self._load is not None:
+            self._load.record_loss(now_ms)
         self._refuse_waiters(failure)
 
     def refuse_callers(self, failure: ConnectFailed) -> None:
@@ -412,7 +449,9 @@
             outcome = Err(ConnectFailed(f"unexpected error: {error!r}"))
         self._connecting[customer] -= 1
         if isinstance(outcome, Ok):
-            session = PooledSession(self._endpoint.endpoint, outcome.ok_value, customer)
+            session = PooledSession(
+                self._endpoint.endpoint, outcome.ok_value, self._timers.now_ms, customer
+            )
             if self._is_closed:
                 session.close()
                 return
--- a/src/azurerelay/pooling/_load_estimate.py
+++ b/src/azurerelay/pooling/_load_estimate.py
@@ -54,7 +54,7 @@
 
 
 class LoadEstimate:
-    """Estimates load and health from answers, failures and missing answers.
+    """Estimates load and health from answers, failures and losses.
 
     Answers the load of endpoints that are slow, fail part of their statements, or
     alternate between down and up. An endpoint that fails is set aside. After a delay, a
@@ -100,6 +100,10 @@
             is_trial_due,
         )
 
+    def begin_return(self, now_ms: float) -> None:
+        """Increase the weight slowly from now on, as after a successful trial."""
+        self._returning_since_ms = now_ms
+
     def record_answer(self, duration_ms: float, now_ms: float) -> None:
         """Record a successful answer."""
         remaining = self._remaining(
@@ -118,7 +122,7 @@
             self._delay_ms = FIRST_DELAY_MS
 
     def record_failure(self, now_ms: float) -> None:
-        """Record an answer that says that the statement failed or took too long."""
+        """Record a statement that failed, was refused, or got no answer in time."""
         self._decay_failures(now_ms)
         self._failures += 1.0
         is_returning = self._trial_at_ms is not None or self._weight(now_ms) < 1.0
@@ -130,10 +134,14 @@
             self._set_aside(now_ms)
 
     def record_loss(self, now_ms: float) -> None:
-        """Record a missing answer, a lost connection or one that was not opened."""
+        """Record that the endpoint is lost; attempts to connect change nothing more.
+
+        Meanwhile the pool leaves it out, so the trial may be due when it is back.
+        """
         self._decay_failures(now_ms)
         self._failures += 1.0
-        self._set_aside(now_ms)
+        if self._trial_at_ms is None:
+            self._set_aside(now_ms)
 
     def _set_aside(self, now_ms: float) -> None:
         """Set the endpoint aside; what was in progress then does not extend it."""
--- a/src/azurerelay/pooling/_placement.py
+++ b/src/azurerelay/pooling/_placement.py
@@ -145,7 +145,7 @@
         + candidate.cross_region_penalty_ms
         + candidate.connect_ms
         + load.failure_fraction * FAILURE_COST_MS
-        + max(mean_ms, load.unanswered_ms) * (1 + waiting)
+        + max(mean_ms, load.unanswered_ms - candidate.round_trip_ms) * (1 + waiting)
     )
 
 
--- a/src/azurerelay/pooling/_pooled_session.py
+++ b/src/azurerelay/pooling/_pooled_session.py
@@ -1,5 +1,8 @@
 """A pooled connection, whose session state is matched to each caller."""
 
+from collections import deque
+from collections.abc import Callable
+
 from result import Err, Ok, Result
 
 from azurerelay.pooling._session_profile import PreparedShape, SessionProfile
@@ -26,15 +29,20 @@
     """
 
     def __init__(
-        self, endpoint: str, session: EndpointSession, customer: str = ""
+        self,
+        endpoint: str,
+        session: EndpointSession,
+        now_ms: Callable[[], float],
+        customer: str = "",
     ) -> None:
+        self._now_ms = now_ms
         self._customer = customer
         self._endpoint = endpoint
         self._session = session
         self._values: dict[str, str] = {}
         self._prepared: set[PreparedShape] = set()
         self._state = SessionState.IDLE
-        self._outstanding = 0
+        self._sent_ms: deque[float] = deque()
 
     @property
     def endpoint(self) -> str:
@@ -54,7 +62,7 @@
     @property
     def is_reusable(self) -> bool:
         """Whether another caller may use it: open, idle, with no reply outstanding."""
-        is_idle = self._state is SessionState.IDLE and self._outstanding == 0
+        is_idle = self._state is SessionState.IDLE and not self._sent_ms
         return is_idle and self._session.is_open
 
     @property
@@ -67,6 +75,11 @@
         """The last position that the endpoint reported."""
         return self._session.position
 
+    @property
+    def unanswered_ms(self) -> float:
+        """The time since the oldest command without a reply was sent; 0 without one."""
+        return self._now_ms() - self._sent_ms[0] if self._sent_ms else 0.0
+
     def profile_mismatch(self, profile: SessionProfile) -> int:
         """Return the most commands that setting a caller's values takes; 0 for none."""
         if self._values == profile.values:
@@ -77,7 +90,7 @@
         self, command: EndpointCommand
     ) -> Promise[Result[EndpointReply, ConnectionLost]]:
         """Send a command and return a promise of its reply."""
-        self._outstanding += 1
+        self._sent_ms.append(self._now_ms())
         promise = self._session.request(command)
         promise.add_callback(lambda: self._update_state(promise.value))
         return promise
@@ -134,6 +147,6 @@
         self._session.close()
 
     def _update_state(self, outcome: Result[EndpointReply, ConnectionLost]) -> None:
-        self._outstanding -= 1
+        self._sent_ms.popleft()
         if isinstance(outcome, Ok):
             self._state = outcome.ok_value.state
