Test that other deployments keep their choice; region filter to the bench

What callers saw: nothing yet.

Cause: the test without scarce connections looked at failed answers only. The filter by region in `expected_costs` had no effect on the lowest cost, which includes the penalty.

Change: a test compares the random numbers drawn and the choice by duration. The filter moves to bench/placement.py, whose weighted choices need it.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -80,13 +80,28 @@
     return random_source.choices(options, weights)[0]
 
 
+def regional_costs(
+    costs: list[tuple[float, ReadCandidate]],
+) -> list[tuple[float, ReadCandidate]]:
+    """Leave out what does not save the penalty for leaving a region."""
+    return [
+        (cost_ms, candidate)
+        for cost_ms, candidate in costs
+        if all(
+            cost_ms < other_ms
+            for other_ms, other in costs
+            if other.cross_region_penalty_ms < candidate.cross_region_penalty_ms
+        )
+    ]
+
+
 def choose_of_two_recent(
     candidates: Iterable[ReadCandidate],
     required: RequiredPosition,
     random_source: random.Random,
 ) -> ReadCandidate | None:
     """Return the better one of two candidates, by the cost from recent answers."""
-    costs = expected_costs(candidates, required, random_source)
+    costs = regional_costs(expected_costs(candidates, required, random_source))
     drawn = random_source.sample(costs, min(2, len(costs)))
     best = min(drawn, key=lambda pair: pair[0], default=None)
     return best[1] if best else None
@@ -98,7 +113,7 @@
     random_source: random.Random,
 ) -> ReadCandidate | None:
     """Return a candidate at random, weighted by the cost from recent answers."""
-    costs = expected_costs(candidates, required, random_source)
+    costs = regional_costs(expected_costs(candidates, required, random_source))
     if not costs:
         return None
     weights = [cost_ms**-COST_EXPONENT for cost_ms, _ in costs]
--- a/src/azurerelay/pooling/_placement.py
+++ b/src/azurerelay/pooling/_placement.py
@@ -157,8 +157,7 @@
     """Return the endpoints to choose from by recent answers, and their costs.
 
     Endpoints that are set aside are left out, and returning ones part of the time,
-    unless no other one is left. So are endpoints with a higher penalty for their
-    region, unless they cost less than every one with a lower penalty.
+    unless no other one is left.
     """
     qualifying = list(_qualifying(candidates, required))
     options = [
@@ -177,19 +176,10 @@
     average_ms = (durations_ms + ASSUMED_ANSWERS * INITIAL_SERVICE_MS) / (
         answers + ASSUMED_ANSWERS
     )
-    costs = [
+    return [
         (penalty_ms + expected_cost_ms(candidate, average_ms), candidate)
         for penalty_ms, candidate in options
     ]
-    return [
-        (cost_ms, candidate)
-        for cost_ms, candidate in costs
-        if all(
-            cost_ms < other_ms
-            for other_ms, other in costs
-            if other.cross_region_penalty_ms < candidate.cross_region_penalty_ms
-        )
-    ]
 
 
 def choose_by_recent_answers(
--- a/tests/test_even_load.py
+++ b/tests/test_even_load.py
@@ -201,12 +201,13 @@
     def setUp(self) -> None:
         self.rig = PlatformRig()
         self.rig.add_group()
+        self.random = random.Random(1)
         self.group = GroupConnections(
             GROUP,
             FakeConnector(self.rig, "host"),
             Topology("east-1", DOMAIN_REGIONS),
             self.rig.timers,
-            random.Random(1),
+            self.random,
             self.rig.events,
         )
 
@@ -247,6 +248,28 @@
                 chosen = self._fail_answers(error)
                 self.assertEqual(self.first not in chosen, is_left)
 
+    def test_elsewhere_the_choice_and_the_random_numbers_are_those_of_before(
+        self,
+    ) -> None:
+        """Guards against a change of deployments where every host has a connection."""
+        self._update(ConnectionShare(2, 2.0))
+        position = self.rig.primary().position
+        state = self.random.getstate()
+        pools = [member.pool for member in self.group._members.values()]
+        for pool in pools:
+            pool.record_answer(10.0)
+            pool.record_missed_answer(300.0)
+            pool.record_failed_answer()
+            pool.mark_lost()
+            pool.record_answer(10.0)
+        self.assertEqual(self.random.getstate(), state)
+        for target in pools:
+            with self.subTest(target.endpoint.endpoint):
+                for _ in range(20):
+                    for pool in pools:
+                        pool.record_answer(10.0 if pool is target else 600.0)
+                self.assertIs(self.group.choose_for_read(position, frozenset()), target)
+
 
 if __name__ == "__main__":
     unittest.main()
