--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -1,6 +1,5 @@
 """The pool of this host's connections to one endpoint."""
 
-import math
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -11,6 +10,8 @@
 
 from azurerelay.discovery import Announcement
 from azurerelay.pooling._connection_share import ConnectionShare, idle_timeout_ms
+from azurerelay.pooling._duration_average import SMOOTHING, DurationAverage
+from azurerelay.pooling._load_estimate import LoadEstimate, LoadKnowledge
 from azurerelay.pooling._pooled_session import PooledSession
 from azurerelay.pooling._request_queue import ConnectionRequest, RequestQueue
 from azurerelay.pooling._session_profile import SessionProfile
@@ -30,11 +31,6 @@
 # Fraction by which the reopen delay varies at random, so that hosts that were refused
 # at the same time do not try again together.
 REOPEN_JITTER: Final = 0.5
-SMOOTHING: Final = 0.2  # weight of the newest value in a moving average
-INITIAL_SERVICE_MS: Final = 30.0  # a typical statement; used until one is measured
-# Without new measurements the average decays to `INITIAL_SERVICE_MS` with this
-# half-life, so that an endpoint that was slow is tried again.
-DECAY_HALF_LIFE_MS: Final = 2_000.0
 # Idle connections are closed after this time while the pool has more than one; it is a
 # few times the cost of opening a connection from another region. For some seconds an
 # endpoint still counts the connections of hosts that lost power, so these hosts can
@@ -94,8 +90,8 @@
         self._failing_since_ms: float | None = None
         self._retry_at_ms = 0.0
         self._retry_delay_ms = RETRY_DELAY_MS
-        self._service_ms = INITIAL_SERVICE_MS
-        self._service_updated_ms = timers.now_ms()
+        self._durations = DurationAverage(timers.now_ms())
+        self._load: LoadEstimate | None = None
         self._missed_answers = 0
         self._is_closed = False
         self._reopen_at_ms = 0.0
@@ -125,9 +121,18 @@
     @property
     def service_ms(self) -> float:
         """The moving average of statement durations; decays while none is measured."""
-        idle_ms = self._timers.now_ms() - self._service_updated_ms
-        remaining = math.exp2(-idle_ms / DECAY_HALF_LIFE_MS)
-        return INITIAL_SERVICE_MS + remaining * (self._service_ms - INITIAL_SERVICE_MS)
+        return self._durations.service_ms(self._timers.now_ms())
+
+    @property
+    def load(self) -> LoadKnowledge:
+        """What recent answers tell of the endpoint, if that is estimated."""
+        if self._load is None:
+            return LoadKnowledge()
+        return self._load.knowledge(
+            self._timers.now_ms(),
+            max((session.unanswered_ms for session in self._checked_out), default=0.0),
+            self.pending_statements,
+        )
 
     @property
     def is_usable(self) -> bool:
@@ -208,6 +213,19 @@
         self._share = share
         self._serve_requests()
 
+    def estimate_load(self, is_on: bool, has_joined: bool) -> None:
+        """Start or stop to estimate the load; without a change, nothing happens.
+
+        An endpoint that has just joined others starts with a low weight: it may be
+        cold, and all hosts learn of it at about the same time.
+        """
+        if not is_on:
+            self._load = None
+        elif self._load is None:
+            self._load = LoadEstimate(self._random)
+            if has_joined:
+                self._load.begin_return(self._timers.now_ms())
+
     def acquire(
         self,
         priority: int,
@@ -274,7 +292,14 @@
         self._failing_since_ms = None
         self._retry_delay_ms = RETRY_DELAY_MS
         self._missed_answers = 0
-        self._record_duration(duration_ms)
+        self._durations.record(duration_ms, self._timers.now_ms())
+        if self._load is not None:
+            self._load.record_answer(duration_ms, self._timers.now_ms())
+
+    def record_failed_answer(self) -> None:
+        """Record that the endpoint failed or refused a statement."""
+        if self._load is not None:
+            self._load.record_failure(self._timers.now_ms())
 
     def record_missed_answer(self, waited_ms: float) -> None:
         """Record a statement without an answer.
@@ -282,7 +307,9 @@
         After `MISSED_ANSWER_THRESHOLD` of them in a row the endpoint counts as lost.
         """
         self._missed_answers += 1
-        self._record_duration(waited_ms)
+        self._durations.record(waited_ms, self._timers.now_ms())
+        if self._load is not None:
+            self._load.record_failure(self._timers.now_ms())
         if self._missed_answers >= MISSED_ANSWER_THRESHOLD:
             self.mark_lost()
 
@@ -293,6 +320,8 @@
             self._failing_since_ms = now_ms
         self._retry_at_ms = now_ms + self._retry_delay_ms
         self._retry_delay_ms = min(MAX_RETRY_DELAY_MS, 2 * self._retry_delay_ms)
+        if self._load is not None:
+            self._load.record_loss(now_ms)
         self._refuse_requests(failure)
 
     def refuse_callers(self, failure: ConnectFailed) -> None:
@@ -318,11 +347,6 @@
         for request in self._requests.clear():
             request.promise.resolve(Err(failure))
 
-    def _record_duration(self, duration_ms: float) -> None:
-        self._service_ms = self.service_ms
-        self._service_ms += SMOOTHING * (duration_ms - self._service_ms)
-        self._service_updated_ms = self._timers.now_ms()
-
     def _record_use(self) -> None:
         now_ms = self._timers.now_ms()
         gap_ms = min(now_ms - self._last_use_ms, MAX_GAP_FACTOR * self._mean_use_gap_ms)
@@ -425,7 +449,9 @@
         if not self._connecting[customer]:
             del self._connecting[customer]
         if isinstance(outcome, Ok):
-            session = PooledSession(self._endpoint.endpoint, outcome.ok_value, customer)
+            session = PooledSession(
+                self._endpoint.endpoint, outcome.ok_value, self._timers.now_ms, customer
+            )
             if self._is_closed:
                 session.close()
                 return
--- a/src/azurerelay/pooling/_pooled_session.py
+++ b/src/azurerelay/pooling/_pooled_session.py
@@ -1,5 +1,7 @@
 """A pooled connection, whose session state is matched to each caller."""
 
+from collections import deque
+from collections.abc import Callable
 from typing import Final
 
 from result import Err, Ok, Result
@@ -33,15 +35,20 @@
     """
 
     def __init__(
-        self, endpoint: str, session: EndpointSession, customer: str = ""
+        self,
+        endpoint: str,
+        session: EndpointSession,
+        now_ms: Callable[[], float],
+        customer: str = "",
     ) -> None:
+        self._now_ms = now_ms
         self._customer = customer
         self._endpoint = endpoint
         self._session = session
         self._values: dict[str, str] = {}
         self._prepared: set[PreparedShape] = set()
         self._state = SessionState.IDLE
-        self._outstanding = 0
+        self._sent_ms: deque[float] = deque()
         self._state_length = 0
 
     @property
@@ -62,7 +69,7 @@
     @property
     def is_reusable(self) -> bool:
         """Whether another caller may use it: open, idle, with no reply outstanding."""
-        is_idle = self._state is SessionState.IDLE and self._outstanding == 0
+        is_idle = self._state is SessionState.IDLE and not self._sent_ms
         return is_idle and self._session.is_open
 
     @property
@@ -80,6 +87,11 @@
         """Whether it keeps more of its callers' values and shapes than is worth it."""
         return self._state_length > MAX_STATE_LENGTH
 
+    @property
+    def unanswered_ms(self) -> float:
+        """The time since the oldest command without a reply was sent; 0 without one."""
+        return self._now_ms() - self._sent_ms[0] if self._sent_ms else 0.0
+
     def profile_mismatch(self, profile: SessionProfile) -> int:
         """Return the most commands that setting a caller's values takes; 0 for none."""
         if self._values == profile.values:
@@ -90,7 +102,7 @@
         self, command: EndpointCommand
     ) -> Promise[Result[EndpointReply, ConnectionLost]]:
         """Send a command and return a promise of its reply."""
-        self._outstanding += 1
+        self._sent_ms.append(self._now_ms())
         promise = self._session.request(command)
         promise.add_callback(lambda: self._update_state(promise.value))
         return promise
@@ -152,6 +164,6 @@
         self._session.close()
 
     def _update_state(self, outcome: Result[EndpointReply, ConnectionLost]) -> None:
-        self._outstanding -= 1
+        self._sent_ms.popleft()
         if isinstance(outcome, Ok):
             self._state = outcome.ok_value.state
