--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -36,11 +36,6 @@
 # endpoint still counts the connections of hosts that lost power, so these hosts can
 # reconnect only if the others leave connections free.
 EXTRA_IDLE_TIMEOUT_MS: Final = 500.0
-# Where connections are scarce, hosts of a large fleet rarely have the next statement of
-# the same customer within seconds, while those of other customers, at all hosts, wait
-# for the place of an idle connection: 112 connections for 142 hosts were used up by
-# idle ones as soon as demand doubled.
-CUSTOMER_IDLE_TIMEOUT_MS: Final = 100.0
 INITIAL_USE_GAP_MS: Final = 1_000.0  # time between two uses, until it is measured
 # A gap counts as at most this multiple of the moving average, so that a single long
 # pause changes the average little.
@@ -287,8 +282,6 @@
         single_timeout_ms = idle_timeout_ms(self._share, self._mean_use_gap_ms)
         for idle in list(self._idle):
             timeout_ms = EXTRA_IDLE_TIMEOUT_MS if self.size > 1 else single_timeout_ms
-            if idle.session.customer and self._share.is_scarce:
-                timeout_ms = min(timeout_ms, CUSTOMER_IDLE_TIMEOUT_MS)
             if now_ms - idle.since_ms > timeout_ms:
                 self._idle.remove(idle)
                 idle.session.close()
