Late answers no longer repeat reports that control has received

What callers saw: after an answer that was 650 ms late, customers at half of their rate got TOOMANY.

Cause: after such a silence everything unconfirmed was repeated, although the same answer stated what it confirmed. Repetitions got a new time, so they were repeated again after the next late answer.

Change: reports are kept with the control host that they were sent to. An answer first drops those that it confirms; those to other control hosts are repeated, with their original time. Those to the answering one may be under way, and its next answer confirms them.

The new test fails if reports to the answering host are repeated, the changed one if repetitions get a new time. The changed test names the control hosts, as a repetition needs another one.

--- a/src/azurerelay/quotas/_admission_gate.py
+++ b/src/azurerelay/quotas/_admission_gate.py
@@ -1,13 +1,14 @@
 """Decides at an entry host which operations of customers are admitted."""
 
 import random
-from collections import deque
 from collections.abc import Iterable
+from dataclasses import replace
 from typing import Final
 
 from azurerelay.quotas._customer_admission import QUOTA_WINDOW_S, CustomerAdmission
 from azurerelay.quotas._messages import AdmissionLimits, AdmissionReport, OperationCount
 from azurerelay.quotas._operation_counts import OperationCounts
+from azurerelay.quotas._sent_report import SentReport
 from azurerelay.quotas._sliding_maximum import SlidingMaximum
 from azurerelay.routes import Customer
 from azurerelay.timing import TimerService
@@ -48,8 +49,8 @@
     An admitted operation is reported as started at once, since it may wait for an
     endpoint together with many others. It is refunded if it ends without a start.
 
-    Reports that control may not have received are repeated once it is back, without
-    the number of offered operations, which is out of date by then.
+    Reports that a lost control host did not confirm are repeated to the next one after
+    a silence, without the number of offered operations, which is out of date by then.
     """
 
     def __init__(self, timers: TimerService, random_source: random.Random) -> None:
@@ -63,8 +64,8 @@
         self._entry_hosts = 1.0
         self._recent_entry_hosts = SlidingMaximum(FLEET_SIZE_WINDOW_MS)
         self._counts = OperationCounts()
-        # Times and contents of the reports that control has not confirmed.
-        self._unconfirmed: deque[tuple[float, tuple[OperationCount, ...]]] = deque()
+        self._unconfirmed: list[SentReport] = []
+        self._to_repeat: list[SentReport] = []
 
     @property
     def is_limiting(self) -> bool:
@@ -101,7 +102,10 @@
         }
 
     def record_contact(
-        self, entry_hosts: int | None = None, confirmed_ms: float | None = None
+        self,
+        entry_hosts: int | None = None,
+        confirmed_ms: float | None = None,
+        control_host: str = "",
     ) -> None:
         """Record a message from the control host in use.
 
@@ -109,19 +113,25 @@
         `entry_hosts` is the number of entry hosts, if the message states it.
         """
         now_ms = self._timers.now_ms()
-        if self.silence_ms >= HOLD_AFTER_MS:
-            self._repeat_unconfirmed(now_ms)
-        elif confirmed_ms is not None:
-            while self._unconfirmed and self._unconfirmed[0][0] <= confirmed_ms:
-                self._unconfirmed.popleft()
+        is_after_silence = self.silence_ms >= HOLD_AFTER_MS
+        if confirmed_ms is not None:
+            # A control host that was left without a silence has received its reports.
+            self._unconfirmed = [
+                report
+                for report in self._unconfirmed
+                if report.sent_ms > confirmed_ms
+                or (is_after_silence and report.control_host != control_host)
+            ]
+        if is_after_silence:
+            self._repeat_unconfirmed(control_host)
         self._contact_ms = now_ms
         if entry_hosts is not None:
             recent = self._recent_entry_hosts.record(now_ms, entry_hosts)
             self._entry_hosts = max(1.0, recent)
 
-    def apply_limits(self, limits: AdmissionLimits) -> None:
+    def apply_limits(self, limits: AdmissionLimits, control_host: str = "") -> None:
         """Replace the admission fractions by those of the control host in use."""
-        self.record_contact()
+        self.record_contact(control_host=control_host)
         self._limits_ms = self._contact_ms
         self._fractions = dict(limits.fractions)
 
@@ -182,15 +192,21 @@
         since_ms = max(0.0, self._contact_ms + LOCAL_AFTER_MS)
         return admission.take_local(now_ms, since_ms, share_per_s, phase)
 
-    def take_report(self) -> AdmissionReport | None:
-        """Return what has been counted since the last report; None if nothing was."""
-        counts = self._counts.take()
-        if not counts:
-            return None
+    def take_report(self, control_host: str = "") -> AdmissionReport | None:
+        """Return what is to be reported to a control host; None if nothing is."""
         now_ms = self._timers.now_ms()
-        self._forget_old_reports(now_ms)
-        self._unconfirmed.append((now_ms, counts))
-        return AdmissionReport(counts)
+        counts = self._counts.take()
+        sent = [SentReport(now_ms, now_ms, control_host, counts)] if counts else []
+        sent += [
+            replace(report, sent_ms=now_ms, control_host=control_host)
+            for report in _recent(self._to_repeat, now_ms)
+        ]
+        self._to_repeat = []
+        self._unconfirmed = _recent(self._unconfirmed, now_ms) + sent
+        sums = OperationCounts()
+        for report in sent:
+            sums.add_all(report.counts)
+        return AdmissionReport(sums.take()) if sent else None
 
     def _fraction(self, customer: str) -> float:
         """Return the admission fraction that control last stated.
@@ -201,18 +217,25 @@
             return 1.0
         return self._fractions.get(customer, 1.0)
 
-    def _repeat_unconfirmed(self, now_ms: float) -> None:
-        self._forget_old_reports(now_ms)
-        for _, counts in self._unconfirmed:
-            for count in counts:
-                self._counts.add(count._replace(offered=0))
-        self._unconfirmed.clear()
-
-    def _forget_old_reports(self, now_ms: float) -> None:
-        """Forget the reports of operations that are outside of the quota window."""
-        oldest_ms = now_ms - QUOTA_WINDOW_S * _MS_PER_S
-        while self._unconfirmed and self._unconfirmed[0][0] < oldest_ms:
-            self._unconfirmed.popleft()
+    def _repeat_unconfirmed(self, control_host: str) -> None:
+        """Repeat the reports that were sent to other control hosts.
+
+        Those to this one may be under way; its next answer confirms them.
+        """
+        kept: list[SentReport] = []
+        for report in self._unconfirmed:
+            if report.control_host == control_host:
+                kept.append(report)
+            else:
+                counts = tuple(count._replace(offered=0) for count in report.counts)
+                self._to_repeat.append(replace(report, counts=counts))
+        self._unconfirmed = kept
+
+
+def _recent(reports: Iterable[SentReport], now_ms: float) -> list[SentReport]:
+    """Return the reports of operations that are in the quota window."""
+    oldest_ms = now_ms - QUOTA_WINDOW_S * _MS_PER_S
+    return [report for report in reports if report.counted_ms >= oldest_ms]
 
 
 def _rounded(waited_ms: float) -> int:
--- a/src/azurerelay/relay/_admission_control.py
+++ b/src/azurerelay/relay/_admission_control.py
@@ -52,7 +52,7 @@
         """Handle a message that the follower has handled; only the current host's."""
         address = sender.partition("#")[0]
         if address == self._control_follower.current_control_host:
-            self._apply(message)
+            self._apply(message, address)
 
     def admit(self, customer: str) -> str | None:
         """Decide whether an operation may start; return why not, or None."""
@@ -79,24 +79,25 @@
         self._gate.refund(customer, waited_ms)
 
     @singledispatchmethod
-    def _apply(self, message: Any) -> None:
+    def _apply(self, message: Any, control_host: str) -> None:
         """Ignore other messages."""
 
     @_apply.register
-    def _(self, message: SyncReply) -> None:
+    def _(self, message: SyncReply, control_host: str) -> None:
         sent_ms = self._control_follower.request_sent_ms(message.sequence)
-        self._gate.record_contact(self._control_follower.entry_hosts, sent_ms)
+        entry_hosts = self._control_follower.entry_hosts
+        self._gate.record_contact(entry_hosts, sent_ms, control_host)
 
     @_apply.register
-    def _(self, message: AdmissionLimits) -> None:
-        self._gate.apply_limits(message)
+    def _(self, message: AdmissionLimits, control_host: str) -> None:
+        self._gate.apply_limits(message, control_host)
 
     def _send_report(self) -> None:
         self._record_mode()
         control_host = self._control_follower.current_control_host
         if control_host is None:
             return
-        report = self._gate.take_report()
+        report = self._gate.take_report(control_host)
         if report is not None:
             self._link.send(control_host, report)
 
--- a/tests/quota_rig.py
+++ b/tests/quota_rig.py
@@ -77,7 +77,7 @@
         self.rig.timers.call_every(100.0, self._report)
 
     def _report(self) -> None:
-        report = self.gate.take_report()
+        report = self.gate.take_report(str(self.control))
         if report is not None:
             self.rig.to_control(self, lambda c: c.on_message(report))
 
@@ -110,11 +110,11 @@
         if control == self.control:
             self._unanswered_ms = None
             self._tried.clear()
-            self.gate.record_contact(count, sent_ms)
+            self.gate.record_contact(count, sent_ms, str(control))
 
     def on_limits(self, control: int, limits: AdmissionLimits) -> None:
         if control == self.control:
-            self.gate.apply_limits(limits)
+            self.gate.apply_limits(limits, str(control))
 
 
 class _ControlLink:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -112,13 +112,31 @@
         self._offer(20)
         self.gate.take_report()
         self.timers.advance(900.0)
-        self.gate.record_contact()
-        self.assertEqual(
-            self.gate.take_report(), AdmissionReport((OperationCount("acme", 0, 20),))
-        )
-        self.timers.advance(6_000.0)
-        self.gate.record_contact()
-        self.assertIsNone(self.gate.take_report())
+        self.gate.record_contact(control_host="next")
+        repeated = AdmissionReport((OperationCount("acme", 0, 20),))
+        self.assertEqual(self.gate.take_report("next"), repeated)
+        self.timers.advance(2_000.0)
+        self.gate.record_contact(control_host="third")
+        self.assertEqual(self.gate.take_report("third"), repeated)
+        # Their original time counts, not that of the repetition.
+        self.timers.advance(2_500.0)
+        self.gate.record_contact(control_host="fourth")
+        self.assertIsNone(self.gate.take_report("fourth"))
+
+    def test_late_answers_repeat_nothing_that_was_received(self) -> None:
+        """Guards against operations that control counts twice, so that it refuses."""
+        reported = 0
+        for _ in range(20):
+            for _ in range(7):
+                self._offer(10)
+                self.timers.advance(90.0)
+                report = self.gate.take_report("control")
+                reported += sum(c.started for c in report.counts) if report else 0
+            self.gate.apply_limits(AdmissionLimits(()), "control")
+            self.gate.record_contact(10, self.timers.now_ms() - 20.0, "control")
+        self.timers.advance(100.0)
+        self.assertIsNone(self.gate.take_report("control"))
+        self.assertLessEqual(reported, 20 * 7 * 10)
 
 
 class LedgerTest(unittest.TestCase):
