A raised burst can be used at once

What callers saw: after a customer's burst had been raised, or after a control host had restarted and applied several versions from its log, its bursts got TOOMANY.

Cause: a change of the quota kept the tokens, so the bucket stayed at the smallest capacity of all versions that were applied.

Change: the difference of the capacities is added to the tokens, also if it is negative, so that changes back and forth add none.

--- a/src/azurerelay/quotas/_customer_tokens.py
+++ b/src/azurerelay/quotas/_customer_tokens.py
@@ -45,9 +45,14 @@
         return self._tokens
 
     def replace_quota(self, customer: Customer, extra: float) -> None:
-        """Apply a changed quota; tokens beyond the new capacity are lost."""
+        """Apply a changed quota; what has been used of the capacity stays used.
+
+        A full bucket stays full, also when a control host that restarts applies several
+        versions, and repeated changes add no tokens.
+        """
+        used = self._capacity - self._tokens
         self._set_quota(customer, extra)
-        self._tokens = min(self._tokens, self._capacity)
+        self._tokens = max(self._capacity - used, -self._rate_per_s * MAX_DEFICIT_S)
 
     def record(self, now_ms: float, count: OperationCount) -> None:
         """Record operations, when the message about them has arrived."""
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -200,6 +200,18 @@
         self.assertEqual(limit.tokens, 10.0)
         self.assertAlmostEqual(limit.fraction, 30.0 / 500.0)  # 10 and 10 / 0.5 s
 
+    def test_a_raised_burst_is_usable(self) -> None:
+        """Guards against the smallest capacity of all versions that were applied."""
+        self.ledger.update((replace(ACME, burst=0.0),))
+        self.ledger.update((replace(ACME, burst=240.0),))
+        self._record(450, 50)
+        (limit,) = self.ledger.limits()
+        self.assertEqual(limit.tokens, 200.0)
+        # A change back and forth adds no tokens.
+        self.ledger.update((replace(ACME, burst=0.0),))
+        self.ledger.update((replace(ACME, burst=240.0),))
+        self.assertEqual(self.ledger.limits()[0].tokens, 200.0)
+
     def test_a_share_is_reserved_for_hosts_that_control_lost(self) -> None:
         """Guards against a quota that other hosts use up beside the silent ones."""
         for count, silent_share, reserved in (
