A statement whose key moves while it waits needs the new customer's quota

What callers saw: a statement ran for a customer whose quota had not admitted it, if its key had moved to that customer while the statement waited.

Cause: the route and the customer were looked up again, but the quota was not asked.

Change: the operation is refunded to the earlier customer, and admitted for the new one or refused with TOOMANY.

Evidence: the new test failed before (the write ran).

--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -510,7 +510,12 @@
         if isinstance(found, CallerReply):
             return found
         progress.route, group = found
-        progress.customer = self._customer
+        if progress.customer != self._customer:
+            self._refund_unless_started()
+            progress.customer = self._customer
+            refused = self._admit(progress)
+            if refused is not None:
+                return refused
         statement = progress.statement
         if isinstance(statement, Begin):
             is_read = statement.is_read_only
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -135,6 +135,16 @@
         self.assertIsNone(self._run_late("WRITE 1 late", acme, zenith))
         self.assertEqual(self.rig.runs[-1].customer, "zenith")
 
+    def test_a_key_that_moves_while_a_statement_waits_needs_the_new_quota(self) -> None:
+        """Guards against operations that no quota counts."""
+        acme = replace(ACME, keys=("key-1",))
+        closed = Customer("closed", ("key-2",), 0.0, 0.0)
+        for text in ("WRITE 1 late", "BEGIN"):
+            error = self._run_late(text, acme, ZENITH, closed)
+            self.assertIs(error, CallerError.OVER_QUOTA, text)
+            self._replace(customers=(ACME, ZENITH))
+        self.assertEqual(self.rig.runs, [])
+
     def test_a_restarted_host_does_not_take_keys_from_an_outdated_control_host(
         self,
     ) -> None:
