Entry hosts without contact limit customers by the number of entry hosts

What callers saw: after a start while no control host heard a leader, customers could start more than their quota; with a clock below 0 they could start nothing.

Cause: the local mode took 0 ms as the start of the silence, and the gate counted one entry host until its first contact, although replies of control hosts not in use had stated the number.

Change: before the first contact the local mode starts at the first operation, and such replies set the number of entry hosts. They do so only before the first contact, as a control host that is cut off may know only some of the hosts.

--- a/src/azurerelay/quotas/_admission_gate.py
+++ b/src/azurerelay/quotas/_admission_gate.py
@@ -126,8 +126,16 @@
             self._repeat_unconfirmed(control_host)
         self._contact_ms = now_ms
         if entry_hosts is not None:
-            recent = self._recent_entry_hosts.record(now_ms, entry_hosts)
-            self._entry_hosts = max(1.0, recent)
+            self._count_entry_hosts(entry_hosts)
+
+    def record_distant_reply(self, entry_hosts: int) -> None:
+        """Record the number of entry hosts that a control host not in use states.
+
+        It counts only before the first contact, since that control host may be cut off
+        from the others, and know only some of the entry hosts.
+        """
+        if self._contact_ms == float("-inf"):
+            self._count_entry_hosts(entry_hosts)
 
     def apply_limits(self, limits: AdmissionLimits, control_host: str = "") -> None:
         """Replace the admission fractions by those of the control host in use."""
@@ -189,7 +197,9 @@
         if silence_ms < LOCAL_AFTER_MS:
             since_ms = self._contact_ms + HOLD_AFTER_MS
             return admission.take_held(now_ms, since_ms, share_per_s, phase)
-        since_ms = max(0.0, self._contact_ms + LOCAL_AFTER_MS)
+        # Before the first contact, no time has passed in which tokens were added.
+        has_contact = self._contact_ms > float("-inf")
+        since_ms = self._contact_ms + LOCAL_AFTER_MS if has_contact else now_ms
         return admission.take_local(now_ms, since_ms, share_per_s, phase)
 
     def take_report(self, control_host: str = "") -> AdmissionReport | None:
@@ -208,6 +218,10 @@
             sums.add_all(report.counts)
         return AdmissionReport(sums.take()) if sent else None
 
+    def _count_entry_hosts(self, count: int) -> None:
+        recent = self._recent_entry_hosts.record(self._timers.now_ms(), count)
+        self._entry_hosts = max(1.0, recent)
+
     def _fraction(self, customer: str) -> float:
         """Return the admission fraction that control last stated.
 
--- a/src/azurerelay/quotas/_customer_admission.py
+++ b/src/azurerelay/quotas/_customer_admission.py
@@ -91,6 +91,7 @@
             if self._allowance is not None:
                 tokens = min(1.0, self._allowance.tokens(since_ms))
             silence_s = (since_ms - self._contact_ms) / _MS_PER_S
+            silence_s = min(silence_s, QUOTA_WINDOW_S)  # infinite without any contact
             excess = self._started_since_contact - share_per_s * silence_s
             tokens -= min(max(0.0, excess), share_per_s * QUOTA_WINDOW_S)
             self._allowance = LocalAllowance(since_ms, share_per_s, tokens)
--- a/src/azurerelay/relay/_admission_control.py
+++ b/src/azurerelay/relay/_admission_control.py
@@ -49,10 +49,15 @@
         self._gate.update(customers)
 
     def on_message(self, sender: str, message: Any) -> None:
-        """Handle a message that the follower has handled; only the current host's."""
+        """Handle a message that the follower has handled.
+
+        Other control hosts than the current one only state the number of entry hosts.
+        """
         address = sender.partition("#")[0]
         if address == self._control_follower.current_control_host:
             self._apply(message, address)
+        elif isinstance(message, SyncReply):
+            self._gate.record_distant_reply(self._control_follower.entry_hosts)
 
     def admit(self, customer: str) -> str | None:
         """Decide whether an operation may start; return why not, or None."""
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -123,6 +123,19 @@
         self.gate.record_contact(control_host="fourth")
         self.assertIsNone(self.gate.take_report("fourth"))
 
+    def test_the_local_mode_starts_with_a_part_of_an_operation(self) -> None:
+        """Guards against no operations, or one at each host at once, at some clocks."""
+        for start_ms in (-1e6, 0.0, 1e9):
+            timers = ManualTimerService(start_ms)
+            gates = [AdmissionGate(timers, random.Random(n)) for n in range(100)]
+            for gate in gates:
+                gate.update((ACME,))
+                gate.record_distant_reply(100)
+            at_once = sum(gate.admit("acme") for gate in gates)
+            timers.advance(1_001.0)
+            later = sum(gate.admit("acme") for gate in gates)
+            self.assertEqual((at_once, later), (0, 100), start_ms)
+
     def test_late_answers_repeat_nothing_that_was_received(self) -> None:
         """Guards against operations that control counts twice, so that it refuses."""
         reported = 0
@@ -359,6 +372,19 @@
         self.rig.timers.advance(2_000.0)
         self.assertEqual(len(self.rig.events.of(LocalQuotasEnded)), 1)
 
+    def test_a_host_without_a_leader_knows_the_number_of_entry_hosts(self) -> None:
+        """Guards against a whole quota at each entry host before the first contact."""
+        control = self.rig.entries["10.1.0.1:7440"]._admission_control
+        control._gate = AdmissionGate(self.rig.timers, random.Random(1))
+        follower = control._control_follower
+        other = next(
+            a for a in self.rig.addresses if a != follower.current_control_host
+        )
+        reply = SyncReply(1, 5_000.0, 3, None, None, (), (), None, 3)
+        control.on_message(other, reply)
+        self.assertEqual(control._gate.entry_hosts, 3)
+        self.assertEqual(control._gate.silence_ms, float("inf"))
+
     def test_idle_fleets_send_nothing_and_ended_limits_are_reported(self) -> None:
         sent: list[Any] = []
         deliver = self.rig.deliver
