Evaluate endpoints without choosing one

What callers saw: nothing changes for them. Operators could not ask a host where a read would go and why.

Cause: GroupConnections and the read policies returned the chosen endpoint only; why others were left out was not kept.

Change: the reasons are computed where the decision is made (EndpointPool.obstacle, _read_exclusion, _primary_exclusion), and is_usable, choose_for_read and primary are derived from them. evaluate_candidates returns costs and shares from the policies themselves, with a random source of its own. The order of the random numbers of the choice is unchanged.

Evidence: test_even_load (which compares random numbers with those of before), test_pooling, test_relay and test_layers pass.

--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -17,20 +17,24 @@
     PrimaryProven,
     ProofDiscarded,
 )
+from azurerelay.groups._endpoint_placement import EndpointPlacement
 from azurerelay.groups._primary_tracker import PrimaryTracker
 from azurerelay.groups._suspected_primary import SuspectedPrimary
 from azurerelay.groups._topology import Topology
 from azurerelay.pooling import (
     ConnectionShare,
     EndpointPool,
+    EvaluatedCandidate,
     LagEstimate,
     PooledSession,
     PositionSamples,
     ReadCandidate,
+    ReadPolicy,
     RequiredPosition,
     SessionProfile,
     choose_by_recent_answers,
     choose_endpoint,
+    evaluate_candidates,
 )
 from azurerelay.statements import (
     BeginTransaction,
@@ -71,6 +75,10 @@
 )
 PROOF_PRIORITY: Final = -1  # before all callers
 DRAINED: Final = ConnectFailed("the endpoint is draining")
+DRAINING: Final = "draining"
+UNREACHED: Final = "lost, and no connection is open"
+NO_CLAIM: Final = "it does not claim to be the primary, or has just denied it"
+OTHER_CLAIM: Final = "another endpoint is more likely the primary"
 
 
 @dataclass(slots=True)
@@ -81,6 +89,7 @@
     draining_since_ms: float | None = None
     unlisted_since_ms: float | None = None
     position: Position | None = None
+    position_ms: float | None = None
     lag: LagEstimate = field(default_factory=LagEstimate)
 
 
@@ -260,33 +269,135 @@
         another one can serve the read. Where there are more hosts than connections, the
         choice is by recent answers: each host then knows little of an endpoint.
         """
-        primary = self.primary()
-        primary_name = primary.endpoint.endpoint if primary else None
+        primary_name = self._primary_name
+        readable, unreached = self._readable_members(excluded, customer, primary_name)
+        for member in unreached.values():
+            member.pool.open_standby_connection()
+        candidates = [
+            self._read_candidate(name, member, customer, name == primary_name)
+            for name, member in readable.items()
+        ]
+        age_ms = self._samples.age_ms(required, self._timers.now_ms())
+        chosen = self._read_policy(
+            candidates, RequiredPosition(required, age_ms), self._random
+        )
+        return self._members[chosen.name].pool if chosen else None
+
+    def explain_read(
+        self, required: Position | None, customer: str = ""
+    ) -> tuple[EndpointPlacement, ...]:
+        """Return how `choose_for_read` would see each endpoint now; changes nothing.
+
+        Without a required position no costs and no shares are known.
+        """
         now_ms = self._timers.now_ms()
+        primary_name = self._primary_name
+        readable, unreached = self._readable_members(
+            frozenset(), customer, primary_name
+        )
+        candidates = [
+            self._read_candidate(name, member, customer, name == primary_name)
+            for name, member in readable.items()
+        ]
+        evaluated: dict[str, EvaluatedCandidate] = {}
+        if required is not None:
+            age_ms = self._samples.age_ms(required, now_ms)
+            needed = RequiredPosition(required, age_ms)
+            evaluated = {
+                option.candidate.name: option
+                for option in evaluate_candidates(candidates, needed, self._read_policy)
+            }
+        placements = []
+        for name, member in self._members.items():
+            option = evaluated.get(name)
+            if option is not None:
+                exclusion = option.exclusion
+            elif name in unreached:
+                exclusion = UNREACHED
+            else:
+                exclusion = self._read_exclusion(name, member, customer, primary_name)
+            placements.append(
+                self._placement(
+                    self._read_candidate(name, member, customer, name == primary_name),
+                    member,
+                    customer,
+                    exclusion,
+                    option.share if option else 0.0,
+                    option.cost_ms if option else None,
+                )
+            )
+        return tuple(placements)
+
+    @property
+    def _read_policy(self) -> ReadPolicy:
+        if self._are_connections_scarce:
+            return choose_by_recent_answers
+        return choose_endpoint
+
+    def _readable_members(
+        self, excluded: frozenset[str], customer: str, primary_name: str | None
+    ) -> tuple[dict[str, _Member], dict[str, _Member]]:
+        """Return the members to choose from, and the lost ones that they replace."""
         usable = {
             name: member
             for name, member in self._members.items()
             if name not in excluded
-            and member.pool.is_usable_for(customer)
-            and (member.draining_since_ms is None or name == primary_name)
-            and self._accepts_work(member, now_ms)
+            and not self._read_exclusion(name, member, customer, primary_name)
         }
         reached = {n: m for n, m in usable.items() if not m.pool.is_unreached}
-        if reached:
-            for name in usable.keys() - reached.keys():
-                usable[name].pool.open_standby_connection()
-        candidates = [
-            self._read_candidate(name, member, customer, name == primary_name)
-            for name, member in (reached or usable).items()
-        ]
-        age_ms = self._samples.age_ms(required, now_ms)
-        choose = (
-            choose_by_recent_answers
-            if self._are_connections_scarce
-            else choose_endpoint
+        if not reached:
+            return usable, {}
+        return reached, {n: m for n, m in usable.items() if n not in reached}
+
+    def _read_exclusion(
+        self, name: str, member: _Member, customer: str, primary_name: str | None
+    ) -> str:
+        """Return why an endpoint gets no read now; empty if it may get one."""
+        if obstacle := member.pool.obstacle_for(customer):
+            return obstacle
+        is_draining = member.draining_since_ms is not None and name != primary_name
+        if is_draining or not self._accepts_work(member, self._timers.now_ms()):
+            return DRAINING
+        return ""
+
+    def _placement(
+        self,
+        candidate: ReadCandidate,
+        member: _Member,
+        customer: str,
+        exclusion: str,
+        share: float,
+        cost_ms: float | None,
+    ) -> EndpointPlacement:
+        load = candidate.load
+        position_age_ms = None
+        if member.position_ms is not None:
+            position_age_ms = self._timers.now_ms() - member.position_ms
+        return EndpointPlacement(
+            candidate.name,
+            member.pool.endpoint.failure_domain,
+            candidate.is_primary,
+            share,
+            cost_ms,
+            exclusion,
+            member.pool.outcome_age_ms,
+            str(candidate.position) if candidate.position else None,
+            position_age_ms,
+            candidate.lag_ms,
+            (
+                load.mean_ms
+                if load.answers
+                else candidate.service_ms - candidate.connect_ms
+            ),
+            candidate.round_trip_ms,
+            candidate.cross_region_penalty_ms,
+            candidate.connect_ms,
+            candidate.pending_statements,
+            candidate.has_free_slot,
+            self.is_crowded(customer, candidate.name),
+            load.failure_fraction,
+            load.weight,
         )
-        chosen = choose(candidates, RequiredPosition(required, age_ms), self._random)
-        return self._members[chosen.name].pool if chosen else None
 
     def _read_candidate(
         self, name: str, member: _Member, customer: str, is_primary: bool
@@ -342,15 +453,49 @@
         that is no longer the primary says so, and the next claim is tried.
         """
         now_ms = self._timers.now_ms()
-        accepting = [
+        usable = [
             self._members[name].pool
             for name in self._tracker.ranked(now_ms)
-            if name in self._members and self._accepts_work(self._members[name], now_ms)
+            if name in self._members
+            and not self._primary_exclusion(self._members[name], now_ms)
         ]
-        usable = [pool for pool in accepting if pool.is_usable]
         reached = [pool for pool in usable if not pool.is_unreached]
         return next(iter(reached or usable), None)
 
+    @property
+    def _primary_name(self) -> str | None:
+        primary = self.primary()
+        return primary.endpoint.endpoint if primary else None
+
+    def _primary_exclusion(self, member: _Member, now_ms: float) -> str:
+        """Return why an endpoint is not used as the primary; empty if it may be."""
+        if not self._accepts_work(member, now_ms):
+            return DRAINING
+        return member.pool.obstacle
+
+    def explain_primary(self, customer: str = "") -> tuple[EndpointPlacement, ...]:
+        """Return how `primary` would see each endpoint now; changes nothing."""
+        now_ms = self._timers.now_ms()
+        ranked = self._tracker.ranked(now_ms)
+        primary_name = self._primary_name
+        placements = []
+        for name, member in self._members.items():
+            is_primary = name == primary_name
+            if is_primary:
+                exclusion = ""
+            elif name not in ranked:
+                exclusion = NO_CLAIM
+            else:
+                exclusion = self._primary_exclusion(member, now_ms) or (
+                    UNREACHED if member.pool.is_unreached else OTHER_CLAIM
+                )
+            candidate = self._read_candidate(name, member, customer, is_primary)
+            share = 1.0 if is_primary else 0.0
+            placements.append(
+                self._placement(candidate, member, customer, exclusion, share, None)
+            )
+        return tuple(placements)
+
     def record_not_primary(self, endpoint: str) -> None:
         """Record that an endpoint says that it is not the primary."""
         self._tracker.record_not_primary(endpoint, self._timers.now_ms())
@@ -385,6 +530,7 @@
     ) -> None:
         """Record the log position of an endpoint, and update its estimated lag."""
         member.position = position
+        member.position_ms = now_ms
         missing_ms = self._samples.first_missing_age_ms(position, now_ms)
         if missing_ms is not None:
             member.lag.record_missing_commit(missing_ms, now_ms)
@@ -508,6 +654,7 @@
             member = self._members.get(endpoint)
             if member is not None:
                 member.position = position
+                member.position_ms = self._timers.now_ms()
         # Reads that waited for the proof choose their endpoints while the connection
         # still counts as in use, so that they do not all prefer the primary.
         proof.resolve(position)
--- a/src/azurerelay/pooling/__init__.py
+++ b/src/azurerelay/pooling/__init__.py
@@ -16,11 +16,14 @@
 from azurerelay.pooling._lag_estimate import LagEstimate
 from azurerelay.pooling._load_estimate import LoadEstimate, LoadKnowledge
 from azurerelay.pooling._placement import (
+    EvaluatedCandidate,
     ReadCandidate,
+    ReadPolicy,
     RequiredPosition,
     catch_up_ms,
     choose_by_recent_answers,
     choose_endpoint,
+    evaluate_candidates,
     expected_costs,
     read_cost_ms,
 )
@@ -34,6 +37,7 @@
     "ConnectionShare",
     "DurationAverage",
     "EndpointPool",
+    "EvaluatedCandidate",
     "LagEstimate",
     "LoadEstimate",
     "LoadKnowledge",
@@ -41,6 +45,7 @@
     "PositionSamples",
     "PreparedShape",
     "ReadCandidate",
+    "ReadPolicy",
     "RequiredPosition",
     "SessionProfile",
     "catch_up_ms",
@@ -48,6 +53,7 @@
     "choose_endpoint",
     "connected_hosts",
     "connection_share",
+    "evaluate_candidates",
     "expected_costs",
     "regional_connection_share",
     "idle_timeout_ms",
--- a/src/azurerelay/pooling/_endpoint_pool.py
+++ b/src/azurerelay/pooling/_endpoint_pool.py
@@ -45,6 +45,9 @@
 MISSED_ANSWER_THRESHOLD: Final = 3
 NO_CUSTOMER: Final = ""
 NO_ANSWER: Final = ConnectFailed("the endpoint does not answer")
+POOL_CLOSED: Final = "removed"
+ENDPOINT_FULL: Final = "it refused a connection because of its limits"
+ENDPOINT_LOST: Final = "lost; the next attempt is not due"
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -93,6 +96,7 @@
         self._durations = DurationAverage(timers.now_ms())
         self._load: LoadEstimate | None = None
         self._missed_answers = 0
+        self._outcome_ms: float | None = None
         self._is_closed = False
         self._reopen_at_ms = 0.0
         self._reopen_delay_ms = REOPEN_DELAY_MS
@@ -141,12 +145,19 @@
         False if the pool is closed, if the endpoint is lost and the next attempt is not
         due, or, while the pool has no connection, for a delay after one was refused.
         """
+        return not self.obstacle
+
+    @property
+    def obstacle(self) -> str:
+        """Why no connection may be requested now; empty if `is_usable`."""
         if self._is_closed:
-            return False
+            return POOL_CLOSED
         now_ms = self._timers.now_ms()
         if not self.size and now_ms < self._reopen_at_ms:
-            return False
-        return self._failing_since_ms is None or now_ms >= self._retry_at_ms
+            return ENDPOINT_FULL
+        if self._failing_since_ms is not None and now_ms < self._retry_at_ms:
+            return ENDPOINT_LOST
+        return ""
 
     @property
     def _may_open(self) -> bool:
@@ -165,6 +176,13 @@
             return 0.0
         return self._timers.now_ms() - self._failing_since_ms
 
+    @property
+    def outcome_age_ms(self) -> float | None:
+        """The time since the last answer, failed or missed answer; None without one."""
+        if self._outcome_ms is None:
+            return None
+        return self._timers.now_ms() - self._outcome_ms
+
     def has_free_slot(self, customer: str = "") -> bool:
         """Return whether a statement need not wait for another to end.
 
@@ -182,14 +200,19 @@
 
         Like `is_usable`, but only connections of the customer count.
         """
-        if not self.is_usable:
-            return False
+        return not self.obstacle_for(customer)
+
+    def obstacle_for(self, customer: str) -> str:
+        """Return why `is_usable_for` is False for a customer; empty if it is True."""
+        if obstacle := self.obstacle:
+            return obstacle
         sessions = (*self._checked_out, *(idle.session for idle in self._idle))
-        return (
+        is_usable = (
             self._may_open
             or bool(self._connecting.get(customer))
             or any(session.customer == customer for session in sessions)
         )
+        return "" if is_usable else ENDPOINT_FULL
 
     def is_crowded(self, customer: str = "") -> bool:
         """Return whether others hold the connections that a customer's statement needs.
@@ -292,12 +315,14 @@
         self._failing_since_ms = None
         self._retry_delay_ms = RETRY_DELAY_MS
         self._missed_answers = 0
+        self._outcome_ms = self._timers.now_ms()
         self._durations.record(duration_ms, self._timers.now_ms())
         if self._load is not None:
             self._load.record_answer(duration_ms, self._timers.now_ms())
 
     def record_failed_answer(self) -> None:
         """Record that the endpoint failed or refused a statement."""
+        self._outcome_ms = self._timers.now_ms()
         if self._load is not None:
             self._load.record_failure(self._timers.now_ms())
 
@@ -307,6 +332,7 @@
         After `MISSED_ANSWER_THRESHOLD` of them in a row the endpoint counts as lost.
         """
         self._missed_answers += 1
+        self._outcome_ms = self._timers.now_ms()
         self._durations.record(waited_ms, self._timers.now_ms())
         if self._load is not None:
             self._load.record_failure(self._timers.now_ms())
--- a/src/azurerelay/pooling/_placement.py
+++ b/src/azurerelay/pooling/_placement.py
@@ -1,7 +1,8 @@
 """Choice of the endpoint that serves a read."""
 
 import random
-from collections.abc import Iterable, Iterator
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -25,6 +26,12 @@
 # What a failed attempt costs a caller: about the time of two more attempts, one in
 # another region. An endpoint that fails half its reads is left for another region.
 FAILURE_COST_MS: Final = 200.0
+SET_ASIDE: Final = "set aside after failures"
+# Draws with which an explanation estimates how reads are shared out: enough to tell 1 %
+# from nothing in most cases.
+MAX_DRAWS: Final = 64
+# Candidates that all draws together look at, so that explaining a large group is cheap.
+MAX_DRAWN_CANDIDATES: Final = 1_024
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +59,16 @@
     connect_ms: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class EvaluatedCandidate:
+    """A candidate's cost, or why it is left out; `share` of reads that choose it."""
+
+    candidate: ReadCandidate
+    cost_ms: float | None
+    exclusion: str
+    share: float
+
+
 @dataclass(frozen=True, slots=True)
 class RequiredPosition:
     """A position that a read requires, and the time since it was first known."""
@@ -60,6 +77,11 @@
     age_ms: float
 
 
+ReadPolicy = Callable[
+    [Iterable[ReadCandidate], RequiredPosition, random.Random], ReadCandidate | None
+]
+
+
 def catch_up_ms(candidate: ReadCandidate, required: RequiredPosition) -> float:
     """Return the expected time until an endpoint reaches a position; 0 if it has."""
     if candidate.is_primary:
@@ -96,6 +118,16 @@
             yield penalty_ms, candidate
 
 
+def _read_costs(
+    candidates: Iterable[ReadCandidate], required: RequiredPosition
+) -> list[tuple[float, ReadCandidate]]:
+    """Return the endpoints that `choose_endpoint` chooses from, and their costs."""
+    return [
+        (read_cost_ms(candidate) + penalty_ms, candidate)
+        for penalty_ms, candidate in _qualifying(candidates, required)
+    ]
+
+
 def choose_endpoint(
     candidates: Iterable[ReadCandidate],
     required: RequiredPosition,
@@ -109,10 +141,7 @@
     slightly behind are considered, at a penalty; otherwise all reads of a burst that
     requires the newest position would go to the primary.
     """
-    costs = [
-        (read_cost_ms(candidate) + penalty_ms, candidate)
-        for penalty_ms, candidate in _qualifying(candidates, required)
-    ]
+    costs = _read_costs(candidates, required)
     if not costs:
         return None
     best_ms = min(cost_ms for cost_ms, _ in costs)
@@ -159,15 +188,24 @@
     Endpoints that are set aside are left out, and returning ones part of the time,
     unless no other one is left.
     """
+    return _expected_costs(
+        candidates,
+        required,
+        lambda candidate: random_source.random() < candidate.load.weight,
+    )
+
+
+def _expected_costs(
+    candidates: Iterable[ReadCandidate],
+    required: RequiredPosition,
+    considers_returning: Callable[[ReadCandidate], bool],
+) -> list[tuple[float, ReadCandidate]]:
     qualifying = list(_qualifying(candidates, required))
     options = [
         (penalty_ms, candidate)
         for penalty_ms, candidate in qualifying
         if not candidate.load.is_set_aside
-        and (
-            candidate.load.weight >= 1.0
-            or random_source.random() < candidate.load.weight
-        )
+        and (candidate.load.weight >= 1.0 or considers_returning(candidate))
     ] or qualifying
     answers = sum(candidate.load.answers for _, candidate in options)
     durations_ms = sum(
@@ -202,3 +240,45 @@
     return random_source.choice(
         [candidate for cost_ms, candidate in costs if cost_ms <= best_ms]
     )
+
+
+def evaluate_candidates(
+    candidates: Sequence[ReadCandidate],
+    required: RequiredPosition,
+    choose: ReadPolicy,
+) -> list[EvaluatedCandidate]:
+    """Explain what a policy would choose, without its random numbers.
+
+    The costs are those with all returning endpoints considered. The shares come from
+    draws of the policy itself with a random source of their own.
+    """
+    costs = (
+        _expected_costs(candidates, required, lambda _: True)
+        if choose is choose_by_recent_answers
+        else _read_costs(candidates, required)
+    )
+    cost_by_name = {candidate.name: cost_ms for cost_ms, candidate in costs}
+    draws = max(1, min(MAX_DRAWS, MAX_DRAWN_CANDIDATES // max(1, len(candidates))))
+    random_source = random.Random(0)
+    drawn = [choose(candidates, required, random_source) for _ in range(draws)]
+    counts = Counter(candidate.name for candidate in drawn if candidate is not None)
+    return [
+        EvaluatedCandidate(
+            candidate,
+            cost_by_name.get(candidate.name),
+            _exclusion(candidate, required, candidate.name in cost_by_name),
+            counts[candidate.name] / draws,
+        )
+        for candidate in candidates
+    ]
+
+
+def _exclusion(
+    candidate: ReadCandidate, required: RequiredPosition, has_cost: bool
+) -> str:
+    if has_cost:
+        return ""
+    wait_ms = catch_up_ms(candidate, required)
+    if wait_ms > MAX_CATCH_UP_MS:
+        return f"{wait_ms:.0f} ms behind the required position"
+    return SET_ASIDE
