Explain where a statement would go

What callers saw: nothing changes for them. An operator could not learn from a running host why statements go to one endpoint and not to another, or which part of a customer's operations is admitted.

Cause: the host had no way to evaluate a decision without carrying it out.

Change: RelayNode.explain_placement returns frozen data classes with the endpoints, their costs, exclusions and the age of what is known of them, the required position, and the quota. Customers are given by name, and CustomerKeys.identify uses the same rule as the explanation. A position that a read would have to wait for is stated as assumed; no proof is started.

Evidence: test_placement_explanation compares the explanation with what choose_for_read and primary then do, with ample and with scarce connections, and compares the state of random sources, pools, quotas, timers and counters before and after.

--- a/src/azurerelay/groups/_endpoint_placement.py
+++ b/src/azurerelay/groups/_endpoint_placement.py
@@ -1,36 +1,20 @@
-"""What a host knows of an endpoint when it decides where a statement goes."""
+"""An endpoint in the explanation of a placement."""
 
 from dataclasses import dataclass
 
+from azurerelay.pooling import EvaluatedCandidate
+
 
 @dataclass(frozen=True, slots=True)
 class EndpointPlacement:
-    """An endpoint in the explanation of a placement; times in ms.
+    """An endpoint, and the age of what the host knows of it; None if it knows nothing.
 
-    `share` is the fraction of statements like this one that would go there. `cost_ms`
-    is None unless the endpoint may serve the read, and `exclusion` says why it may not.
-    `outcome_age_ms` is the age of the newest answer or failure, `position_age_ms` that
-    of the endpoint's `position`; both None before the first. With a `weight` below 1
-    the endpoint returns to use, and is considered with that probability. One that
-    `is_crowded` has its connections in use, or taken by other hosts.
+    `outcome_age_ms` is the time since the last answer or failure, `position_age_ms`
+    that since the endpoint stated its position. Of one that `is_crowded`, all
+    connections are in use or held by other hosts.
     """
 
-    endpoint: str
-    failure_domain: str
-    is_primary: bool
-    share: float
-    cost_ms: float | None
-    exclusion: str
+    evaluation: EvaluatedCandidate
     outcome_age_ms: float | None
-    position: str | None
     position_age_ms: float | None
-    lag_ms: float
-    service_ms: float
-    round_trip_ms: float
-    cross_region_penalty_ms: float
-    connect_ms: float
-    pending_statements: int
-    has_free_slot: bool
     is_crowded: bool
-    failure_fraction: float
-    weight: float
--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -307,26 +307,22 @@
                 option.candidate.name: option
                 for option in evaluate_candidates(candidates, needed, self._read_policy)
             }
-        placements = []
-        for name, member in self._members.items():
-            option = evaluated.get(name)
-            if option is not None:
-                exclusion = option.exclusion
-            elif name in unreached:
-                exclusion = UNREACHED
-            else:
-                exclusion = self._read_exclusion(name, member, customer, primary_name)
-            placements.append(
-                self._placement(
+        return tuple(
+            self._placement(
+                member,
+                customer,
+                evaluated.get(name)
+                or EvaluatedCandidate(
                     self._read_candidate(name, member, customer, name == primary_name),
-                    member,
-                    customer,
-                    exclusion,
-                    option.share if option else 0.0,
-                    option.cost_ms if option else None,
-                )
+                    (
+                        UNREACHED
+                        if name in unreached
+                        else self._read_exclusion(name, member, customer, primary_name)
+                    ),
+                ),
             )
-        return tuple(placements)
+            for name, member in self._members.items()
+        )
 
     @property
     def _read_policy(self) -> ReadPolicy:
@@ -361,42 +357,16 @@
         return ""
 
     def _placement(
-        self,
-        candidate: ReadCandidate,
-        member: _Member,
-        customer: str,
-        exclusion: str,
-        share: float,
-        cost_ms: float | None,
+        self, member: _Member, customer: str, evaluation: EvaluatedCandidate
     ) -> EndpointPlacement:
-        load = candidate.load
         position_age_ms = None
         if member.position_ms is not None:
             position_age_ms = self._timers.now_ms() - member.position_ms
         return EndpointPlacement(
-            candidate.name,
-            member.pool.endpoint.failure_domain,
-            candidate.is_primary,
-            share,
-            cost_ms,
-            exclusion,
+            evaluation,
             member.pool.outcome_age_ms,
-            str(candidate.position) if candidate.position else None,
             position_age_ms,
-            candidate.lag_ms,
-            (
-                load.mean_ms
-                if load.answers
-                else candidate.service_ms - candidate.connect_ms
-            ),
-            candidate.round_trip_ms,
-            candidate.cross_region_penalty_ms,
-            candidate.connect_ms,
-            candidate.pending_statements,
-            candidate.has_free_slot,
-            self.is_crowded(customer, candidate.name),
-            load.failure_fraction,
-            load.weight,
+            self.is_crowded(customer, evaluation.candidate.name),
         )
 
     def _read_candidate(
@@ -481,19 +451,15 @@
         placements = []
         for name, member in self._members.items():
             is_primary = name == primary_name
-            if is_primary:
-                exclusion = ""
-            elif name not in ranked:
-                exclusion = NO_CLAIM
-            else:
+            exclusion = "" if is_primary else NO_CLAIM
+            if name in ranked and not is_primary:
                 exclusion = self._primary_exclusion(member, now_ms) or (
                     UNREACHED if member.pool.is_unreached else OTHER_CLAIM
                 )
             candidate = self._read_candidate(name, member, customer, is_primary)
             share = 1.0 if is_primary else 0.0
-            placements.append(
-                self._placement(candidate, member, customer, exclusion, share, None)
-            )
+            evaluation = EvaluatedCandidate(candidate, exclusion, share=share)
+            placements.append(self._placement(member, customer, evaluation))
         return tuple(placements)
 
     def record_not_primary(self, endpoint: str) -> None:
--- a/src/azurerelay/pooling/_placement.py
+++ b/src/azurerelay/pooling/_placement.py
@@ -61,12 +61,12 @@
 
 @dataclass(frozen=True, slots=True)
 class EvaluatedCandidate:
-    """A candidate's cost, or why it is left out; `share` of reads that choose it."""
+    """Why a candidate is left out, or its cost, and the share of reads that it gets."""
 
     candidate: ReadCandidate
-    cost_ms: float | None
     exclusion: str
-    share: float
+    cost_ms: float | None = None
+    share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -265,19 +265,15 @@
     return [
         EvaluatedCandidate(
             candidate,
+            "" if candidate.name in cost_by_name else _exclusion(candidate, required),
             cost_by_name.get(candidate.name),
-            _exclusion(candidate, required, candidate.name in cost_by_name),
             counts[candidate.name] / draws,
         )
         for candidate in candidates
     ]
 
 
-def _exclusion(
-    candidate: ReadCandidate, required: RequiredPosition, has_cost: bool
-) -> str:
-    if has_cost:
-        return ""
+def _exclusion(candidate: ReadCandidate, required: RequiredPosition) -> str:
     wait_ms = catch_up_ms(candidate, required)
     if wait_ms > MAX_CATCH_UP_MS:
         return f"{wait_ms:.0f} ms behind the required position"
--- a/src/azurerelay/quotas/__init__.py
+++ b/src/azurerelay/quotas/__init__.py
@@ -1,6 +1,6 @@
 """Quotas of customers that hold over all entry hosts together."""
 
-from azurerelay.quotas._admission_gate import AdmissionGate
+from azurerelay.quotas._admission_gate import AdmissionGate, QuotaState
 from azurerelay.quotas._messages import (
     AdmissionCounts,
     AdmissionFraction,
@@ -19,4 +19,5 @@
     "CustomerLimit",
     "OperationCount",
     "QuotaLedger",
+    "QuotaState",
 ]
--- a/src/azurerelay/quotas/_admission_gate.py
+++ b/src/azurerelay/quotas/_admission_gate.py
@@ -1,8 +1,10 @@
 """Decides at an entry host which operations of customers are admitted."""
 
+import math
 import random
 from collections import deque
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Final
 
 from azurerelay.quotas._customer_admission import QUOTA_WINDOW_S, CustomerAdmission
@@ -31,6 +33,24 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaState:
+    """What limits a customer's operations at this host now.
+
+    `fraction` of its operations may start, None once control has been silent for so
+    long that they are limited to `local_share_per_s`. Between the two, while control
+    is not heard, they start at most as fast as before. `control_silence_ms` is the time
+    since the last message from control, None before the first.
+    """
+
+    rate_per_s: float
+    burst: float
+    fraction: float | None
+    local_share_per_s: float
+    is_control_heard: bool
+    control_silence_ms: float | None
+
+
 class AdmissionGate:
     """Admit or refuse each operation of a customer when it arrives.
 
@@ -124,7 +144,7 @@
             return True
         assert limited.rate_per_s is not None
         self._counts.add(customer, 1, 0)
-        if limited.rate_per_s <= 0.0 and limited.burst <= 0.0:
+        if _admits_nothing(limited):
             return False
         now_ms = self._timers.now_ms()
         silence_ms = now_ms - self._contact_ms
@@ -144,6 +164,23 @@
         since_ms = max(0.0, self._contact_ms + LOCAL_AFTER_MS)
         return admission.take_local(now_ms, since_ms, share_per_s, phase)
 
+    def state(self, customer: str) -> QuotaState | None:
+        """Return what limits a customer now, None without a limit; changes nothing."""
+        limited = self._customers.get(customer)
+        if limited is None:
+            return None
+        assert limited.rate_per_s is not None
+        silence_ms = self.silence_ms
+        fraction = None if self.is_local else self._fraction(customer)
+        return QuotaState(
+            limited.rate_per_s,
+            limited.burst,
+            0.0 if _admits_nothing(limited) else fraction,
+            limited.rate_per_s / self._entry_hosts,
+            silence_ms < HOLD_AFTER_MS,
+            silence_ms if math.isfinite(silence_ms) else None,
+        )
+
     def record_started(self, customer: str) -> None:
         """Record that an operation got a connection for its first attempt."""
         admission = self._admissions.get(customer)
@@ -183,3 +220,8 @@
         oldest_ms = now_ms - QUOTA_WINDOW_S * _MS_PER_S
         while self._unconfirmed and self._unconfirmed[0][0] < oldest_ms:
             self._unconfirmed.popleft()
+
+
+def _admits_nothing(limited: Customer) -> bool:
+    assert limited.rate_per_s is not None
+    return limited.rate_per_s <= 0.0 and limited.burst <= 0.0
--- a/src/azurerelay/relay/_admission_control.py
+++ b/src/azurerelay/relay/_admission_control.py
@@ -8,7 +8,7 @@
 from azurerelay.attachment import ControlFollower, SyncReply
 from azurerelay.events import EventLog, LocalQuotasEnded, LocalQuotasStarted
 from azurerelay.messages import Link
-from azurerelay.quotas import AdmissionGate, AdmissionLimits
+from azurerelay.quotas import AdmissionGate, AdmissionLimits, QuotaState
 from azurerelay.routes import Customer
 from azurerelay.telemetry import Meters
 from azurerelay.timing import TimerService
@@ -67,6 +67,10 @@
             return None
         return f"{self._gate.refusal_reason}: {customer}"
 
+    def quota_state(self, customer: str) -> QuotaState | None:
+        """Return what limits a customer now, None without a limit."""
+        return self._gate.state(customer)
+
     def record_started(self, customer: str) -> None:
         """Record that an operation got a connection for its first attempt."""
         self._gate.record_started(customer)
--- a/src/azurerelay/relay/_caller_session.py
+++ b/src/azurerelay/relay/_caller_session.py
@@ -65,6 +65,9 @@
 SET_UP_FAILED: Final = "the connection could not be set up"
 KEY_REFUSED: Final = "the key is not accepted"
 HOST_STOPS: Final = "the host is being stopped"
+NO_PRIMARY: Final = "no endpoint leads the group"
+NO_PROOF: Final = "no endpoint proves that it leads"
+NO_ENDPOINT: Final = "no endpoint could be used"
 
 _CALLER_ERRORS: Final = {
     EndpointError.BUSY: CallerError.BUSY,
@@ -349,9 +352,7 @@
             if pool is None and self._is_crowded_out(progress, group):
                 return self._refuse_busy(progress)
             if pool is None:
-                await self._wait_to_retry(
-                    progress, "no endpoint leads the group", group
-                )
+                await self._wait_to_retry(progress, NO_PRIMARY, group)
                 continue
             session = await self._acquire_session(progress, group, pool, shape)
             if session is None and self._is_crowded_out(progress, group):
@@ -414,9 +415,7 @@
             if required is None:
                 if self._is_crowded_out(progress, group):
                     return self._refuse_busy(progress)
-                await self._wait_to_retry(
-                    progress, "no endpoint proves that it leads", group
-                )
+                await self._wait_to_retry(progress, NO_PROOF, group)
                 continue
             progress.required_position = str(required)
             pool = group.choose_for_read(required, excluded, self._customer)
@@ -427,7 +426,7 @@
                 # back, so it is determined anew.
                 group.prove_primary()
                 excluded, required = frozenset(), None
-                await self._wait_to_retry(progress, "no endpoint could be used")
+                await self._wait_to_retry(progress, NO_ENDPOINT)
                 continue
             session = await self._acquire_session(progress, group, pool, shape)
             if session is None:
@@ -527,7 +526,7 @@
         """
         if route.consistency is Consistency.PRIMARY:
             return await group.prove_primary(self._customer)
-        bound_ms = max(0.0, route.max_staleness_ms - STALENESS_MARGIN_MS)
+        bound_ms = staleness_bound_ms(route)
         position = group.covering_position(bound_ms, self._customer)
         if position is None:
             return await group.prove_primary(self._customer)
@@ -932,6 +931,11 @@
         return CallerReply(self.state, error=CallerError.UNKNOWN_NAME, error_text=name)
 
 
+def staleness_bound_ms(route: Route) -> float:
+    """Return how old the state that a read of a route sees may be."""
+    return max(0.0, route.max_staleness_ms - STALENESS_MARGIN_MS)
+
+
 def _success_reply(state: SessionState, reply: EndpointReply) -> CallerReply:
     return CallerReply(state, reply.rows, reply.signature, position=reply.position)
 
--- a/src/azurerelay/relay/_customer_keys.py
+++ b/src/azurerelay/relay/_customer_keys.py
@@ -49,9 +49,23 @@
         The name is `NO_CUSTOMER` if the route needs no key and the key is unknown, or
         may have been withdrawn.
         """
+        return self.identify_holder(
+            route, self._names.get(key) if self._names else None
+        )
+
+    def has_customer(self, name: str) -> bool:
+        """Return whether a customer with a key has this name."""
+        return self._names is not None and name in self._names.values()
+
+    def identify_holder(
+        self, route: Route, name: str | None
+    ) -> Result[str, CallerError]:
+        """Return what `identify` returns for a key of the customer with this name.
+
+        The name is None for a key that no customer holds.
+        """
         if self._names is None:
             return Ok(NO_CUSTOMER)
-        name = self._names.get(key)
         if name is not None and not self._may_be_withdrawn:
             return Ok(name)
         if route.is_public:
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -1,12 +1,13 @@
 """The logic of an entry host, free of input and output."""
 
+import math
 import random
 from collections.abc import Iterable
 from dataclasses import replace
 from functools import partial
 from typing import Any, Final
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from azurerelay.attachment import (
     ControlFollower,
@@ -29,8 +30,17 @@
     regional_connection_share,
 )
 from azurerelay.relay._admission_control import AdmissionControl
-from azurerelay.relay._caller_session import HOST_STOPS, CallerSession
+from azurerelay.relay._caller_session import HOST_STOPS, KEY_REFUSED, CallerSession
 from azurerelay.relay._customer_keys import CustomerKeys
+from azurerelay.relay._placement_explanation import (
+    NOT_ADMITTED,
+    PlacementError,
+    PlacementExplanation,
+    PlacementQuery,
+    StatementKind,
+    explain_group,
+    most_used,
+)
 from azurerelay.routes import Configuration, Route
 from azurerelay.statements import CallerError, EndpointConnector
 from azurerelay.telemetry import Meters
@@ -299,6 +309,61 @@
         group = self._groups.get(route.group) if route else None
         return (route, group) if route and group else None
 
+    def explain_placement(
+        self, query: PlacementQuery
+    ) -> Result[PlacementExplanation, PlacementError]:
+        """Explain where a statement would go now.
+
+        Nothing is sent, opened or counted, and no random number of this host is drawn.
+        """
+        if self.version < 0:
+            return Err(PlacementError.NO_CONFIGURATION)
+        found = self.find_route(query.database)
+        if found is None:
+            return Err(PlacementError.UNKNOWN_DATABASE)
+        customer = query.customer
+        if customer is not None and not self._customer_keys.has_customer(customer):
+            return Err(PlacementError.UNKNOWN_CUSTOMER)
+        route, group = found
+        identified = self._customer_keys.identify_holder(route, customer)
+        name = (customer or "") if isinstance(identified, Err) else identified.ok_value
+        quota = self._admission_control.quota_state(name)
+        placement = explain_group(
+            query.statement, route, group, name, self._timers.now_ms()
+        )
+        obstacle = placement.obstacle
+        if not self._accepts(query.statement):
+            obstacle = f"refused: {HOST_STOPS}"
+        elif isinstance(identified, Err):
+            obstacle = f"refused: {KEY_REFUSED} ({identified.err_value.value})"
+        elif quota is not None and quota.fraction == 0.0:
+            obstacle = NOT_ADMITTED
+        age_ms = self._control_follower.freshness.age_ms
+        listed = most_used(placement.endpoints)
+        return Ok(
+            PlacementExplanation(
+                self._name,
+                route.database,
+                query.statement,
+                name,
+                group.name,
+                route.consistency,
+                self.version,
+                age_ms if math.isfinite(age_ms) else None,
+                group.are_connections_scarce,
+                obstacle,
+                quota,
+                placement.required,
+                listed,
+                len(placement.endpoints) - len(listed),
+            )
+        )
+
+    def _accepts(self, kind: StatementKind) -> bool:
+        if kind in (StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY):
+            return self._accepts_transactions
+        return self._accepts_statements
+
     def gauges(self) -> dict[str, float]:
         """Return the current values of the gauges on the metrics page."""
         freshness = self._control_follower.freshness
