Add azurerelay explain placement

What callers saw: nothing changes for them. Operators had to reconstruct the choice of an endpoint from logs and metrics after the fact.

Cause: an entry host offered no page for its current decisions, and HttpRequest dropped the query string.

Control hosts and the product's own HTTP interface have no such page.

--- a/src/azurerelay/cli/_app.py
+++ b/src/azurerelay/cli/_app.py
@@ -7,6 +7,7 @@
     _demo_command,
     _local_commands,
     _operator_commands,
+    _placement_command,
     _quickstart_command,
     _replay_command,
 )
@@ -20,6 +21,7 @@
 _daemon_commands.register(app)
 _demo_command.register(app)
 _operator_commands.register(app)
+_placement_command.register()
 _quickstart_command.register(app)
 _local_commands.register(app)
 _replay_command.register(app)
--- a/src/azurerelay/cli/_control_client.py
+++ b/src/azurerelay/cli/_control_client.py
@@ -59,7 +59,7 @@
                 headers={"Authorization": f"Bearer {self._token}"},
             )
             try:
-                response = _open(request)
+                response = send_request(request)
             except OSError as error:
                 error_message = f"{address}: {error}"
                 continue
@@ -70,7 +70,8 @@
         raise typer.Exit(EXIT_UNREACHABLE)
 
 
-def _open(request: urllib.request.Request) -> ControlResponse:
+def send_request(request: urllib.request.Request) -> ControlResponse:
+    """Send a request; return the response whatever its status is."""
     try:
         with urllib.request.urlopen(request, timeout=REQUEST_TIMEOUT_S) as response:
             return ControlResponse(response.status, json.load(response))
--- a/src/azurerelay/hosts/_entry_host.py
+++ b/src/azurerelay/hosts/_entry_host.py
@@ -12,6 +12,7 @@
 from azurerelay.hosts._http_service import HttpRequest, HttpServerResponse, HttpService
 from azurerelay.hosts._link_sweep import LINK_SWEEP_INTERVAL_MS
 from azurerelay.hosts._metrics_service import MetricsService
+from azurerelay.hosts._placement_page import PLACEMENT_PATH, answer_placement
 from azurerelay.hosts._resource_limits import ResourceLimits
 from azurerelay.messages import TaggedCodec
 from azurerelay.platform import READINESS_PATH, HostSettings
@@ -71,7 +72,11 @@
             keeps_bodies=False,
         )
         self._metrics = MetricsService(
-            settings.ip_address, meters, self._read_gauges, self._resources
+            settings.ip_address,
+            meters,
+            self._read_gauges,
+            self._resources,
+            {PLACEMENT_PATH: self._answer_placement},
         )
         self._is_draining = False
 
@@ -129,6 +134,9 @@
             }
         )
 
+    def _answer_placement(self, request: HttpRequest) -> HttpServerResponse:
+        return answer_placement(request, self._node.explain_placement)
+
     def _on_message(self, sender: str, message: Any) -> None:
         self._node.on_message(sender, message)
 
--- a/src/azurerelay/hosts/_http_service.py
+++ b/src/azurerelay/hosts/_http_service.py
@@ -44,6 +44,7 @@
     200: "OK",
     400: "Bad Request",
     404: "Not Found",
+    405: "Method Not Allowed",
     413: "Content Too Large",
     414: "URI Too Long",
     422: "Unprocessable Content",
@@ -54,11 +55,12 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A complete request; `path` excludes the query string."""
+    """A complete request; `path` excludes the query string, which is `query`."""
 
     method: str
     path: str
     body: bytes
+    query: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -255,10 +257,12 @@
             self._reject(UNAVAILABLE)
             return
         self._state.admitted.mark_busy(self)
+        path, _, query = self._path.decode(errors="replace").partition("?")
         request = HttpRequest(
             self._parser.get_method().decode(),
-            self._path.decode(errors="replace").partition("?")[0],
+            path,
             b"".join(self._body_parts),
+            query,
         )
         keep_alive = self._parser.should_keep_alive()
         self._path, self._body_parts, self._body_length = b"", [], 0
--- a/src/azurerelay/hosts/_metrics_service.py
+++ b/src/azurerelay/hosts/_metrics_service.py
@@ -14,6 +14,7 @@
 _MS_PER_S: Final = 1_000.0
 
 Gauges = Callable[[], Mapping[str, float]]
+Page = Callable[[HttpRequest], HttpServerResponse]
 
 
 class _PrometheusCollector:
@@ -61,7 +62,7 @@
 
 
 class MetricsService:
-    """Serve the metrics at `METRICS_PATH`.
+    """Serve the metrics at `METRICS_PATH`, and other pages at their paths.
 
     prometheus_client is imported on the first request, because its import would
     lengthen the start of the host.
@@ -73,7 +74,9 @@
         meters: Meters,
         gauges: Gauges,
         resources: ResourceLimits | None = None,
+        pages: Mapping[str, Page] | None = None,
     ) -> None:
+        self._pages = pages or {}
         self._collector = _PrometheusCollector(meters, gauges)
         self._service = HttpService(
             "metrics",
@@ -92,6 +95,8 @@
         await self._service.stop()
 
     async def _handle_request(self, request: HttpRequest) -> HttpServerResponse:
+        if request.path in self._pages:
+            return self._pages[request.path](request)
         if request.path != METRICS_PATH:
             return HttpServerResponse(404)
         from prometheus_client import CollectorRegistry, generate_latest
