State what the draws of an explanation resolve

What callers saw: nothing. Cause: the comment on MAX_DRAWS claimed that 64 draws tell a share of 1 % from nothing, which they do in 47 % of cases only (1 - 0.99^64). Change: the comment states the probability for 5 % (1 - 0.95^64). Evidence: computed; test_placement_explanation passes.

--- a/src/azurerelay/pooling/_placement.py
+++ b/src/azurerelay/pooling/_placement.py
@@ -27,8 +27,8 @@
 # another region. An endpoint that fails half its reads is left for another region.
 FAILURE_COST_MS: Final = 200.0
 SET_ASIDE: Final = "set aside after failures"
-# Draws with which an explanation estimates how reads are shared out: enough to tell 1 %
-# from nothing in most cases.
+# Draws with which an explanation estimates how reads are shared out. A share of 5 %
+# shows up in them with a probability of 96 %.
 MAX_DRAWS: Final = 64
 # Candidates that all draws together look at, so that explaining a large group is cheap.
 MAX_DRAWN_CANDIDATES: Final = 1_024
