--- a/src/azurerelay/quotas/__init__.py
+++ b/src/azurerelay/quotas/__init__.py
@@ -1,6 +1,6 @@
 """Quotas of customers that hold over all entry hosts together."""
 
-from azurerelay.quotas._admission_gate import AdmissionGate
+from azurerelay.quotas._admission_gate import AdmissionGate, QuotaState
 from azurerelay.quotas._message_delays import MessageDelays
 from azurerelay.quotas._messages import (
     AdmissionCounts,
@@ -21,4 +21,5 @@
     "OperationCount",
     "MessageDelays",
     "QuotaLedger",
+    "QuotaState",
 ]
--- a/src/azurerelay/quotas/_admission_gate.py
+++ b/src/azurerelay/quotas/_admission_gate.py
@@ -1,8 +1,9 @@
 """Decides at an entry host which operations of customers are admitted."""
 
+import math
 import random
 from collections.abc import Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Final
 
 from azurerelay.quotas._customer_admission import QUOTA_WINDOW_S, CustomerAdmission
@@ -37,6 +38,24 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaState:
+    """What limits a customer's operations at this host now.
+
+    `fraction` of its operations may start, None once control has been silent for so
+    long that they are limited to `local_share_per_s`. Between the two, while control
+    is not heard, they start at most as fast as before. `control_silence_ms` is the time
+    since the last message from control, None before the first.
+    """
+
+    rate_per_s: float
+    burst: float
+    fraction: float | None
+    local_share_per_s: float
+    is_control_heard: bool
+    control_silence_ms: float | None
+
+
 class AdmissionGate:
     """Admit or refuse each operation of a customer when it arrives.
 
@@ -180,7 +199,7 @@
 
     def _decide(self, customer: str, limited: Customer) -> bool:
         assert limited.rate_per_s is not None
-        if limited.rate_per_s <= 0.0 and limited.burst <= 0.0:
+        if _admits_nothing(limited):
             return False
         now_ms = self._timers.now_ms()
         silence_ms = now_ms - self._contact_ms
@@ -202,6 +221,23 @@
         since_ms = self._contact_ms + LOCAL_AFTER_MS if has_contact else now_ms
         return admission.take_local(now_ms, since_ms, share_per_s, phase)
 
+    def state(self, customer: str) -> QuotaState | None:
+        """Return what limits a customer now, None without a limit; changes nothing."""
+        limited = self._customers.get(customer)
+        if limited is None:
+            return None
+        assert limited.rate_per_s is not None
+        silence_ms = self.silence_ms
+        fraction = None if self.is_local else self._fraction(customer)
+        return QuotaState(
+            limited.rate_per_s,
+            limited.burst,
+            0.0 if _admits_nothing(limited) else fraction,
+            limited.rate_per_s / self._entry_hosts,
+            silence_ms < HOLD_AFTER_MS,
+            silence_ms if math.isfinite(silence_ms) else None,
+        )
+
     def take_report(self, control_host: str = "") -> AdmissionReport | None:
         """Return what is to be reported to a control host; None if nothing is."""
         now_ms = self._timers.now_ms()
@@ -254,3 +290,8 @@
 
 def _rounded(waited_ms: float) -> int:
     return WAITED_STEP_MS * round(waited_ms / WAITED_STEP_MS)
+
+
+def _admits_nothing(limited: Customer) -> bool:
+    assert limited.rate_per_s is not None
+    return limited.rate_per_s <= 0.0 and limited.burst <= 0.0
