Resume reading of a paused connection that holds no bytes

Callers saw: an HTTP client that had read its answers got none to its next requests. Cause: _update_account returned early for a connection that holds nothing and waits for nothing, also while its reading was paused. Change: the early return excludes paused connections; the same in CallerProtocol. Evidence: tests.test_connection_limits failed before ("False is not true") and passes now.

--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -296,7 +296,8 @@
         total = unread + unsent + self._queued_bytes + self._serving_bytes
         total += self._session_bytes
         is_small = total <= FREE_BYTES and not self._is_writing_paused
-        if is_small and not account.held and not account.wanted:
+        is_counted = account.held or account.wanted or self._is_reading_paused
+        if is_small and not is_counted:
             return
         if self._transport is None or self._transport.is_closing():
             account.shrink(self._serving_bytes + unsent)
--- a/src/azurerelay/hosts/_http_service.py
+++ b/src/azurerelay/hosts/_http_service.py
@@ -193,7 +193,8 @@
         self._unsent_bytes = unsent
         body = 0 if self._is_rejected else self._body_length
         existing = unsent + self._unanswered_bytes
-        if existing + body <= FREE_BYTES and not account.held and not account.wanted:
+        is_small = existing + body <= FREE_BYTES and not self._is_reading_paused
+        if is_small and not account.held and not account.wanted:
             return
         if transport is None or transport.is_closing():
             account.shrink(existing)
--- /dev/null
+++ b/tests/test_connection_limits.py
@@ -0,0 +1,129 @@
+"""Tests of connections that wait for bytes or make room, without a network."""
+
+import asyncio
+import unittest
+from typing import Any
+
+from azurerelay.budgets import ProcessLimits
+from azurerelay.events import NullEventLog
+from azurerelay.hosts._http_service import (
+    HttpRequest,
+    HttpServerResponse,
+    _HttpProtocol,
+    _ServiceState,
+)
+from azurerelay.hosts._resource_limits import ResourceLimits
+from azurerelay.telemetry import Meters
+from azurerelay.timing import ManualTimerService
+
+MIB = 1_024 * 1_024
+MEMORY_BYTES = 72 * MIB  # gives the smallest budget, 12 MiB
+
+
+class _Socket:
+    def setsockopt(self, *options: object) -> None:
+        pass
+
+
+class _Transport(asyncio.Transport):
+    """Keep what is written until `drain`, if the peer does not read."""
+
+    def __init__(self, protocol: Any, is_read: bool = True) -> None:
+        super().__init__()
+        self.protocol = protocol
+        self.is_read = is_read
+        self.unsent = 0
+        self.output = b""
+        self.is_reading = True
+        self.is_aborted = False
+        self._is_closing = False
+        self._is_paused = False
+        protocol.connection_made(self)
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return _Socket()
+
+    def set_write_buffer_limits(
+        self, high: int | None = None, low: int | None = None
+    ) -> None:
+        self._high = high or 0
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
+    def is_closing(self) -> bool:
+        return self._is_closing
+
+    def write(self, data: Any) -> None:
+        self.output += bytes(data)
+        if not self.is_read:
+            self.unsent += len(data)
+        if self.unsent > self._high and not self._is_paused:
+            self._is_paused = True
+            self.protocol.pause_writing()
+
+    def drain(self, count: int) -> None:
+        self.unsent = max(0, self.unsent - count)
+        if self._is_paused and self.unsent <= self._high // 4:
+            self._is_paused = False
+            self.protocol.resume_writing()
+
+    def pause_reading(self) -> None:
+        self.is_reading = False
+
+    def resume_reading(self) -> None:
+        self.is_reading = True
+
+    def close(self) -> None:
+        self._is_closing = True
+
+    def abort(self) -> None:
+        self.is_aborted = self._is_closing = True
+
+
+async def _run_tasks() -> None:
+    for _ in range(10):
+        await asyncio.sleep(0)
+
+
+class _LimitsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.timers = ManualTimerService()
+        self.resources = ResourceLimits(
+            ProcessLimits(MEMORY_BYTES, 1_605),
+            self.timers,
+            NullEventLog(),
+            Meters(),
+        )
+        self.budget = self.resources.budget
+
+
+class HttpReadingTest(_LimitsTest):
+    async def test_reading_goes_on_once_the_client_has_read_its_answers(self) -> None:
+        """A connection that held nothing any more was skipped, and paused for ever."""
+        gate = asyncio.Event()
+
+        async def handle(request: HttpRequest) -> HttpServerResponse:
+            if request.path == "/slow":
+                await gate.wait()
+            return HttpServerResponse(
+                200, b"m" * (100 if request.path == "/slow" else 20_000)
+            )
+
+        state = _ServiceState("metrics", handle, self.resources, True)
+        protocol = _HttpProtocol(state)
+        transport = _Transport(protocol, is_read=False)
+        protocol.data_received(
+            b"GET /metrics HTTP/1.1\r\n\r\nGET /slow HTTP/1.1\r\n\r\n"
+        )
+        await _run_tasks()
+        self.assertFalse(transport.is_reading)
+        transport.drain(15_000)
+        gate.set()
+        await _run_tasks()
+        transport.drain(MIB)
+        self.assertTrue(transport.is_reading)
+
+
+if __name__ == "__main__":
+    unittest.main()
