Pause reading before the account gives bytes back

Callers saw: a connection that waited for bytes was not read any more, although its bytes had been granted. Cause: after a refused reserve(), charge() of a lower amount could grant the waiting request of the same connection. Its on_bytes_granted ran before the connection had paused reading, which it then did for ever. Change: callers and HTTP connections pause first and charge last. close() of a caller's connection shrinks its account at once; before, it kept its bytes until the transport had sent everything. Evidence: both new tests failed before and pass now.

--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -177,6 +177,9 @@
             self._session.close(reason)
         if self._transport is not None:
             self._transport.close()
+        self._forget_messages()
+        self._session_bytes = 0
+        self._update_account()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the socket options."""
@@ -313,12 +316,13 @@
                 self._is_reading_paused = False
                 self._transport.resume_reading()
             return
-        # The first two pieces are not counted: any connection may hold these.
-        is_begun = unread > FREE_BYTES + PIECE_BYTES
-        account.charge(total if is_begun else total - unread)
         if not self._is_reading_paused:
             self._is_reading_paused = True
             self._transport.pause_reading()
+        # The first two pieces are not counted: any connection may hold these. Last,
+        # since it may grant what this connection waits for.
+        is_begun = unread > FREE_BYTES + PIECE_BYTES
+        account.charge(total if is_begun else total - unread)
 
     def _count_session_bytes(
         self, session: CallerSession, statement: Statement
--- a/src/azurerelay/hosts/_http_service.py
+++ b/src/azurerelay/hosts/_http_service.py
@@ -206,8 +206,6 @@
         else:
             needed = existing if existing > FREE_BYTES else 0
         is_granted = account.reserve(needed)
-        if not is_granted:
-            account.charge(max(existing, account.held))
         pauses = not is_granted or (self._is_writing_paused and account.is_limited)
         if pauses != self._is_reading_paused:
             self._is_reading_paused = pauses
@@ -215,6 +213,9 @@
                 transport.pause_reading()
             else:
                 transport.resume_reading()
+        if not is_granted:
+            # Last, since it may grant what this connection waits for.
+            account.charge(max(existing, account.held))
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; reject malformed input with status 400."""
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -6,6 +6,7 @@
 
 from azurerelay.budgets import ProcessLimits
 from azurerelay.events import NullEventLog
+from azurerelay.hosts._caller_server import CallerProtocol, _ServerState
 from azurerelay.hosts._http_service import (
     HttpRequest,
     HttpServerResponse,
@@ -98,6 +99,66 @@
         self.budget = self.resources.budget
 
 
+class _Holder:
+    """An account that holds what its owner says."""
+
+    def __init__(self, resources: ResourceLimits) -> None:
+        self.account = resources.budget.open_account(self)
+
+    def measure_bytes(self) -> int:
+        return 0
+
+    def on_bytes_granted(self) -> None:
+        pass
+
+    def close_for_bytes(self) -> None:
+        pass
+
+
+class CallerReadingTest(_LimitsTest):
+    def setUp(self) -> None:
+        super().setUp()
+        self.state = _ServerState(None, self.timers, self.resources)  # type: ignore
+        self.others = _Holder(self.resources)
+        self.capacity = self.resources.limits.budget_bytes or 0
+
+    def connect(self, is_read: bool = True) -> tuple[CallerProtocol, _Transport]:
+        protocol = CallerProtocol(self.state, False)
+        return protocol, _Transport(protocol, is_read)
+
+    async def test_a_grant_during_the_request_does_not_pause_reading(self) -> None:
+        """The connection paused after its grant, and nothing resumed it."""
+        caller, transport = self.connect()
+        account = caller._account
+        caller.data_received(b"x" * 20_000)
+        self.others.account.charge(self.capacity - account.held)
+        first = _Holder(self.resources)  # its close does not grant to the next one
+        self.assertFalse(first.account.reserve(MIB))
+        reserve = account._budget.reserve
+
+        def reserve_late(asking: Any, total: int) -> bool:
+            is_granted = reserve(asking, total)
+            self.resources.budget._defers_grants = True
+            first.account.close()
+            self.others.account.close()
+            self.resources.budget._defers_grants = False
+            return is_granted
+
+        account._budget.reserve = reserve_late  # type: ignore[method-assign]
+        caller.data_received("é".encode() * 10)
+        self.assertTrue(transport.is_reading)
+        self.assertFalse(account.wanted)
+
+    async def test_a_closed_connection_gives_back_its_bytes_at_once(self) -> None:
+        """Others waited until the last answer of a closed connection was read."""
+        caller, transport = self.connect()
+        caller.data_received(b"x" * 20_000)
+        self.assertTrue(self.budget.held)
+        transport.unsent = 3_000
+        caller.close()
+        self.assertFalse(self.budget.held)
+
+
 class HttpReadingTest(_LimitsTest):
     async def test_reading_goes_on_once_the_client_has_read_its_answers(self) -> None:
         """A connection that held nothing any more was skipped, and paused for ever."""
