Count connections as idle again; close quiet ones if none is idle

Callers saw: BUSY "the host has too many connections" from a host whose connections had no work, for as long as those stayed open. Cause: only _execute marked a connection idle, and not if a message was queued behind the statement, even one that starts no work. A transaction that the host had ended for idleness counted as busy for ever, and so did one that was left open. Change: a connection is marked idle whenever nothing is running, queued or open at an endpoint; a failed transaction is not open.

--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -85,7 +85,7 @@
         self.resources = resources
         self.callers: set[CallerProtocol] = set()
         self.connections: ConnectionBudget[CallerProtocol] = ConnectionBudget(
-            resources.limits.max_callers
+            resources.limits.max_callers, lambda caller: caller.rank_for_closing()
         )
         # The data of one piece, which is processed before another one is read.
         self.piece = memoryview(bytearray(PIECE_BYTES))
@@ -136,6 +136,11 @@
         )
         return not (self._is_busy or self._queued_messages or is_in_transaction)
 
+    @property
+    def _is_in_open_transaction(self) -> bool:
+        session = self._session
+        return session is not None and session.state is SessionState.IN_TRANSACTION
+
     def close_when_idle(self) -> None:
         """Close the connection once it is idle and quiet, or an operation ends."""
         self._closes_when_idle = True
@@ -194,6 +199,17 @@
         if self._closes_when_idle:
             self._close_if_quiet()
 
+    def rank_for_closing(self) -> tuple[bool, float] | None:
+        """Return what closing costs, the lowest first; None if it must stay.
+
+        A statement at an endpoint would be in doubt. An open transaction costs more
+        than one that has failed meanwhile, and less the longer its caller is quiet.
+        """
+        quiet_ms = self._timers.now_ms() - self._last_message_ms
+        if self._is_busy or quiet_ms < QUIET_BEFORE_CLOSE_MS:
+            return None
+        return self._is_in_open_transaction, -quiet_ms
+
     def drop_for_descriptors(self) -> None:
         """Close the connection, since there is one too many."""
         self._server.resources.report_dropped(SERVICE, DESCRIPTORS)
@@ -334,6 +350,16 @@
             self._next_session_count = 2 * self._session_bytes + FREE_BYTES
 
     def _process_queue(self) -> None:
+        """Start what has been queued; count the connection as idle if nothing is left.
+
+        A failed transaction holds nothing at an endpoint.
+        """
+        self._start_next()
+        is_left = self._is_busy or self._queued_messages
+        if not (is_left or self._is_in_open_transaction):
+            self._server.connections.mark_idle(self)
+
+    def _start_next(self) -> None:
         while self._queued_messages and not self._is_busy:
             if self._is_writing_paused and self._account.is_limited:
                 return
@@ -401,8 +427,6 @@
             return
         self._is_busy = False
         self._serving_bytes = 0
-        if self.is_idle:
-            self._server.connections.mark_idle(self)
         for part in encode_caller_reply_parts(reply):
             self._write(part)
         if not _ends_operation(statement) and self._account.is_limited:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -136,6 +136,19 @@
         budget.remove("busy")
         self.assertIsNone(budget.add("newer"))
 
+    def test_a_busy_connection_that_may_go_makes_room(self) -> None:
+        """Quiet clients in a transaction kept all descriptors."""
+        ranks = {"at-endpoint": None, "open": (True, -9.0), "failed": (False, -1.0)}
+        budget: ConnectionBudget[str] = ConnectionBudget(3, ranks.get)
+        for name in ranks:
+            budget.add(name)
+            budget.mark_busy(name)
+        self.assertEqual(budget.add("new"), "failed")
+        budget.mark_busy("new")
+        self.assertEqual(budget.add("newer"), "open")
+        budget.mark_busy("newer")
+        self.assertEqual(budget.add("newest"), "newest")
+
 
 class ProcessLimitsTest(unittest.TestCase):
     def test_limits_are_read_from_the_settings(self) -> None:
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -14,11 +14,14 @@
     _ServiceState,
 )
 from azurerelay.hosts._resource_limits import ResourceLimits
+from azurerelay.statements import CallerError, CallerReply, SessionState
 from azurerelay.telemetry import Meters
-from azurerelay.timing import ManualTimerService
+from azurerelay.timing import ManualTimerService, Promise
 
 MIB = 1_024 * 1_024
 MEMORY_BYTES = 72 * MIB  # gives the smallest budget, 12 MiB
+OPEN = b"START db1 key\r\n"
+READ = b"QUERY q1 READ a\r\n"
 
 
 class _Socket:
@@ -115,17 +118,85 @@
         pass
 
 
-class CallerReadingTest(_LimitsTest):
+class _Session:
+    """A session whose statements run until `finish`."""
+
+    def __init__(self) -> None:
+        self.state = SessionState.IDLE
+        self.state_bytes = 0
+        self.gate: Promise[CallerReply] = Promise()
+
+    async def handle(self, statement: object) -> CallerReply:
+        return await self.gate
+
+    def finish(self, state: SessionState = SessionState.IDLE) -> None:
+        self.state = state
+        gate, self.gate = self.gate, Promise()
+        gate.resolve(CallerReply(state))
+
+    def end_in_doubt(self) -> CallerReply:
+        return CallerReply(self.state, error=CallerError.IN_DOUBT)
+
+    def close(self, reason: str = "") -> None:
+        pass
+
+
+class _Node:
+    def __init__(self) -> None:
+        self.sessions: list[_Session] = []
+
+    async def open_session(self, database: str, key: str) -> _Session:
+        self.sessions.append(_Session())
+        return self.sessions[-1]
+
+
+class _CallerTest(_LimitsTest):
     def setUp(self) -> None:
         super().setUp()
-        self.state = _ServerState(None, self.timers, self.resources)  # type: ignore
+        self.node = _Node()
+        node: Any = self.node
+        self.state = _ServerState(node, self.timers, self.resources)
         self.others = _Holder(self.resources)
         self.capacity = self.resources.limits.budget_bytes or 0
 
-    def connect(self, is_read: bool = True) -> tuple[CallerProtocol, _Transport]:
+    def connect(
+        self, is_read: bool = True, data: bytes = b""
+    ) -> tuple[CallerProtocol, _Transport]:
         protocol = CallerProtocol(self.state, False)
-        return protocol, _Transport(protocol, is_read)
+        transport = _Transport(protocol, is_read)
+        protocol.data_received(data)
+        return protocol, transport
+
 
+class CallerDescriptorTest(_CallerTest):
+    async def test_a_malformed_statement_behind_another_leaves_no_busy_mark(
+        self,
+    ) -> None:
+        """A connection without work could be busy for ever, and no caller accepted."""
+        caller, _ = self.connect(data=OPEN + READ + b"QUERY q2 NONSENSE a\r\n")
+        self.assertIn(caller, self.state.connections._busy)
+        self.node.sessions[0].finish()
+        self.assertIn(caller, self.state.connections._idle)
+
+    async def test_quiet_transactions_make_room_before_statements(self) -> None:
+        """Transactions that had been ended for idleness kept their descriptors."""
+        self.connect(data=OPEN + READ)
+        opened, _ = self.connect(data=OPEN + READ)
+        failed, _ = self.connect(data=OPEN + READ)
+        for session in self.node.sessions[1:]:
+            session.finish(SessionState.IN_TRANSACTION)
+        rank = self.state.connections._rank_busy
+        self.assertEqual([rank(opened), rank(failed)], [None, None])
+        self.timers.advance(1_000.0)
+        self.node.sessions[2].state = SessionState.FAILED
+        self.assertEqual(self.state.connections._choose_busy(), failed)
+        failed.connection_lost(None)
+        self.assertEqual(self.state.connections._choose_busy(), opened)
+        opened.connection_lost(None)
+        self.assertIsNone(self.state.connections._choose_busy())
+
+
+class CallerReadingTest(_CallerTest):
     async def test_a_grant_during_the_request_does_not_pause_reading(self) -> None:
         """The connection paused after its grant, and nothing resumed it."""
         caller, transport = self.connect()
