Abort a dropped connection that has unsent data

Callers saw: none directly; a host could run out of descriptors. Cause: a connection that is dropped for descriptors is no longer counted, but its transport stayed open until its caller had read all answers. Change: such a connection is aborted if anything is unsent after its error line. Evidence: the new test failed before and passes now.

--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -211,9 +211,14 @@
         return self._is_in_open_transaction, -quiet_ms
 
     def drop_for_descriptors(self) -> None:
-        """Close the connection, since there is one too many."""
+        """Close the connection, since there is one too many.
+
+        Its descriptor is not counted any more, so what is unsent is discarded.
+        """
         self._server.resources.report_dropped(SERVICE, DESCRIPTORS)
         self.dismiss(TOO_MANY_CONNECTIONS)
+        if self._transport is not None and self._transport.get_write_buffer_size():
+            self._transport.abort()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer that the next piece is read into."""
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -195,6 +195,16 @@
         opened.connection_lost(None)
         self.assertIsNone(self.state.connections._choose_busy())
 
+    async def test_a_dropped_connection_does_not_keep_its_descriptor(self) -> None:
+        """Callers that read slowly kept descriptors that were not counted."""
+        caller, transport = self.connect(is_read=False, data=OPEN)
+        caller.drop_for_descriptors()
+        self.assertTrue(transport.is_aborted)
+        caller, transport = self.connect(data=OPEN)
+        caller.drop_for_descriptors()
+        self.assertTrue(transport.is_closing() and not transport.is_aborted)
+        self.assertIn(b"ERROR BUSY", transport.output)
+
 
 class CallerReadingTest(_CallerTest):
     async def test_a_grant_during_the_request_does_not_pause_reading(self) -> None:
