Pause reading while a caller's own statements will free its bytes

Callers saw: a caller that sent 24 messages of 1 MiB ahead, of the 64 that are allowed, was closed on an idle host, with INDOUBT for its statement in progress. Cause: its queued messages counted towards what it asked for, which then exceeded the whole budget, so that it was closed. Change: with a statement in progress or messages queued, a connection does not wait in the order of the others (try_reserve); it stops reading and asks again when a statement ends. Only a message that does not fit alone closes its connection, and that is checked again when the timer fires.

--- a/src/azurerelay/budgets/_byte_budget.py
+++ b/src/azurerelay/budgets/_byte_budget.py
@@ -63,6 +63,10 @@
         """
         return self._budget.reserve(self, total)
 
+    def try_reserve(self, total: int) -> bool:
+        """Hold `total` bytes from now on, if they fit; never wait for them."""
+        return self._budget.try_reserve(self, total)
+
     def charge(self, total: int) -> None:
         """Hold `total` bytes, which exist already, whether they fit or not."""
         self._budget.charge(self, total)
@@ -151,7 +155,7 @@
             self.charge(account, total)
             return True
         if account.wanted <= self._capacity < total:
-            self._call_later(0.0, lambda: self._close(account))
+            self._call_later(0.0, lambda: self._close_if_too_large(account))
         if not account.wanted:
             self._waiting.append(account)
             self._wait_count += 1
@@ -159,6 +163,19 @@
         account.wanted = total
         return False
 
+    def try_reserve(self, account: ByteAccount, total: int) -> bool:
+        """Hold `total` bytes if they fit now and no other account waits.
+
+        The account does not wait, neither before nor after.
+        """
+        if self._capacity is None:
+            return True
+        self._stop_waiting(account)
+        if total > account.held and (self._waiting or not self._fits(account, total)):
+            return False
+        self.charge(account, total)
+        return True
+
     def charge(self, account: ByteAccount, total: int) -> None:
         """Hold `total` bytes; relieve the budget soon if that is too much."""
         if self._capacity is None:
@@ -258,6 +275,11 @@
                 ranked.append((account.moved, -freed, account))
         return [account for *_, account in sorted(ranked, key=lambda rank: rank[:2])]
 
+    def _close_if_too_large(self, account: ByteAccount) -> None:
+        """Close a connection if no capacity would be enough for what it waits for."""
+        if self._capacity is not None and account.wanted > self._capacity:
+            self._close(account)
+
     def _close(self, account: ByteAccount) -> None:
         if account.holder is not None:
             self._closed_count += 1
--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -332,7 +332,10 @@
             needed += (
                 ASCII_MESSAGE_BYTES if is_ascii else MESSAGE_LIMIT_BYTES
             ) - unread
-        if account.reserve(needed):
+        # Statements end, and the account is updated then. Waiting for the bytes of the
+        # others meanwhile would close a connection that sends many messages ahead.
+        drains = self._is_busy or bool(self._queued_messages)
+        if account.try_reserve(needed) if drains else account.reserve(needed):
             if self._is_reading_paused:
                 self._is_reading_paused = False
                 self._transport.resume_reading()
@@ -416,7 +419,7 @@
             opened.close()
             return
         self._write(encode_ready_line(SessionState.IDLE, None))
-        self._process_queue()
+        self._go_on()
 
     async def _execute(self, session: CallerSession, statement: Statement) -> None:
         try:
@@ -436,13 +439,17 @@
             self._write(part)
         if not _ends_operation(statement) and self._account.is_limited:
             self._count_session_bytes(session, statement)
-        account = self._account
-        if account.held or account.wanted or self._session_bytes:
-            self._update_account()
         if self._closes_when_idle and self.is_idle and _ends_operation(statement):
             self.dismiss()
             return
+        self._go_on()
+
+    def _go_on(self) -> None:
+        """Start the next message, then read on if there is room."""
         self._process_queue()
+        account = self._account
+        if account.held or self._is_reading_paused or self._session_bytes:
+            self._update_account()
 
     def _answer_malformed(
         self, session: CallerSession, message: MalformedStatement
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -110,6 +110,21 @@
         self.timers.advance(0.0)
         self.assertTrue(self.holders[0].is_closed and self.holders[1].is_granted)
 
+    def test_a_request_that_has_become_smaller_is_not_closed(self) -> None:
+        """The decision to close was not checked again when its time had come."""
+        self.assertFalse(self.holders[0].account.reserve(CAPACITY + 1))
+        self.assertTrue(self.holders[0].account.reserve(CAPACITY))
+        self.timers.advance(0.0)
+        self.assertFalse(self.holders[0].is_closed)
+
+    def test_a_request_that_does_not_wait_does_not_overtake(self) -> None:
+        first, waiting, third, _ = self.holders
+        first.account.reserve(90)
+        self.assertFalse(third.account.try_reserve(20))
+        waiting.account.reserve(20)
+        self.assertFalse(third.account.try_reserve(10))
+        self.assertEqual(self.budget.waiting_count, 1)
+
     def test_without_a_limit_everything_is_granted(self) -> None:
         account = ByteBudget(None, None).open_account(self.holders[0])
         self.assertTrue(account.reserve(10**12))
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -230,6 +230,25 @@
         self.assertTrue(transport.is_reading)
         self.assertFalse(account.wanted)
 
+    async def test_many_large_messages_sent_ahead_are_served(self) -> None:
+        """An idle host closed a caller with 24 MiB sent ahead, with INDOUBT."""
+        caller, transport = self.connect(data=OPEN)
+        message = b"QUERY q1 WRITE a ".ljust(MIB - 2, b"x") + b"\r\n"
+        data = memoryview(message * 24)
+        finished_count = 0
+        while data or caller.is_busy:
+            while data and transport.is_reading:
+                caller.data_received(bytes(data[:8_192]))
+                data = data[8_192:]
+            self.timers.advance(1_000.0)
+            self.assertLessEqual(self.budget.held, self.capacity)
+            self.assertFalse(transport.is_closing())
+            self.assertTrue(caller.is_busy)
+            self.node.sessions[0].finish()
+            finished_count += 1
+        self.assertEqual(finished_count, 24)
+        self.assertEqual(self.budget.held, 0)
+
     async def test_a_closed_connection_gives_back_its_bytes_at_once(self) -> None:
         """Others waited until the last answer of a closed connection was read."""
         caller, transport = self.connect()
