Relieve the byte budget with one look at all connections

Callers saw: a host that stopped answering when many large answers arrived at the same time. Cause: while the budget was exceeded, each update of an account scheduled another _relieve, which brings all accounts up to date: n-squared work, and without end if only statements in progress held the bytes. A review summed up all waiting accounts for each one that it closed, and removing an account from the queue searched it. Change: one run is scheduled at a time, only when an account grows, and none from within a run. Missing bytes are a running sum; the queue is an ordered dictionary. A holder that raises does not stop the grants.

--- a/src/azurerelay/budgets/_byte_budget.py
+++ b/src/azurerelay/budgets/_byte_budget.py
@@ -1,7 +1,8 @@
 """A budget of bytes that the connections of a process share."""
 
-from collections import deque
-from collections.abc import Callable
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Final, Protocol
 
 from azurerelay.timing import TimerService
@@ -101,10 +102,12 @@
         self._timers = timers
         self._held = 0
         self._holders: dict[ByteAccount, None] = {}
-        self._waiting: deque[ByteAccount] = deque()
+        self._waiting: OrderedDict[ByteAccount, None] = OrderedDict()
+        self._missing = 0  # bytes that the waiting accounts want and do not hold
         self._closed_count = 0
         self._wait_count = 0
         self._has_review = False
+        self._has_relief = False
         self._fruitless_reviews = 0
         self._defers_grants = False
 
@@ -138,8 +141,8 @@
         return (self._capacity or 0) - self._held
 
     @property
-    def _wanted(self) -> int:
-        return sum(max(0, account.wanted - account.held) for account in self._waiting)
+    def _first(self) -> ByteAccount | None:
+        return next(iter(self._waiting), None)
 
     def open_account(self, holder: ByteHolder) -> ByteAccount:
         """Return an account that holds nothing."""
@@ -149,7 +152,7 @@
         """Hold `total` bytes if they fit, otherwise put the account in the queue."""
         if self._capacity is None:
             return True
-        is_next = not self._waiting or self._waiting[0] is account
+        is_next = self._first in (None, account)
         if total <= account.held or (is_next and self._fits(account, total)):
             self._stop_waiting(account)
             self.charge(account, total)
@@ -157,10 +160,10 @@
         if account.wanted <= self._capacity < total:
             self._call_later(0.0, lambda: self._close_if_too_large(account))
         if not account.wanted:
-            self._waiting.append(account)
+            self._waiting[account] = None
             self._wait_count += 1
             self._schedule_review()
-        account.wanted = total
+        self._set(account, account.held, total)
         return False
 
     def try_reserve(self, account: ByteAccount, total: int) -> bool:
@@ -180,11 +183,13 @@
         """Hold `total` bytes; relieve the budget soon if that is too much."""
         if self._capacity is None:
             return
-        self._hold(account, total)
-        if self._held > self._capacity:
-            self._call_later(0.0, self._relieve)
-        else:
+        is_more = total > account.held
+        self._set(account, total, account.wanted)
+        if self._held <= self._capacity:
             self._grant()
+        elif is_more and not self._has_relief:
+            self._has_relief = True
+            self._call_later(0.0, self._relieve)
 
     def shrink(self, account: ByteAccount, total: int) -> None:
         """Let an account wait no longer, and hold `total` bytes."""
@@ -193,13 +198,15 @@
 
     def _stop_waiting(self, account: ByteAccount) -> None:
         if account.wanted:
-            self._waiting.remove(account)
-            account.wanted = 0
-
-    def _hold(self, account: ByteAccount, total: int) -> None:
-        self._held += total - account.held
-        account.held = total
-        if total:
+            del self._waiting[account]
+            self._set(account, account.held, 0)
+
+    def _set(self, account: ByteAccount, held: int, wanted: int) -> None:
+        self._missing -= max(0, account.wanted - account.held)
+        self._missing += max(0, wanted - held)
+        self._held += held - account.held
+        account.held, account.wanted = held, wanted
+        if held:
             self._holders[account] = None
         else:
             self._holders.pop(account, None)
@@ -212,23 +219,41 @@
         """Grant what fits, in the order of the queue."""
         if self._defers_grants:
             return
+        with self._deferred_grants():
+            while (first := self._first) and self._fits(first, first.wanted):
+                del self._waiting[first]
+                self._set(first, first.wanted, 0)
+                if first.holder is not None:
+                    first.holder.on_bytes_granted()
+
+    @contextmanager
+    def _deferred_grants(self) -> Iterator[None]:
         self._defers_grants = True
-        while self._waiting and self._fits(self._waiting[0], self._waiting[0].wanted):
-            account = self._waiting.popleft()
-            total, account.wanted = account.wanted, 0
-            self._hold(account, total)
-            if account.holder is not None:
-                account.holder.on_bytes_granted()
-        self._defers_grants = False
+        try:
+            yield
+        finally:
+            self._defers_grants = False
 
     def _relieve(self) -> None:
-        """Close connections until the budget is not exceeded."""
+        """Close connections until the budget is not exceeded.
+
+        What is charged meanwhile, as connections bring their accounts up to date,
+        schedules no further run.
+        """
         assert self._capacity is not None
+        try:
+            if self._held > self._capacity:
+                with self._deferred_grants():
+                    self._close_worst(self._capacity)
+        finally:
+            self._has_relief = False
+        self._grant()
+
+    def _close_worst(self, capacity: int) -> None:
         for account in self._worst_first():
-            if self._held <= self._capacity:
-                break
+            if self._held <= capacity:
+                return
             self._close(account)
-        self._grant()
 
     def _schedule_review(self) -> None:
         if not self._has_review:
@@ -242,10 +267,18 @@
     def _review(self) -> None:
         """Close connections that stand still while others wait for their bytes."""
         self._has_review = False
-        self._defers_grants = True
+        try:
+            with self._deferred_grants():
+                self._close_standing()
+            self._grant()
+        finally:
+            if self._waiting:
+                self._schedule_review()
+
+    def _close_standing(self) -> None:
         closed_count = self._closed_count
         for account in self._worst_first():
-            if account.moved or self._free >= self._wanted:
+            if account.moved or self._free >= self._missing:
                 break
             self._close(account)
         self._fruitless_reviews += 1
@@ -257,10 +290,6 @@
                 self._close(account)
         for account in self._holders:
             account.moved = 0
-        self._defers_grants = False
-        self._grant()
-        if self._waiting:
-            self._schedule_review()
 
     def _worst_first(self) -> list[ByteAccount]:
         """Return the holders: the least progress first, then the most bytes.
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -26,8 +26,13 @@
         self.is_closed = False
         self.moved_before_review = 0
         self.in_progress = 0
+        self.measured_count = 0
+        self.is_measured_by_reserve = False
 
     def measure_bytes(self) -> int:
+        self.measured_count += 1
+        if self.is_measured_by_reserve:
+            self.account.reserve(self.account.held)
         self.account.moved += self.moved_before_review
         return self.account.held - self.in_progress
 
@@ -104,6 +109,37 @@
         self.assertTrue(large.is_closed)
         self.assertFalse(small.is_closed)
 
+    def test_one_look_at_all_holders_relieves_the_budget(self) -> None:
+        """Each look scheduled another one for every holder, in the worst case for ever.
+
+        A run of the timers that does not end is the failure.
+        """
+        for holder in self.holders:
+            holder.is_measured_by_reserve = True
+            holder.in_progress = 40
+            holder.account.charge(40)
+        self.timers.advance(0.0)
+        self.assertEqual([holder.measured_count for holder in self.holders], [1] * 4)
+        self.holders[0].account.shrink(0)
+        self.holders[1].account.shrink(0)
+        self.assertTrue(self.holders[0].account.reserve(20))
+
+    def test_a_holder_that_raises_does_not_stop_the_grants(self) -> None:
+        """One unexpected error kept all others waiting until a review."""
+        first, raising, waiting, _ = self.holders
+        first.account.reserve(CAPACITY)
+        raising.account.reserve(10)
+        waiting.account.reserve(10)
+
+        def fail() -> None:
+            raise ValueError("an error of the holder")
+
+        raising.on_bytes_granted = fail  # type: ignore[method-assign]
+        with self.assertRaises(ValueError):
+            first.account.close()
+        self.holders[3].account.charge(1)
+        self.assertTrue(waiting.is_granted)
+
     def test_a_request_that_can_never_be_granted_is_closed_at_once(self) -> None:
         self.assertFalse(self.holders[0].account.reserve(CAPACITY + 1))
         self.assertFalse(self.holders[1].account.reserve(10))
