Reserve room for a message in steps while there is room

Callers saw: messages over 8 KiB were not read for 5 s while six clients trickled messages of which they had sent 50 KB. Cause: the first 8 KiB reserved the full size of the largest message. Change: a message gets room for twice what has arrived, as long as room for one whole message stays free and nobody waits; otherwise it asks for the whole message, in order. A review does not close connections that wait themselves for standing still. The test of a burst passes before and after.

--- a/src/azurerelay/budgets/_byte_budget.py
+++ b/src/azurerelay/budgets/_byte_budget.py
@@ -64,9 +64,12 @@
         """
         return self._budget.reserve(self, total)
 
-    def try_reserve(self, total: int) -> bool:
-        """Hold `total` bytes from now on, if they fit; never wait for them."""
-        return self._budget.try_reserve(self, total)
+    def try_reserve(self, total: int, spare: int = 0) -> bool:
+        """Hold `total` bytes from now on, if they fit; never wait for them.
+
+        More than now are held only if `spare` bytes stay free.
+        """
+        return self._budget.try_reserve(self, total, spare)
 
     def charge(self, total: int) -> None:
         """Hold `total` bytes, which exist already, whether they fit or not."""
@@ -166,15 +169,16 @@
         self._set(account, account.held, total)
         return False
 
-    def try_reserve(self, account: ByteAccount, total: int) -> bool:
-        """Hold `total` bytes if they fit now and no other account waits.
+    def try_reserve(self, account: ByteAccount, total: int, spare: int) -> bool:
+        """Hold `total` bytes if they and `spare` fit now and no other account waits.
 
         The account does not wait, neither before nor after.
         """
         if self._capacity is None:
             return True
         self._stop_waiting(account)
-        if total > account.held and (self._waiting or not self._fits(account, total)):
+        fits = not self._waiting and self._fits(account, total + spare)
+        if total > account.held and not fits:
             return False
         self.charge(account, total)
         return True
@@ -276,8 +280,11 @@
                 self._schedule_review()
 
     def _close_standing(self) -> None:
+        """Close what stands still; those that wait for bytes cannot move any."""
         closed_count = self._closed_count
         for account in self._worst_first():
+            if account.wanted:
+                continue
             if account.moved or self._free >= self._missing:
                 break
             self._close(account)
@@ -286,7 +293,8 @@
             self._fruitless_reviews = 0
         elif self._fruitless_reviews >= MAX_FRUITLESS_REVIEWS:
             self._fruitless_reviews = 0
-            for account in self._worst_first()[:1]:
+            by_fault = sorted(self._worst_first(), key=lambda a: a.wanted > 0)
+            for account in by_fault[:1]:
                 self._close(account)
         for account in self._holders:
             account.moved = 0
--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -56,6 +56,8 @@
 # characters takes one byte, and at most.
 ASCII_MESSAGE_BYTES: Final = MESSAGE_BYTES + 2 * MAX_LINE_BYTES + MAX_LINE_BYTES // 4
 MESSAGE_LIMIT_BYTES: Final = MESSAGE_BYTES + 8 * MAX_LINE_BYTES + MAX_LINE_BYTES // 4
+# An unfinished message gets room for this many times what has arrived of it.
+STEP_FACTOR: Final = 2
 SHORT_OF_MEMORY: Final = "the host is short of memory"
 TOO_MANY_CONNECTIONS: Final = "the host has too many connections"
 # A caller with more queued messages than this sends without reading its replies; its
@@ -113,6 +115,7 @@
         self._session_bytes = 0
         self._next_session_count = FREE_BYTES
         self._unsent_bytes = 0
+        self._asks_for_whole = False
         self._is_reading_paused = False
         self._is_writing_paused = False
         self._is_busy = False
@@ -326,16 +329,7 @@
         if self._transport is None or self._transport.is_closing():
             account.shrink(self._serving_bytes + unsent)
             return
-        needed = 0 if is_small else total
-        if unread > FREE_BYTES:
-            is_ascii = self._splitter.is_ascii
-            needed += (
-                ASCII_MESSAGE_BYTES if is_ascii else MESSAGE_LIMIT_BYTES
-            ) - unread
-        # Statements end, and the account is updated then. Waiting for the bytes of the
-        # others meanwhile would close a connection that sends many messages ahead.
-        drains = self._is_busy or bool(self._queued_messages)
-        if account.try_reserve(needed) if drains else account.reserve(needed):
+        if self._reserve(0 if is_small else total):
             if self._is_reading_paused:
                 self._is_reading_paused = False
                 self._transport.resume_reading()
@@ -348,6 +342,31 @@
         is_begun = unread > FREE_BYTES + PIECE_BYTES
         account.charge(total if is_begun else total - unread)
 
+    def _reserve(self, existing: int) -> bool:
+        """Hold what exists and what an unfinished message needs; return whether it may.
+
+        While there is room, a message gets room for twice of what has arrived: few
+        clients that send little would otherwise take the whole budget. The spare room
+        lets the first one that waits finish, whatever the others have begun.
+        """
+        unread = self._splitter.size
+        needed = existing
+        if unread > FREE_BYTES:
+            is_ascii = self._splitter.is_ascii
+            whole = ASCII_MESSAGE_BYTES if is_ascii else MESSAGE_LIMIT_BYTES
+            step = min(whole, whole * STEP_FACTOR * unread // MAX_LINE_BYTES)
+            needed += whole - unread
+            if not self._asks_for_whole and self._account.try_reserve(
+                existing + step - unread, MESSAGE_LIMIT_BYTES
+            ):
+                return True
+        self._asks_for_whole = unread > FREE_BYTES
+        # Statements end, and the account is updated then. Waiting for the bytes of the
+        # others meanwhile would close a connection that sends many messages ahead.
+        if self._is_busy or self._queued_messages:
+            return self._account.try_reserve(needed)
+        return self._account.reserve(needed)
+
     def _count_session_bytes(
         self, session: CallerSession, statement: Statement
     ) -> None:
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -249,6 +249,31 @@
         self.assertEqual(finished_count, 24)
         self.assertEqual(self.budget.held, 0)
 
+    async def test_few_slow_messages_leave_room_for_others(self) -> None:
+        """Six clients that had sent 50 KB held the budget for 5 s."""
+        for _ in range(6):
+            self.connect(data="é".encode() * 4_200)
+        _, transport = self.connect(data=b"x" * 9_000)
+        self.assertTrue(transport.is_reading)
+        self.assertLess(self.budget.held, MIB)
+
+    async def test_a_burst_of_large_messages_is_served_to_the_last(self) -> None:
+        """Messages that were begun, and wait for others, are not closed for it."""
+        crowd = [self.connect(data=OPEN) for _ in range(48)]
+        message = b"QUERY q1 WRITE a ".ljust(MIB - 2, b"x") + b"\r\n"
+        unsent = {caller: memoryview(message) for caller, _ in crowd}
+        while any(unsent.values()):
+            for _ in range(8):
+                for caller, transport in crowd:
+                    if transport.is_reading and unsent[caller]:
+                        caller.data_received(bytes(unsent[caller][:8_192]))
+                        unsent[caller] = unsent[caller][8_192:]
+            for session in self.node.sessions:
+                session.finish()
+            self.timers.advance(20.0)
+            self.assertLessEqual(self.budget.held, self.capacity)
+        self.assertFalse(any(transport.is_closing() for _, transport in crowd))
+
     async def test_a_closed_connection_gives_back_its_bytes_at_once(self) -> None:
         """Others waited until the last answer of a closed connection was read."""
         caller, transport = self.connect()
