--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -56,6 +56,8 @@
 # characters takes one byte, and at most.
 ASCII_MESSAGE_BYTES: Final = MESSAGE_BYTES + 2 * MAX_LINE_BYTES + MAX_LINE_BYTES // 4
 MESSAGE_LIMIT_BYTES: Final = MESSAGE_BYTES + 8 * MAX_LINE_BYTES + MAX_LINE_BYTES // 4
+# An unfinished message gets room for this many times what has arrived of it.
+STEP_FACTOR: Final = 2
 SHORT_OF_MEMORY: Final = "the host is short of memory"
 TOO_MANY_CONNECTIONS: Final = "the host has too many connections"
 # A caller with more queued messages than this sends without reading its replies; its
@@ -85,7 +87,7 @@
         self.resources = resources
         self.callers: set[CallerProtocol] = set()
         self.connections: ConnectionBudget[CallerProtocol] = ConnectionBudget(
-            resources.limits.max_callers
+            resources.limits.max_callers, lambda caller: caller.rank_for_closing()
         )
         # The data of one piece, which is processed before another one is read.
         self.piece = memoryview(bytearray(PIECE_BYTES))
@@ -113,6 +115,7 @@
         self._session_bytes = 0
         self._next_session_count = FREE_BYTES
         self._unsent_bytes = 0
+        self._asks_for_whole = False
         self._is_reading_paused = False
         self._is_writing_paused = False
         self._is_busy = False
@@ -136,6 +139,11 @@
         )
         return not (self._is_busy or self._queued_messages or is_in_transaction)
 
+    @property
+    def _is_in_open_transaction(self) -> bool:
+        session = self._session
+        return session is not None and session.state is SessionState.IN_TRANSACTION
+
     def close_when_idle(self) -> None:
         """Close the connection once it is idle and quiet, or an operation ends."""
         self._closes_when_idle = True
@@ -177,6 +185,9 @@
             self._session.close(reason)
         if self._transport is not None:
             self._transport.close()
+        self._forget_messages()
+        self._session_bytes = 0
+        self._update_account()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the socket options."""
@@ -191,10 +202,26 @@
         if self._closes_when_idle:
             self._close_if_quiet()
 
+    def rank_for_closing(self) -> tuple[bool, float] | None:
+        """Return what closing costs, the lowest first; None if it must stay.
+
+        A statement at an endpoint would be in doubt. An open transaction costs more
+        than one that has failed meanwhile, and less the longer its caller is quiet.
+        """
+        quiet_ms = self._timers.now_ms() - self._last_message_ms
+        if self._is_busy or quiet_ms < QUIET_BEFORE_CLOSE_MS:
+            return None
+        return self._is_in_open_transaction, -quiet_ms
+
     def drop_for_descriptors(self) -> None:
-        """Close the connection, since there is one too many."""
+        """Close the connection, since there is one too many.
+
+        Its descriptor is not counted any more, so what is unsent is discarded.
+        """
         self._server.resources.report_dropped(SERVICE, DESCRIPTORS)
         self.dismiss(TOO_MANY_CONNECTIONS)
+        if self._transport is not None and self._transport.get_write_buffer_size():
+            self._transport.abort()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer that the next piece is read into."""
@@ -296,28 +323,49 @@
         total = unread + unsent + self._queued_bytes + self._serving_bytes
         total += self._session_bytes
         is_small = total <= FREE_BYTES and not self._is_writing_paused
-        if is_small and not account.held and not account.wanted:
+        is_counted = account.held or account.wanted or self._is_reading_paused
+        if is_small and not is_counted:
             return
         if self._transport is None or self._transport.is_closing():
             account.shrink(self._serving_bytes + unsent)
             return
-        needed = 0 if is_small else total
-        if unread > FREE_BYTES:
-            is_ascii = self._splitter.is_ascii
-            needed += (
-                ASCII_MESSAGE_BYTES if is_ascii else MESSAGE_LIMIT_BYTES
-            ) - unread
-        if account.reserve(needed):
+        if self._reserve(0 if is_small else total):
             if self._is_reading_paused:
                 self._is_reading_paused = False
                 self._transport.resume_reading()
             return
-        # The first two pieces are not counted: any connection may hold these.
-        is_begun = unread > FREE_BYTES + PIECE_BYTES
-        account.charge(total if is_begun else total - unread)
         if not self._is_reading_paused:
             self._is_reading_paused = True
             self._transport.pause_reading()
+        # The first two pieces are not counted: any connection may hold these. Last,
+        # since it may grant what this connection waits for.
+        is_begun = unread > FREE_BYTES + PIECE_BYTES
+        account.charge(total if is_begun else total - unread)
+
+    def _reserve(self, existing: int) -> bool:
+        """Hold what exists and what an unfinished message needs; return whether it may.
+
+        While there is room, a message gets room for twice of what has arrived: few
+        clients that send little would otherwise take the whole budget. The spare room
+        lets the first one that waits finish, whatever the others have begun.
+        """
+        unread = self._splitter.size
+        needed = existing
+        if unread > FREE_BYTES:
+            is_ascii = self._splitter.is_ascii
+            whole = ASCII_MESSAGE_BYTES if is_ascii else MESSAGE_LIMIT_BYTES
+            step = min(whole, whole * STEP_FACTOR * unread // MAX_LINE_BYTES)
+            needed += whole - unread
+            if not self._asks_for_whole and self._account.try_reserve(
+                existing + step - unread, MESSAGE_LIMIT_BYTES
+            ):
+                return True
+        self._asks_for_whole = unread > FREE_BYTES
+        # Statements end, and the account is updated then. Waiting for the bytes of the
+        # others meanwhile would close a connection that sends many messages ahead.
+        if self._is_busy or self._queued_messages:
+            return self._account.try_reserve(needed)
+        return self._account.reserve(needed)
 
     def _count_session_bytes(
         self, session: CallerSession, statement: Statement
@@ -329,6 +377,16 @@
             self._next_session_count = 2 * self._session_bytes + FREE_BYTES
 
     def _process_queue(self) -> None:
+        """Start what has been queued; count the connection as idle if nothing is left.
+
+        A failed transaction holds nothing at an endpoint.
+        """
+        self._start_next()
+        is_left = self._is_busy or self._queued_messages
+        if not (is_left or self._is_in_open_transaction):
+            self._server.connections.mark_idle(self)
+
+    def _start_next(self) -> None:
         while self._queued_messages and not self._is_busy:
             if self._is_writing_paused and self._account.is_limited:
                 return
@@ -380,7 +438,7 @@
             opened.close()
             return
         self._write(encode_ready_line(SessionState.IDLE, None))
-        self._process_queue()
+        self._go_on()
 
     async def _execute(self, session: CallerSession, statement: Statement) -> None:
         try:
@@ -396,19 +454,21 @@
             return
         self._is_busy = False
         self._serving_bytes = 0
-        if self.is_idle:
-            self._server.connections.mark_idle(self)
         for part in encode_caller_reply_parts(reply):
             self._write(part)
         if not _ends_operation(statement) and self._account.is_limited:
             self._count_session_bytes(session, statement)
-        account = self._account
-        if account.held or account.wanted or self._session_bytes:
-            self._update_account()
         if self._closes_when_idle and self.is_idle and _ends_operation(statement):
             self.dismiss()
             return
+        self._go_on()
+
+    def _go_on(self) -> None:
+        """Start the next message, then read on if there is room."""
         self._process_queue()
+        account = self._account
+        if account.held or self._is_reading_paused or self._session_bytes:
+            self._update_account()
 
     def _answer_malformed(
         self, session: CallerSession, message: MalformedStatement
--- a/src/azurerelay/hosts/_http_service.py
+++ b/src/azurerelay/hosts/_http_service.py
@@ -195,7 +195,8 @@
         self._unsent_bytes = unsent
         body = 0 if self._is_rejected else self._body_length
         existing = unsent + self._unanswered_bytes
-        if existing + body <= FREE_BYTES and not account.held and not account.wanted:
+        is_small = existing + body <= FREE_BYTES and not self._is_reading_paused
+        if is_small and not account.held and not account.wanted:
             return
         if transport is None or transport.is_closing():
             account.shrink(existing)
@@ -207,8 +208,6 @@
         else:
             needed = existing if existing > FREE_BYTES else 0
         is_granted = account.reserve(needed)
-        if not is_granted:
-            account.charge(max(existing, account.held))
         pauses = not is_granted or (self._is_writing_paused and account.is_limited)
         if pauses != self._is_reading_paused:
             self._is_reading_paused = pauses
@@ -216,6 +215,9 @@
                 transport.pause_reading()
             else:
                 transport.resume_reading()
+        if not is_granted:
+            # Last, since it may grant what this connection waits for.
+            account.charge(max(existing, account.held))
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; reject malformed input with status 400."""
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -26,8 +26,13 @@
         self.is_closed = False
         self.moved_before_review = 0
         self.in_progress = 0
+        self.measured_count = 0
+        self.is_measured_by_reserve = False
 
     def measure_bytes(self) -> int:
+        self.measured_count += 1
+        if self.is_measured_by_reserve:
+            self.account.reserve(self.account.held)
         self.account.moved += self.moved_before_review
         return self.account.held - self.in_progress
 
@@ -104,12 +109,58 @@
         self.assertTrue(large.is_closed)
         self.assertFalse(small.is_closed)
 
+    def test_one_look_at_all_holders_relieves_the_budget(self) -> None:
+        """Each look scheduled another one for every holder, in the worst case for ever.
+
+        A run of the timers that does not end is the failure.
+        """
+        for holder in self.holders:
+            holder.is_measured_by_reserve = True
+            holder.in_progress = 40
+            holder.account.charge(40)
+        self.timers.advance(0.0)
+        self.assertEqual([holder.measured_count for holder in self.holders], [1] * 4)
+        self.holders[0].account.shrink(0)
+        self.holders[1].account.shrink(0)
+        self.assertTrue(self.holders[0].account.reserve(20))
+
+    def test_a_holder_that_raises_does_not_stop_the_grants(self) -> None:
+        """One unexpected error kept all others waiting until a review."""
+        first, raising, waiting, _ = self.holders
+        first.account.reserve(CAPACITY)
+        raising.account.reserve(10)
+        waiting.account.reserve(10)
+
+        def fail() -> None:
+            raise ValueError("an error of the holder")
+
+        raising.on_bytes_granted = fail  # type: ignore[method-assign]
+        with self.assertRaises(ValueError):
+            first.account.close()
+        self.holders[3].account.charge(1)
+        self.assertTrue(waiting.is_granted)
+
     def test_a_request_that_can_never_be_granted_is_closed_at_once(self) -> None:
         self.assertFalse(self.holders[0].account.reserve(CAPACITY + 1))
         self.assertFalse(self.holders[1].account.reserve(10))
         self.timers.advance(0.0)
         self.assertTrue(self.holders[0].is_closed and self.holders[1].is_granted)
 
+    def test_a_request_that_has_become_smaller_is_not_closed(self) -> None:
+        """The decision to close was not checked again when its time had come."""
+        self.assertFalse(self.holders[0].account.reserve(CAPACITY + 1))
+        self.assertTrue(self.holders[0].account.reserve(CAPACITY))
+        self.timers.advance(0.0)
+        self.assertFalse(self.holders[0].is_closed)
+
+    def test_a_request_that_does_not_wait_does_not_overtake(self) -> None:
+        first, waiting, third, _ = self.holders
+        first.account.reserve(90)
+        self.assertFalse(third.account.try_reserve(20))
+        waiting.account.reserve(20)
+        self.assertFalse(third.account.try_reserve(10))
+        self.assertEqual(self.budget.waiting_count, 1)
+
     def test_without_a_limit_everything_is_granted(self) -> None:
         account = ByteBudget(None, None).open_account(self.holders[0])
         self.assertTrue(account.reserve(10**12))
@@ -136,6 +187,19 @@
         budget.remove("busy")
         self.assertIsNone(budget.add("newer"))
 
+    def test_a_busy_connection_that_may_go_makes_room(self) -> None:
+        """Quiet clients in a transaction kept all descriptors."""
+        ranks = {"at-endpoint": None, "open": (True, -9.0), "failed": (False, -1.0)}
+        budget: ConnectionBudget[str] = ConnectionBudget(3, ranks.get)
+        for name in ranks:
+            budget.add(name)
+            budget.mark_busy(name)
+        self.assertEqual(budget.add("new"), "failed")
+        budget.mark_busy("new")
+        self.assertEqual(budget.add("newer"), "open")
+        budget.mark_busy("newer")
+        self.assertEqual(budget.add("newest"), "newest")
+
 
 class ProcessLimitsTest(unittest.TestCase):
     def test_limits_are_read_from_the_settings(self) -> None:
