Do not count a caller that waits for bytes as quiet

Callers saw: a draining host closed connections in the middle of a message. Cause: _close_if_quiet took a caller that is not read for a quiet one. Change: a connection whose reading is paused is not closed as quiet. Evidence: the new test failed before and passes now.

--- a/src/azurerelay/hosts/_caller_server.py
+++ b/src/azurerelay/hosts/_caller_server.py
@@ -153,10 +153,12 @@
         if self._transport is None or self._transport.is_closing():
             return
         quiet_ms = self._timers.now_ms() - self._last_message_ms
-        if self.is_idle and quiet_ms >= QUIET_BEFORE_CLOSE_MS:
+        # A caller that is not read may be in the middle of a message.
+        is_idle = self.is_idle and not self._is_reading_paused
+        if is_idle and quiet_ms >= QUIET_BEFORE_CLOSE_MS:
             self.dismiss()
             return
-        remaining_ms = QUIET_BEFORE_CLOSE_MS - quiet_ms if self.is_idle else 0.0
+        remaining_ms = QUIET_BEFORE_CLOSE_MS - quiet_ms if is_idle else 0.0
         self._timers.call_later(
             max(MIN_QUIET_CHECK_MS, remaining_ms), self._close_if_quiet
         )
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -274,6 +274,15 @@
             self.assertLessEqual(self.budget.held, self.capacity)
         self.assertFalse(any(transport.is_closing() for _, transport in crowd))
 
+    async def test_a_caller_that_waits_for_bytes_is_not_quiet(self) -> None:
+        """A draining host closed callers that it did not read."""
+        caller, transport = self.connect(data=OPEN)
+        self.others.account.charge(self.capacity)
+        caller.data_received(b"x" * 10_000)
+        caller.close_when_idle()
+        self.timers.advance(900.0)
+        self.assertFalse(transport.is_closing())
+
     async def test_a_closed_connection_gives_back_its_bytes_at_once(self) -> None:
         """Others waited until the last answer of a closed connection was read."""
         caller, transport = self.connect()
