Tests of the byte budget end when what they guard against returns

Two tests looped without end on a fault that they guard against. Both fail now: one checks that no connection of the burst is closed on each turn, the other bounds the measurements.

--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -15,6 +15,7 @@
 from azurerelay.timing import ManualTimerService
 from tests.test_platform_codecs import SETTINGS
 
+MAX_MEASUREMENTS = 100  # of a holder in one test
 CAPACITY = 100
 MIB = 1_024 * 1_024
 
@@ -31,6 +32,8 @@
 
     def measure_bytes(self) -> int:
         self.measured_count += 1
+        if self.measured_count > MAX_MEASUREMENTS:
+            raise AssertionError("the budget measures its holders without end")
         if self.is_measured_by_reserve:
             self.account.reserve(self.account.held)
         self.account.moved += self.moved_before_review
@@ -110,10 +113,7 @@
         self.assertFalse(small.is_closed)
 
     def test_one_look_at_all_holders_relieves_the_budget(self) -> None:
-        """Each look scheduled another one for every holder, in the worst case for ever.
-
-        A run of the timers that does not end is the failure.
-        """
+        """Each look scheduled another one for every holder, in the worst case for ever."""
         for holder in self.holders:
             holder.is_measured_by_reserve = True
             holder.in_progress = 40
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -263,6 +263,8 @@
         message = b"QUERY q1 WRITE a ".ljust(MIB - 2, b"x") + b"\r\n"
         unsent = {caller: memoryview(message) for caller, _ in crowd}
         while any(unsent.values()):
+            # Also ends the loop: a closed connection would never send the rest.
+            self.assertFalse(any(transport.is_closing() for _, transport in crowd))
             for _ in range(8):
                 for caller, transport in crowd:
                     if transport.is_reading and unsent[caller]:
