--- a/tests/test_quota_properties.py
+++ b/tests/test_quota_properties.py
@@ -3,7 +3,9 @@
 import os
 import random
 import unittest
+from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -138,3 +140,35 @@
             print(f"refused {refused:.4f}", seed, share, rate, customer.burst)
         self.assertLess(refused, 0.01)
         self.assertEqual(has_others, bool(rig.refused["other"]))
+
+    def test_no_window_exceeds_the_quota_if_half_of_the_demand_is_cut_off(self) -> None:
+        """Guards against hosts that lose control just as a customer's demand jumps.
+
+        24 of 140 hosts carry half of the demand. Until they notice that control is
+        silent, nothing limits them.
+        """
+        for seed in (5, 17, 24):
+            draw = random.Random(seed)
+            rate = draw.choice((20.0, 50.0, 100.0, 150.0))
+            customer = Customer("c", (), rate, rate)
+            rig = QuotaRig(seed, 140, (customer,))
+            cut_ms = 5_000.0 + draw.uniform(-500.0, 500.0)
+            demand = _jump_at(5_000.0, USUAL_SHARE * rate / 2.0)
+            victims, others = rig.hosts[:24], rig.hosts[24:]
+            rig.offer_from("c", demand, victims)
+            rig.offer_from("c", demand, others)
+            rig.timers.call_later(cut_ms, partial(rig.cut_off, victims))
+            rig.timers.call_later(cut_ms + CUT_MS, partial(rig.cut_off, ()))
+            rig.timers.advance(16_000.0)
+            with self.subTest(seed=seed):
+                self.assertLessEqual(rig.busiest_window("c"), bound(customer))
+
+
+def _jump_at(jump_ms: float, usual_per_s: float) -> Callable[[float], float]:
+    """Return a demand that is `JUMP` times the usual one for `JUMP_MS`."""
+
+    def demand(now_ms: float) -> float:
+        is_jump = jump_ms <= now_ms < jump_ms + JUMP_MS
+        return usual_per_s * (JUMP if is_jump else 1.0)
+
+    return demand
