Report replies of endpoints that are given up for want of memory

An engineer could not tell them from endpoints that had gone: no event and no metric told of it. ConnectionDropped now names the service 'endpoints' (tests/test_connection_limits.py).

--- a/src/azurerelay/hosts/_endpoint_client.py
+++ b/src/azurerelay/hosts/_endpoint_client.py
@@ -6,8 +6,9 @@
 
 from result import Err, Ok, Result
 
-from azurerelay.budgets import ByteAccount, ByteBudget
+from azurerelay.budgets import ByteAccount
 from azurerelay.discovery import Announcement
+from azurerelay.hosts._resource_limits import MEMORY, ResourceLimits
 from azurerelay.hosts._sockets import set_socket_options, split_address
 from azurerelay.platform import (
     LineSplitter,
@@ -49,6 +50,7 @@
 # How long a large reply waits for memory. It takes one of the few connections to the
 # endpoint meanwhile, for which ordinary statements wait.
 MAX_REPLY_WAIT_S: Final = 0.25
+SERVICE: Final = "endpoints"  # in events and metrics
 SHORT_OF_MEMORY: Final = "the host is short of memory"
 
 
@@ -59,8 +61,11 @@
     byte budget is short, large replies are read one after another.
     """
 
-    def __init__(self, budget: ByteBudget | None = None) -> None:
-        self._account = budget.open_account(self) if budget is not None else None
+    def __init__(self, resources: ResourceLimits | None = None) -> None:
+        self._resources = resources
+        self._account: ByteAccount | None = None
+        if resources is not None:
+            self._account = resources.budget.open_account(self)
         self._wait_timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
         self._splitter = LineSplitter()
@@ -160,7 +165,8 @@
 
     def _give_up(self) -> None:
         """Close the connection, since its reply does not get the memory in time."""
-        if self._account is not None:
+        if self._account is not None and self._resources is not None:
+            self._resources.report_dropped(SERVICE, MEMORY, self._account.held)
             self._account.close()
         self._fail(ConnectionLost(SHORT_OF_MEMORY))
 
@@ -222,11 +228,12 @@
     """Open sessions with endpoints over TCP."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, budget: ByteBudget | None = None
+        self, loop: asyncio.AbstractEventLoop, resources: ResourceLimits | None = None
     ) -> None:
         self._loop = loop
         # Without a limit, nothing is counted.
-        self._budget = budget if budget is not None and budget.is_limited else None
+        is_limited = resources is not None and resources.budget.is_limited
+        self._resources = resources if is_limited else None
         self._tasks: set[asyncio.Task[None]] = set()
         self._opened_count = 0
 
@@ -254,7 +261,7 @@
         resolve: Callable[[Result[EndpointSession, ConnectFailed]], object],
     ) -> None:
         """Open a session; resolve the promise whatever happens."""
-        protocol = EndpointProtocol(self._budget)
+        protocol = EndpointProtocol(self._resources)
         try:
             host, port = split_address(endpoint.address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/src/azurerelay/hosts/_entry_host.py
+++ b/src/azurerelay/hosts/_entry_host.py
@@ -48,7 +48,7 @@
         self._resources = ResourceLimits.of_settings(
             settings, self._timers, events, meters
         )
-        self._connector = TcpEndpointConnector(loop, self._resources.budget)
+        self._connector = TcpEndpointConnector(loop, self._resources)
         self._node = RelayNode(
             settings.name,
             Topology(settings.failure_domain, settings.regions),
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -5,8 +5,9 @@
 from typing import Any
 
 from azurerelay.budgets import ProcessLimits
-from azurerelay.events import NullEventLog
+from azurerelay.events import ConnectionDropped, NullEventLog
 from azurerelay.hosts._caller_server import CallerProtocol, _ServerState
+from azurerelay.hosts._endpoint_client import EndpointProtocol
 from azurerelay.hosts._http_service import (
     HttpRequest,
     HttpServerResponse,
@@ -17,6 +18,7 @@
 from azurerelay.statements import CallerError, CallerReply, SessionState
 from azurerelay.telemetry import Meters
 from azurerelay.timing import ManualTimerService, Promise
+from tests.platform_rig import EventRecorder
 
 MIB = 1_024 * 1_024
 MEMORY_BYTES = 72 * MIB  # gives the smallest budget, 12 MiB
@@ -324,3 +326,14 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class EndpointReplyTest(unittest.TestCase):
+    def test_a_reply_that_is_given_up_for_memory_is_reported(self) -> None:
+        """Operators could not tell it from an endpoint that went away."""
+        events = EventRecorder()
+        limits = ProcessLimits(MEMORY_BYTES, None)
+        resources = ResourceLimits(limits, ManualTimerService(), events, Meters())
+        EndpointProtocol(resources).close_for_bytes()
+        (event,) = events.of(ConnectionDropped)
+        self.assertEqual((event.service, event.reason), ("endpoints", "memory"))
