--- a/review/standins-2/small_site.py
+++ b/review/standins-2/small_site.py
@@ -92,6 +92,9 @@
         self.term = 1
         self.is_paused = False
         self.is_up = False
+        self.state = "ready"
+        self.leave_noted_at = math.inf  # when it was first acknowledged as draining
+        self.runs: list[tuple[float, str]] = []  # when clients' statements arrived
         self.answers = asyncio.Event()  # cleared while it is dark
         self.answers.set()
         self.receives_at = 0.0  # when the last commit on its way arrives
@@ -149,7 +152,7 @@
                     "zone": self.zone,
                     "version": "v1",
                     "slots": 3,
-                    "state": "ready",
+                    "state": self.state,
                     "cold_remaining_ms": 0,
                     "database_role": self.role,
                     "seq": self.seq,
@@ -161,6 +164,9 @@
                         address, "POST", path, json.dumps(body).encode()
                     )
                     if 200 <= status < 300:
+                        if body["state"] == "draining":
+                            noted_at = min(self.leave_noted_at, time.monotonic())
+                            self.leave_noted_at = noted_at
                         break
             try:
                 async with asyncio.timeout(BEAT_S):
@@ -208,6 +214,8 @@
             writer.write(f"{outcome}READY {code} {self.position}\r\n".encode())
 
     async def _run(self, state: dict, request_id: str, text: str) -> str:
+        if request_id != "-":
+            self.runs.append((time.monotonic(), request_id))
         word, _, rest = text.partition(" ")
         if word == "AFTER":
             wanted, _, text = rest.partition(" ")
@@ -576,7 +584,9 @@
         self._site = site
         self._record = record
         self.successes: list[str] = []
+        self.sent: dict[str, tuple[float, str]] = {}  # when, and to which entry host
         self.count = 0
+        self.operations = 1_000_000  # in one session
 
     async def run(self, pause_s: float) -> None:
         """Write until cancelled, with pauses of `pause_s` on average."""
@@ -589,7 +599,7 @@
                 await asyncio.sleep(0.2)
                 continue
             try:
-                await self._session(reader, writer, pause_s)
+                await self._session(address, reader, writer, pause_s)
             except (OSError, asyncio.IncompleteReadError, TimeoutError):
                 await asyncio.sleep(0.05)
             finally:
@@ -597,6 +607,7 @@
 
     async def _session(
         self,
+        address: str,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         pause_s: float,
@@ -605,10 +616,11 @@
         async with asyncio.timeout(2.0):
             if not (await reader.readline()).startswith(b"READY"):
                 return
-        while True:
+        for _ in range(self.operations):
             self.count += 1
             request_id = f"{self.name}-{self.count}"
-            self._record.write(f"SENT {request_id} WRITE")
+            self.sent[request_id] = (time.monotonic(), address)
+            self._record.write(f"SENT {request_id} WRITE to {address}")
             writer.write(f"QUERY {request_id} WRITE item{self.count} data\r\n".encode())
             reply = b""
             async with asyncio.timeout(4.0):
