Let only the endpoint to be promoted receive commits while its order is open

Cause: a pause ends with the replica's restart. Control paused all replicas once, chose once and repeated that order for up to ten seconds; nothing watched whether the pauses still held. The primary acknowledged commits through the replica that was back, and the chosen one, being paused, could not get them. Ruled out: a wrong choice (the chosen one had the newest commit then) and an earlier order (the last one took effect).

Change: the endpoint whose promotion is ordered is resumed, and all others stay paused, so that each commit that is acknowledged is in its log. ReplicaHolds compares the paused incarnations with those announced every 100 ms, and pauses replicas that restart, return or join (event ReplicaPaused). No order is sent while one of them is not paused; control then chooses again, the ordered endpoint once it has what the others state. A choice that is refused is made anew.

Why it works: a commit needs the receipt of a replica, and only the receiver gives one. A restart of the receiver does not end that.

One test is replaced: "replicas stay paused while an order may be carried out" demanded that all of them are paused, which is what kept commits from the chosen one. Its successor demands that all but the ordered one are paused, at each step, and that no commit is acknowledged at any moment that an ordered endpoint lacks (FakePromotions.unprotected); that was not checked before.

--- a/src/azurerelay/cluster/_position_poll.py
+++ b/src/azurerelay/cluster/_position_poll.py
@@ -35,6 +35,7 @@
         self._slowest_answer_ms = 0.0
         self._received: dict[str, Position] = {}
         self._endpoints: dict[tuple[str, int], Announcement] = {}
+        self._polled: set[tuple[str, int]] = set()
         self._next_answer: Promise[None] = Promise()
 
     @property
@@ -53,18 +54,34 @@
         return self._next_answer
 
     def set_endpoints(self, endpoints: Iterable[Announcement]) -> None:
-        """Query these endpoints, and stop to query any other."""
+        """Query these endpoints, and stop to query any other.
+
+        An answer of an endpoint counts until another incarnation of it is queried.
+        """
         wanted = {(e.endpoint, e.incarnation): e for e in endpoints}
         started = wanted.keys() - self._endpoints.keys()
         self._endpoints = wanted
         for key in sorted(started):
-            spawn(self._poll(key))
+            self._received.pop(key[0], None)
+            self._start(key)
+
+    def query_again(self, name: str) -> None:
+        """Query an endpoint that has answered once more, after a delay."""
+        for key in list(self._endpoints):
+            if key[0] == name and key not in self._polled:
+                self._start(key, QUERY_RETRY_DELAY_MS)
 
     def stop(self) -> None:
         """Stop all queries."""
         self._endpoints = {}
 
-    async def _poll(self, key: tuple[str, int]) -> None:
+    def _start(self, key: tuple[str, int], delay_ms: float = 0.0) -> None:
+        self._polled.add(key)
+        spawn(self._poll(key, delay_ms)).add_callback(lambda: self._polled.discard(key))
+
+    async def _poll(self, key: tuple[str, int], delay_ms: float) -> None:
+        if delay_ms:
+            await sleep(self._timers, delay_ms)
         timeout_ms = self._first_timeout_ms
         while key in self._endpoints:
             started_ms = self._timers.now_ms()
--- a/src/azurerelay/cluster/_promotion_controller.py
+++ b/src/azurerelay/cluster/_promotion_controller.py
@@ -1,51 +1,39 @@
 """Failover of the primaries of all groups by the control leader."""
 
-from collections.abc import Callable, Coroutine, Mapping
-from dataclasses import dataclass
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Final
 
 from azurerelay.attachment import SuspectedPrimaryReport
+from azurerelay.cluster._durable_choice import (
+    Choice,
+    DurableChoice,
+    describe_positions,
+)
 from azurerelay.cluster._endpoint_status_client import (
     MAINTENANCE_INTERVAL_MS,
-    STATUS_TIMEOUT_MS,
     EndpointStatusClient,
 )
-from azurerelay.cluster._position_poll import FIRST_QUERY_TIMEOUT_MS, PositionPoll
 from azurerelay.cluster._primary_contact import PrimaryContact
 from azurerelay.cluster._primary_contacts import PrimaryContacts
 from azurerelay.cluster._promotion_policy import (
     GroupHealth,
     Suspicions,
     candidates,
-    commit_holders,
     may_acknowledge_commits,
     most_advanced,
     promotion_reason,
-    required_answers,
 )
 from azurerelay.cluster._replica_holds import ReplicaHolds
 from azurerelay.consensus import RaftNode
-from azurerelay.discovery import Announcement, EndpointDirectory
-from azurerelay.events import (
-    EventLog,
-    PromotionAnswered,
-    PromotionDecided,
-    PromotionWaiting,
-)
+from azurerelay.discovery import EndpointDirectory
+from azurerelay.events import EventLog, PromotionAnswered, PromotionDecided
 from azurerelay.membership import COMMAND_CODEC, ClusterState, RecordPromotion
 from azurerelay.messages import compress
 from azurerelay.pooling import connected_hosts
-from azurerelay.promotions import PromotionOrder, PromotionPort
+from azurerelay.promotions import PromotionAnswer, PromotionOrder, PromotionPort
 from azurerelay.routes import DatabaseGroup
-from azurerelay.statements import EndpointConnector, Position
-from azurerelay.timing import (
-    Promise,
-    TimerService,
-    gather,
-    sleep,
-    spawn,
-    with_timeout,
-)
+from azurerelay.statements import EndpointConnector
+from azurerelay.timing import TimerService, gather, sleep, spawn
 
 CHECK_INTERVAL_MS: Final = 100.0
 RETRY_DELAY_MS: Final = 200.0
@@ -58,13 +46,6 @@
 # A new leader makes no decisions for this long, so that it has received the attachment
 # reports of the other control hosts.
 NEW_LEADER_GRACE_MS: Final = 500.0
-# A promotion that waits for positions is reported at this interval.
-WAITING_REPORT_INTERVAL_MS: Final = 1_000.0
-# An endpoint may take longer to pause than to state its position.
-PAUSE_DURATION_FACTOR: Final = 1.5
-# The primary can acknowledge no commits while replicas are paused. They are resumed
-# unless enough of them have answered within this many timeouts of a query.
-PAUSE_TIMEOUTS: Final = 3.0
 # Suspicions and contacts come at intervals. A promotion under way is given up only
 # after there was no reason for it for this long.
 REASON_RETENTION_MS: Final = 1_000.0
@@ -76,35 +57,6 @@
 SuspicionSource = Callable[[], tuple[SuspectedPrimaryReport, ...]]
 
 
-@dataclass(frozen=True, slots=True)
-class _Answers:
-    """The positions that endpoints of a group have stated to have received.
-
-    `missing` names the endpoints that may hold commits and have not answered, and
-    `needed` is the number of answers that a promotion needs.
-    """
-
-    received: Mapping[str, Position]
-    draining: frozenset[str]
-    missing: str
-    needed: int
-
-    @property
-    def is_enough(self) -> bool:
-        """Whether one of the answers is sure to cover all acknowledged commits."""
-        return len(self.received) >= self.needed
-
-    def choose(self) -> tuple[str, str] | None:
-        """Return the endpoint to promote and a description of all answers."""
-        endpoint = most_advanced(self.received, self.draining)
-        if endpoint is None:
-            return None
-        text = _describe(self.received)
-        if self.missing:
-            text += f"; no answer: {self.missing}"
-        return endpoint, text
-
-
 class PromotionController:
     """Replaces primaries that are lost or draining.
 
@@ -136,11 +88,25 @@
         self._heartbeat_ms = heartbeat_ms
         self._order_count = 0
         self._groups_in_failover: set[str] = set()
-        self._waiting_groups: set[str] = set()
-        # Groups with an order that may still be carried out.
-        self._unsettled_groups: set[str] = set()
+        # The endpoints of each group whose promotion may still be carried out.
+        self._open_orders: dict[str, frozenset[str]] = {}
+        # The last choice in each group with open orders.
+        self._choices: dict[str, Choice | None] = {}
         self._holds = ReplicaHolds(
-            self._status_client, directory, timers, lambda: raft.is_ready_leader
+            self._status_client,
+            directory,
+            timers,
+            events,
+            lambda: raft.is_ready_leader,
+        )
+        self._durable_choice = DurableChoice(
+            directory,
+            self._status_client,
+            self._holds,
+            timers,
+            events,
+            self._synchronous_replicas,
+            self._is_promotion_needed,
         )
         self._resume_after_ms = float("inf")
         self._reason_seen_ms: dict[str, float] = {}
@@ -163,7 +129,7 @@
     @property
     def waiting_count(self) -> int:
         """The number of groups whose promotion waits for positions of endpoints."""
-        return len(self._waiting_groups)
+        return self._durable_choice.waiting_count
 
     def set_sources(
         self, suspicions: SuspicionSource, count_entry_hosts: Callable[[], int]
@@ -179,7 +145,8 @@
             self._startup_grace_end_ms, now_ms + NEW_LEADER_GRACE_MS
         )
         self._resume_after_ms = self._decide_after_ms + EARLIER_ORDER_MS
-        self._unsettled_groups.clear()
+        self._open_orders.clear()
+        self._choices.clear()
         self._holds.forget()
 
     def _check(self) -> None:
@@ -187,6 +154,7 @@
         is_ready = self._timers.now_ms() >= self._decide_after_ms
         if not self._raft.is_ready_leader or not is_ready or configuration is None:
             return
+        self._holds.renew()
         for group in configuration.groups:
             if group.name not in self._groups_in_failover and self._directory.group(
                 group.name
@@ -205,7 +173,7 @@
 
     def _reason(self, group: DatabaseGroup) -> str | None:
         reason = promotion_reason(self._health(group), self._heartbeat_ms)
-        if reason is None and group.name in self._unsettled_groups:
+        if reason is None and group.name in self._open_orders:
             return "an earlier order may still be carried out"
         return reason
 
@@ -245,29 +213,91 @@
     async def _replace_primary(self, group: str, reason: str) -> None:
         try:
             if self._synchronous_replicas(group):
-                chosen = await self._choose_durable_endpoint(group, reason)
-            else:
-                failed = tuple(p.endpoint for p in self._directory.primaries(group))
-                chosen = await self._choose_endpoint(group, failed)
-            if chosen is not None:
-                endpoint, reported = chosen
-                if await self._send_order(group, endpoint, reason, reported):
-                    self._unsettled_groups.discard(group)
-                else:
-                    self._unsettled_groups.add(group)
+                await self._replace_durably(group, reason)
             else:
-                await sleep(self._timers, RETRY_DELAY_MS)
+                await self._replace_at_once(group, reason)
         finally:
             if not self._synchronous_replicas(group):
-                self._unsettled_groups.discard(group)
-            if group not in self._unsettled_groups:
+                self._open_orders.pop(group, None)
+            if not self._open_orders.get(group):
+                self._open_orders.pop(group, None)
+                self._choices.pop(group, None)
                 self._holds.release(group)
             # The next check decides again, also after an unexpected error.
             self._groups_in_failover.discard(group)
 
+    async def _replace_at_once(self, group: str, reason: str) -> None:
+        """Promote the best endpoint that answers in time."""
+        failed = tuple(p.endpoint for p in self._directory.primaries(group))
+        choice = await self._choose_endpoint(group, failed)
+        if choice is None:
+            await sleep(self._timers, RETRY_DELAY_MS)
+            return
+        for attempt in range(MAX_ATTEMPTS):
+            if not await self._confirm_leadership():
+                return
+            answer = await self._send_order(group, choice, reason, attempt == 0)
+            if answer.is_done:
+                await self._wait_for_switch(group, choice.endpoint)
+                return
+            await sleep(self._timers, RETRY_DELAY_MS)
+            if answer.is_fenced:
+                # Another leader has used a higher token, or the endpoint is down: the
+                # next check decides again.
+                return
+
+    async def _replace_durably(self, group: str, reason: str) -> None:
+        """Order the promotion of an endpoint that holds all acknowledged commits, once.
+
+        Until the order is carried out or can no longer be, only this endpoint receives
+        commits, and the next check orders its promotion again. Another one is chosen
+        only if a replica was not paused for a while, and may hold further commits.
+        """
+        choice = self._choices.get(group)
+        if choice is None or not self._is_guarded(group):
+            choice = await self._choose_durable_endpoint(group, reason)
+            if choice is None:
+                await sleep(self._timers, RETRY_DELAY_MS)
+                return
+        open_orders = self._open_orders.get(group, frozenset())
+        must_guard = self._must_hold(group) or open_orders
+        if must_guard:
+            others = open_orders - {choice.endpoint}
+            self._holds.guard(group, None if others else choice.endpoint)
+        if not await self._confirm_leadership():
+            return
+        if must_guard and not self._is_guarded(group):
+            return
+        self._open_orders[group] = open_orders | {choice.endpoint}
+        is_first = choice.endpoint not in open_orders
+        answer = await self._send_order(group, choice, reason, is_first)
+        if answer.is_done:
+            # The platform refuses earlier orders from now on.
+            self._open_orders[group] = frozenset({choice.endpoint})
+            self._holds.guard(group, choice.endpoint)
+            if await self._wait_for_switch(group, choice.endpoint):
+                self._open_orders.pop(group, None)
+                return
+        elif answer.is_answered:
+            # Refused, so that only the earlier orders may still be carried out.
+            self._open_orders[group] = open_orders
+            choice = None
+        self._choices[group] = choice
+        await sleep(self._timers, RETRY_DELAY_MS)
+
+    async def _choose_durable_endpoint(self, group: str, reason: str) -> Choice | None:
+        open_orders = self._open_orders.get(group, frozenset())
+        ordered = next(iter(open_orders)) if len(open_orders) == 1 else None
+        return await self._durable_choice.choose(
+            group, reason, lambda: self._must_hold(group), ordered
+        )
+
+    def _is_guarded(self, group: str) -> bool:
+        return self._holds.is_complete(group, self._synchronous_replicas(group))
+
     async def _choose_endpoint(
         self, group: str, failed: tuple[str, ...]
-    ) -> tuple[str, str] | None:
+    ) -> Choice | None:
         """Return the endpoint to promote and the positions that candidates reported.
 
         Returns None if no candidate answered.
@@ -291,42 +321,9 @@
             if position is not None
         }
         endpoint = most_advanced(received)
-        return (endpoint, _describe(received)) if endpoint is not None else None
-
-    async def _choose_durable_endpoint(
-        self, group: str, reason: str
-    ) -> tuple[str, str] | None:
-        """Return an endpoint that holds every acknowledged commit, and all positions.
-
-        Waits until enough endpoints have stated their positions. An operator who sets
-        the number of synchronous replicas of the group to 0 meanwhile ends the wait,
-        and accepts the loss of commits that only the missing endpoints hold. Returns
-        None if the primary no longer has to be replaced, or this host does not lead.
-        """
-        poll = self._start_poll(self._status_client.query_received)
-        started_ms = self._timers.now_ms()
-        report_ms = started_ms + STATUS_TIMEOUT_MS
-        try:
-            while self._is_promotion_needed(group):
-                answers = self._update_poll(group, poll)
-                if answers.is_enough:
-                    if not self._must_hold(group):
-                        return answers.choose()
-                    timeout_ms = max(
-                        FIRST_QUERY_TIMEOUT_MS,
-                        PAUSE_DURATION_FACTOR * poll.slowest_answer_ms,
-                    )
-                    return await self._hold_and_choose(group, reason, timeout_ms)
-                now_ms = self._timers.now_ms()
-                if now_ms >= report_ms:
-                    report_ms = now_ms + WAITING_REPORT_INTERVAL_MS
-                    self._waiting_groups.add(group)
-                    self._report_waiting(group, reason, answers, started_ms)
-                await with_timeout(self._timers, poll.next_answer, CHECK_INTERVAL_MS)
+        if endpoint is None:
             return None
-        finally:
-            poll.stop()
-            self._waiting_groups.discard(group)
+        return Choice(endpoint, describe_positions(received))
 
     def _must_hold(self, name: str) -> bool:
         """Return whether commits may be acknowledged before the group has switched."""
@@ -337,77 +334,6 @@
             and may_acknowledge_commits(self._health(group))
         )
 
-    async def _hold_and_choose(
-        self, group: str, reason: str, timeout_ms: float
-    ) -> tuple[str, str] | None:
-        """Pause replicas until no commit can be acknowledged, and choose one of them.
-
-        Their positions do not change until the group has switched or is released.
-        Returns None if too few are known to be paused after `PAUSE_TIMEOUTS` times
-        `timeout_ms`.
-        """
-        poll = self._start_poll(self._holds.hold, timeout_ms)
-        started_ms = self._timers.now_ms()
-        try:
-            while self._is_promotion_needed(group):
-                answers = self._update_poll(group, poll)
-                if answers.is_enough:
-                    return answers.choose()
-                waited_ms = self._timers.now_ms() - started_ms
-                if waited_ms >= PAUSE_TIMEOUTS * timeout_ms:
-                    reason = f"{reason}; replicas could not be paused"
-                    self._report_waiting(group, reason, answers, started_ms)
-                    return None
-                await with_timeout(self._timers, poll.next_answer, CHECK_INTERVAL_MS)
-            return None
-        finally:
-            poll.stop()
-
-    def _start_poll(
-        self,
-        query: Callable[
-            [Announcement, float], Coroutine[Promise[Any], None, Position | None]
-        ],
-        first_timeout_ms: float = FIRST_QUERY_TIMEOUT_MS,
-    ) -> PositionPoll:
-        return PositionPoll(
-            lambda endpoint, timeout_ms: spawn(query(endpoint, timeout_ms)),
-            self._timers,
-            first_timeout_ms,
-        )
-
-    def _report_waiting(
-        self, group: str, reason: str, answers: _Answers, started_ms: float
-    ) -> None:
-        self._events.record(
-            PromotionWaiting(
-                group,
-                reason,
-                answers.needed,
-                _describe(answers.received),
-                answers.missing,
-                self._timers.now_ms() - started_ms,
-            )
-        )
-
-    def _update_poll(self, group: str, poll: PositionPoll) -> _Answers:
-        """Query all endpoints of a group but its primary; return the answers."""
-        failed = {p.endpoint for p in self._directory.primaries(group)}
-        members = self._directory.group(group)
-        poll.set_endpoints(m for m in members if m.endpoint not in failed)
-        holders = commit_holders(self._directory, group)
-        received = {
-            name: position
-            for name, position in poll.received.items()
-            if name in holders.names
-        }
-        return _Answers(
-            received,
-            frozenset(m.endpoint for m in members if m.is_draining),
-            ", ".join(sorted(holders.names - received.keys())),
-            required_answers(holders, self._synchronous_replicas(group)),
-        )
-
     def _is_promotion_needed(self, name: str) -> bool:
         group = self._group(name)
         if group is None or not self._raft.is_ready_leader:
@@ -427,53 +353,41 @@
         groups = configuration.groups if configuration is not None else ()
         return next((group for group in groups if group.name == name), None)
 
-    async def _send_order(
-        self, group: str, endpoint: str, reason: str, reported: str
-    ) -> bool:
-        """Send the order until the platform answers, then wait for the switch.
+    async def _confirm_leadership(self) -> bool:
+        """Return whether a majority confirms this leader, as before each order.
 
-        Returns False if an order may still be carried out.
+        A leader that was cut off meanwhile may have a successor that has sent orders of
+        its own.
+        """
+        return await self._raft.confirm_leadership() and self._raft.is_ready_leader
 
-        Each attempt uses a new fencing token. Gives up after `MAX_ATTEMPTS`, if this
-        host no longer leads, or if the platform reports a conflict. A majority confirms
-        the leadership before each attempt: a leader that was cut off meanwhile may
-        have a successor that has sent orders of its own.
+    async def _send_order(
+        self, group: str, choice: Choice, reason: str, is_first: bool
+    ) -> PromotionAnswer:
+        """Send an order under a new fencing token, and return the answer.
+
+        The first order of a change is recorded in the audit trail.
         """
-        is_settled = True
-        for attempt in range(MAX_ATTEMPTS):
-            if not await self._raft.confirm_leadership():
-                return is_settled
-            if not self._raft.is_ready_leader:
-                return is_settled
-            token = self._next_token()
-            self._events.record(
-                PromotionDecided(group, endpoint, token, reason, reported)
-            )
-            if attempt == 0:
-                self._record_in_audit_trail(group, endpoint, token, reason)
-            sent_ms = self._timers.now_ms()
-            answer = await self._port.promote(
-                PromotionOrder(group, endpoint, self._issuer, token)
-            )
-            self._events.record(
-                PromotionAnswered(
-                    group,
-                    endpoint,
-                    token,
-                    answer.status,
-                    self._timers.now_ms() - sent_ms,
-                )
+        endpoint, token = choice.endpoint, self._next_token()
+        self._events.record(
+            PromotionDecided(group, endpoint, token, reason, choice.reported)
+        )
+        if is_first:
+            self._record_in_audit_trail(group, endpoint, token, reason)
+        sent_ms = self._timers.now_ms()
+        answer = await self._port.promote(
+            PromotionOrder(group, endpoint, self._issuer, token)
+        )
+        self._events.record(
+            PromotionAnswered(
+                group,
+                endpoint,
+                token,
+                answer.status,
+                self._timers.now_ms() - sent_ms,
             )
-            is_settled = is_settled and answer.is_answered
-            if answer.is_done:
-                return await self._wait_for_switch(group, endpoint)
-            if answer.is_fenced:
-                # Another leader has used a higher token, or the endpoint is down: the
-                # next check decides again.
-                await sleep(self._timers, RETRY_DELAY_MS)
-                return is_settled
-            await sleep(self._timers, RETRY_DELAY_MS)
-        return is_settled
+        )
+        return answer
 
     def _record_in_audit_trail(
         self, group: str, endpoint: str, token: int, reason: str
@@ -497,7 +411,3 @@
     def _next_token(self) -> int:
         self._order_count += 1
         return self._raft.term * TOKENS_PER_TERM + self._order_count
-
-
-def _describe(received: Mapping[str, Position]) -> str:
-    return ", ".join(f"{name} {position}" for name, position in received.items())
--- a/src/azurerelay/events/_events.py
+++ b/src/azurerelay/events/_events.py
@@ -287,6 +287,20 @@
     waited_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaPaused(Event):
+    """A replica that restarted or joined during a promotion receives nothing now.
+
+    `received` is the position that it has received; only the endpoint to be promoted
+    receives later ones.
+    """
+
+    group: str
+    endpoint: str
+    incarnation: int
+    received: str
+
+
 @dataclass(frozen=True, slots=True)
 class PromotionAnswered(Event):
     """The platform's answer to a promotion; `status` is 0 if there was none."""
--- a/src/azurerelay/events/_explanation.py
+++ b/src/azurerelay/events/_explanation.py
@@ -25,12 +25,13 @@
         "LocalQuotasEnded",
         "LocalQuotasStarted",
         "ProcessChanged",
+        "ReplicaPaused",
         "RoleChanged",
         "EventsLeftOut",
     }
 )
 _PROMOTION_EVENTS: Final = frozenset(
-    {"PromotionDecided", "PromotionWaiting", "PromotionAnswered"}
+    {"PromotionDecided", "PromotionWaiting", "PromotionAnswered", "ReplicaPaused"}
 )
 _HIDDEN_FIELDS: Final = frozenset({"time_ms", "host", "event", "request_id"})
 
