Pause replicas before every promotion order under sync_replicas

Cause: replicas were paused only if the primary might still serve, and a refused connection was taken for proof that it does not. It is true of that moment only; the platform takes up to a second to switch, and a primary that has started again leads until then. Ruled out: a wrong choice (the lost commits are newer than it), late answers.

Change: replicas are paused before every order, whatever the primary's state, and only the endpoint to be promoted goes on receiving, so the returning primary acknowledges nothing that it lacks. While the primary cannot be reached a pause keeps nobody waiting, so it is the first query and costs no further round trip. An operator who accepts a loss (sync_replicas 0) still ends the wait at once.

The rig now reports refused connections as the hosts do (is_unreachable); no test came to the branch at fault before.

--- a/src/azurerelay/cluster/_durable_choice.py
+++ b/src/azurerelay/cluster/_durable_choice.py
@@ -78,8 +78,9 @@
 class DurableChoice:
     """Chooses endpoints to promote in groups with synchronous replicas.
 
-    `synchronous_replicas` returns their number in a group, and `is_needed` whether the
-    primary of a group still has to be replaced by this host.
+    `synchronous_replicas` returns their number in a group, `is_needed` whether the
+    primary of a group still has to be replaced by this host, and `is_serving` whether
+    it may acknowledge commits at this moment.
     """
 
     def __init__(
@@ -91,6 +92,7 @@
         events: EventLog,
         synchronous_replicas: Callable[[str], int],
         is_needed: Callable[[str], bool],
+        is_serving: Callable[[str], bool],
     ) -> None:
         self._directory = directory
         self._status_client = status_client
@@ -99,6 +101,7 @@
         self._events = events
         self._synchronous_replicas = synchronous_replicas
         self._is_needed = is_needed
+        self._is_serving = is_serving
         self._waiting_groups: set[str] = set()
 
     @property
@@ -107,16 +110,12 @@
         return len(self._waiting_groups)
 
     async def choose(
-        self,
-        group: str,
-        reason: str,
-        must_hold: Callable[[], bool],
-        ordered: str | None,
+        self, group: str, reason: str, open_orders: frozenset[str]
     ) -> Choice | None:
         """Return an endpoint that holds every acknowledged commit, and all positions.
 
-        `ordered` is the endpoint whose promotion has been ordered and may still be
-        carried out, if there is exactly one. It is chosen again if it holds all
+        `open_orders` are the endpoints whose promotion has been ordered and may still
+        be carried out. If there is exactly one, it is chosen again once it holds all
         commits, and goes on receiving meanwhile.
 
         Waits until enough endpoints have stated their positions. An operator who sets
@@ -124,6 +123,16 @@
         and accepts the loss of commits that only the missing endpoints hold. Returns
         None if the primary no longer has to be replaced, or this host does not lead.
         """
+        ordered = next(iter(open_orders)) if len(open_orders) == 1 else None
+        if not self._is_serving(group):
+            # A pause keeps no caller waiting now, so the first query can be one.
+            choice = await self._hold_and_choose(
+                group, reason, FIRST_QUERY_TIMEOUT_MS, ordered
+            )
+            if choice is not None:
+                return choice
+            if not open_orders:
+                self._holds.release(group)
         poll = self._start_poll(self._status_client.query_received)
         started_ms = self._timers.now_ms()
         report_ms = started_ms + STATUS_TIMEOUT_MS
@@ -131,7 +140,7 @@
             while self._is_needed(group):
                 answers = self._update_poll(group, poll)
                 if answers.is_enough:
-                    if not must_hold():
+                    if not self._synchronous_replicas(group):
                         return answers.choose(ordered)
                     timeout_ms = max(
                         FIRST_QUERY_TIMEOUT_MS,
--- a/src/azurerelay/cluster/_promotion_controller.py
+++ b/src/azurerelay/cluster/_promotion_controller.py
@@ -107,6 +107,7 @@
             events,
             self._synchronous_replicas,
             self._is_promotion_needed,
+            self._is_primary_serving,
         )
         self._resume_after_ms = float("inf")
         self._reason_seen_ms: dict[str, float] = {}
@@ -260,13 +261,10 @@
                 await sleep(self._timers, RETRY_DELAY_MS)
                 return
         open_orders = self._open_orders.get(group, frozenset())
-        must_guard = self._must_hold(group) or open_orders
-        if must_guard:
+        if self._synchronous_replicas(group):
             others = open_orders - {choice.endpoint}
             self._holds.guard(group, None if others else choice.endpoint)
-        if not await self._confirm_leadership():
-            return
-        if must_guard and not self._is_guarded(group):
+        if not await self._confirm_leadership() or not self._is_guarded(group):
             return
         self._open_orders[group] = open_orders | {choice.endpoint}
         is_first = choice.endpoint not in open_orders
@@ -287,13 +285,15 @@
 
     async def _choose_durable_endpoint(self, group: str, reason: str) -> Choice | None:
         open_orders = self._open_orders.get(group, frozenset())
-        ordered = next(iter(open_orders)) if len(open_orders) == 1 else None
-        return await self._durable_choice.choose(
-            group, reason, lambda: self._must_hold(group), ordered
-        )
+        return await self._durable_choice.choose(group, reason, open_orders)
 
     def _is_guarded(self, group: str) -> bool:
-        return self._holds.is_complete(group, self._synchronous_replicas(group))
+        """Return whether no commit is acknowledged that the receiver lacks.
+
+        An operator may also have accepted such a loss meanwhile.
+        """
+        count = self._synchronous_replicas(group)
+        return count == 0 or self._holds.is_complete(group, count)
 
     async def _choose_endpoint(
         self, group: str, failed: tuple[str, ...]
@@ -325,15 +325,6 @@
             return None
         return Choice(endpoint, describe_positions(received))
 
-    def _must_hold(self, name: str) -> bool:
-        """Return whether commits may be acknowledged before the group has switched."""
-        group = self._group(name)
-        return (
-            group is not None
-            and group.synchronous_replicas > 0
-            and may_acknowledge_commits(self._health(group))
-        )
-
     def _is_promotion_needed(self, name: str) -> bool:
         group = self._group(name)
         if group is None or not self._raft.is_ready_leader:
@@ -344,6 +335,10 @@
         seen_ms = self._reason_seen_ms.get(name, float("-inf"))
         return now_ms - seen_ms < REASON_RETENTION_MS
 
+    def _is_primary_serving(self, name: str) -> bool:
+        group = self._group(name)
+        return group is not None and may_acknowledge_commits(self._health(group))
+
     def _synchronous_replicas(self, name: str) -> int:
         group = self._group(name)
         return group.synchronous_replicas if group is not None else 0
--- a/src/azurerelay/cluster/_promotion_policy.py
+++ b/src/azurerelay/cluster/_promotion_policy.py
@@ -115,9 +115,10 @@
 
 
 def may_acknowledge_commits(health: GroupHealth) -> bool:
-    """Return whether the primary may still acknowledge commits.
+    """Return whether the primary may acknowledge commits at this moment.
 
-    A primary that is silent may only be cut off from control.
+    A primary that is silent may only be cut off from control. One that crashed may
+    acknowledge commits again as soon as it has started.
     """
     return health.contact not in (PrimaryContact.UNREACHABLE, PrimaryContact.DENIED)
 
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -493,7 +493,8 @@
                 return
             if server is None or not server.is_up:
                 if server is None or not server.is_silent:
-                    promise.resolve(Err(ConnectFailed("connection refused")))
+                    refused = ConnectFailed("connection refused", is_unreachable=True)
+                    promise.resolve(Err(refused))
                 return
             if self._client in server.unreachable_from:
                 return
--- a/tests/test_durability.py
+++ b/tests/test_durability.py
@@ -15,6 +15,7 @@
 
     def __init__(self, seed: int = 1) -> None:
         super().__init__(seed=seed, synchronous_replicas=1)
+        self.served = 0
         self.start()
         self.first_replica, self.second_replica = self.replicas()
         self.first_primary = self.primary()
@@ -27,6 +28,22 @@
             if reply.error is not None:
                 raise AssertionError(f"write {number} failed: {reply}")
 
+    def write_constantly(self) -> None:
+        """Start a caller at each entry host that writes until the end of the test."""
+        for entry in (1, 2, 3):
+            spawn(self._write_on(entry))
+
+    async def _write_on(self, entry: int) -> None:
+        session = self.open("strict", entry)
+        while True:
+            reply = await self.send(session, f"WRITE k{entry} v")
+            if reply.error is None:
+                self.served += 1
+            else:
+                node = self.entries[f"10.1.0.{entry}:7440"]
+                session = await spawn(node.open_session("strict", ""))
+            await sleep(self.timers, 15.0)
+
     def is_replaced(self) -> bool:
         return self.primary() is not self.first_primary
 
@@ -145,6 +162,36 @@
         self.assertEqual(self.rig.promotions.orders, [])
         self.rig.write()
 
+    def test_a_crashed_primary_that_is_back_before_the_switch_loses_no_commit(
+        self,
+    ) -> None:
+        """It acknowledged commits that the endpoint to be promoted lacked."""
+        for seed in range(1, 5):
+            with self.subTest(seed=seed):
+                rig = SynchronousRig(seed)
+                primary = rig.first_primary
+                rig.write()
+                for replica in rig.replicas():
+                    # Longer than control takes to find that the primary is gone.
+                    replica.status_delay_ms = 100.0
+                primary.crash()
+                rig.wait_for(lambda p=rig.promotions: bool(p.orders))
+                ordered = rig.servers[rig.promotions.orders[0].endpoint]
+                ordered.receive_delay_ms = 40.0
+                rig.timers.advance(100.0)
+                primary.restart()
+                rig.send_heartbeat(primary)
+                rig.write_constantly()
+                acknowledged = len(rig.confirmed)
+                rig.timers.advance(450.0)
+                self.assertFalse(rig.is_replaced())
+                self.assertGreater(len(rig.confirmed), acknowledged)
+                rig.wait_for(rig.is_replaced)
+                self.assertEqual(rig.promotions.unprotected, [])
+                self.assertEqual(rig.lost_commits, [])
+                rig.timers.advance(3_000.0)
+                rig.write()
+
     def test_an_operator_ends_the_wait_and_the_event_names_the_loss(self) -> None:
         deaf, holder = self.rig.first_replica, self.rig.second_replica
         self.rig.let_only(holder, deaf)
@@ -212,19 +259,9 @@
 
     def _start_rig(self, seed: int) -> None:
         self.rig = SynchronousRig(seed)
-        self.served = 0
-
-    async def _write_on(self, entry: int) -> None:
-        rig = self.rig
-        session = rig.open("strict", entry)
-        while True:
-            reply = await rig.send(session, f"WRITE k{entry} v")
-            self.served += reply.error is None
-            await sleep(rig.timers, 15.0)
 
     def _drain_while_writing(self) -> None:
-        for entry in (1, 2, 3):
-            spawn(self._write_on(entry))
+        self.rig.write_constantly()
         self.rig.timers.advance(1_000.0)
         self.rig.first_primary.is_draining = True
         self.rig.send_heartbeat(self.rig.first_primary)
@@ -255,10 +292,10 @@
         self.rig.wait_for(lambda: second.paused_term is not None)
         first.crash(silent=True)
         self.rig.timers.advance(3_000.0)
-        served = self.served
+        served = self.rig.served
         self.rig.timers.advance(2_000.0)
         self.assertIsNone(second.paused_term)
-        self.assertGreater(self.served, served)
+        self.assertGreater(self.rig.served, served)
         first.restart()
         self.rig.wait_for(self.rig.is_replaced)
         self.assertEqual(self.rig.lost_commits, [])
@@ -292,10 +329,10 @@
         self.rig.promotions.late_execution_ms = 14_000.0
         self._drain_while_writing()
         self.rig.wait_for(lambda: len(self.rig.promotions.orders) == 2)
-        served = self.served
+        served = self.rig.served
         self.rig.timers.advance(2_000.0)
         self.assertFalse(self.rig.is_replaced())
-        self.assertGreater(self.served, served)
+        self.assertGreater(self.rig.served, served)
 
     def test_a_replica_that_restarts_before_the_switch_is_paused_again(self) -> None:
         """Callers' commits went on through it, and the chosen replica lacked them."""
@@ -387,8 +424,7 @@
     """A primary is replaced that still acknowledges commits of some callers."""
 
     def _drain_while_writing(self) -> None:
-        for entry in (1, 2, 3):
-            spawn(self._write_on(entry))
+        self.rig.write_constantly()
         self.rig.timers.advance(1_000.0)
         # Entry host 3 and the replicas still reach it.
         unreachable_from = {*self.rig.addresses, "10.1.0.1:7440", "10.1.0.2:7440"}
