Commit each promotion under sync_replicas to the log before it is ordered

Cause: only that leader's memory knew of the order. Its successor assumed that an order is carried out within 5 s or never, resumed all replicas after that and sent no order that fences the earlier one. Ruled out: an order of the successor (there was none) and a fence that did not work.

Change: the endpoint is committed to control's log before its promotion is ordered (OpenPromotion), the outcome after it (ClosePromotions). A new leader pauses all replicas but that endpoint, and orders its promotion again until the platform answers; no time decides. It does so also if the primary is well again: an order for the present primary may itself be carried out late, after the switch. Only if the ordered endpoint sends no heartbeats is the present primary ordered, which fences the earlier order. Orders without an answer under sync_replicas 0 are recorded for an operator who sets 1 afterwards.

Why it works: an order can be sent only by a leader whose intent is committed, so each later leader knows of it and keeps the invariant until it is settled.

--- a/src/azurerelay/cluster/_promotion_controller.py
+++ b/src/azurerelay/cluster/_promotion_controller.py
@@ -13,9 +13,11 @@
     MAINTENANCE_INTERVAL_MS,
     EndpointStatusClient,
 )
+from azurerelay.cluster._open_promotions import OpenPromotions
 from azurerelay.cluster._primary_contact import PrimaryContact
 from azurerelay.cluster._primary_contacts import PrimaryContacts
 from azurerelay.cluster._promotion_policy import (
+    CANDIDATE_MISSED_HEARTBEATS,
     GroupHealth,
     Suspicions,
     candidates,
@@ -25,10 +27,9 @@
 )
 from azurerelay.cluster._replica_holds import ReplicaHolds
 from azurerelay.consensus import RaftNode
-from azurerelay.discovery import EndpointDirectory
+from azurerelay.discovery import Announcement, EndpointDirectory
 from azurerelay.events import EventLog, PromotionAnswered, PromotionDecided
-from azurerelay.membership import COMMAND_CODEC, ClusterState, RecordPromotion
-from azurerelay.messages import compress
+from azurerelay.membership import ClusterState
 from azurerelay.pooling import connected_hosts
 from azurerelay.promotions import PromotionAnswer, PromotionOrder, PromotionPort
 from azurerelay.routes import DatabaseGroup
@@ -49,10 +50,11 @@
 # Suspicions and contacts come at intervals. A promotion under way is given up only
 # after there was no reason for it for this long.
 REASON_RETENTION_MS: Final = 1_000.0
-# An order of an earlier leader is carried out, or never, before this long has passed.
-EARLIER_ORDER_MS: Final = 5_000.0
+# A pause that an earlier leader requested has reached its replica by then.
+EARLIER_PAUSE_MS: Final = 5_000.0
 TOKENS_PER_TERM: Final = 1_000_000
 MAX_ATTEMPTS: Final = 10
+SWITCHED: Final = "the group has switched"
 
 SuspicionSource = Callable[[], tuple[SuspectedPrimaryReport, ...]]
 
@@ -88,9 +90,8 @@
         self._heartbeat_ms = heartbeat_ms
         self._order_count = 0
         self._groups_in_failover: set[str] = set()
-        # The endpoints of each group whose promotion may still be carried out.
-        self._open_orders: dict[str, frozenset[str]] = {}
-        # The last choice in each group with open orders.
+        self._open_promotions = OpenPromotions(issuer, raft, state, timers)
+        # The last choice in each group with open promotions.
         self._choices: dict[str, Choice | None] = {}
         self._holds = ReplicaHolds(
             self._status_client,
@@ -106,10 +107,12 @@
             timers,
             events,
             self._synchronous_replicas,
-            self._is_promotion_needed,
+            self._is_choice_needed,
             self._is_primary_serving,
         )
         self._resume_after_ms = float("inf")
+        # Groups whose replicas have been resumed since this host began to lead.
+        self._resumed_groups: set[str] = set()
         self._reason_seen_ms: dict[str, float] = {}
         self._contacts = PrimaryContacts(
             lambda primary: spawn(self._status_client.contact_primary(primary)), timers
@@ -145,8 +148,8 @@
         self._decide_after_ms = max(
             self._startup_grace_end_ms, now_ms + NEW_LEADER_GRACE_MS
         )
-        self._resume_after_ms = self._decide_after_ms + EARLIER_ORDER_MS
-        self._open_orders.clear()
+        self._resume_after_ms = self._decide_after_ms + EARLIER_PAUSE_MS
+        self._resumed_groups.clear()
         self._choices.clear()
         self._holds.forget()
 
@@ -166,15 +169,29 @@
                     self._reason_seen_ms[group.name] = self._timers.now_ms()
                     spawn(self._replace_primary(group.name, reason))
         if self._timers.now_ms() >= self._resume_after_ms:
-            self._resume_after_ms = float("inf")
             for group in configuration.groups:
-                is_free = group.name not in self._groups_in_failover
-                if group.synchronous_replicas and is_free:
-                    self._holds.resume_members(group.name)
+                self._resume_paused_members(group)
+
+    def _resume_paused_members(self, group: DatabaseGroup) -> None:
+        """Resume once the replicas that an earlier leader may have left paused.
+
+        Those of a group whose primary is being replaced are resumed after that.
+        """
+        name = group.name
+        is_being_replaced = name in self._groups_in_failover or (
+            group.synchronous_replicas and self._open_promotions.endpoints(name)
+        )
+        if name not in self._resumed_groups and not is_being_replaced:
+            self._resumed_groups.add(name)
+            if group.synchronous_replicas:
+                self._holds.resume_members(name)
 
     def _reason(self, group: DatabaseGroup) -> str | None:
         reason = promotion_reason(self._health(group), self._heartbeat_ms)
-        if reason is None and group.name in self._open_orders:
+        is_open = group.synchronous_replicas and self._open_promotions.endpoints(
+            group.name
+        )
+        if reason is None and is_open:
             return "an earlier order may still be carried out"
         return reason
 
@@ -218,10 +235,8 @@
             else:
                 await self._replace_at_once(group, reason)
         finally:
-            if not self._synchronous_replicas(group):
-                self._open_orders.pop(group, None)
-            if not self._open_orders.get(group):
-                self._open_orders.pop(group, None)
+            is_open = self._open_promotions.endpoints(group)
+            if not self._synchronous_replicas(group) or not is_open:
                 self._choices.pop(group, None)
                 self._holds.release(group)
             # The next check decides again, also after an unexpected error.
@@ -237,10 +252,20 @@
         for attempt in range(MAX_ATTEMPTS):
             if not await self._confirm_leadership():
                 return
-            answer = await self._send_order(group, choice, reason, attempt == 0)
+            token = self._next_token()
+            if attempt == 0:
+                self._open_promotions.record_order(
+                    group, choice.endpoint, token, reason
+                )
+            answer = await self._send_order(group, choice, token, reason)
             if answer.is_done:
+                spawn(self._open_promotions.close(group, frozenset(), SWITCHED))
                 await self._wait_for_switch(group, choice.endpoint)
                 return
+            is_open = choice.endpoint in self._open_promotions.endpoints(group)
+            if not answer.is_answered and not is_open:
+                # An operator may set synchronous replicas before it is carried out.
+                spawn(self._open_promotions.open(group, choice.endpoint, reason))
             await sleep(self._timers, RETRY_DELAY_MS)
             if answer.is_fenced:
                 # Another leader has used a higher token, or the endpoint is down: the
@@ -251,8 +276,9 @@
         """Order the promotion of an endpoint that holds all acknowledged commits, once.
 
         Until the order is carried out or can no longer be, only this endpoint receives
-        commits, and the next check orders its promotion again. Another one is chosen
-        only if a replica was not paused for a while, and may hold further commits.
+        commits, and the next check orders its promotion again, also that of another
+        leader. Another one is chosen only if a replica was not paused for a while, and
+        may hold further commits.
         """
         choice = self._choices.get(group)
         if choice is None or not self._is_guarded(group):
@@ -260,40 +286,107 @@
             if choice is None:
                 await sleep(self._timers, RETRY_DELAY_MS)
                 return
-        open_orders = self._open_orders.get(group, frozenset())
-        if self._synchronous_replicas(group):
-            others = open_orders - {choice.endpoint}
-            self._holds.guard(group, None if others else choice.endpoint)
-        if not await self._confirm_leadership() or not self._is_guarded(group):
+        endpoint = choice.endpoint
+        open_before = self._open_promotions.endpoints(group)
+        self._guard(group, open_before | {endpoint})
+        if not await self._open_promotions.open(group, endpoint, reason):
+            return
+        if not self._raft.is_ready_leader or not self._is_guarded(group):
+            await self._open_promotions.close(group, open_before, "it was not ordered")
             return
-        self._open_orders[group] = open_orders | {choice.endpoint}
-        is_first = choice.endpoint not in open_orders
-        answer = await self._send_order(group, choice, reason, is_first)
+        is_primary = endpoint == self._primary_name(group)
+        answer = await self._send_order(group, choice, self._next_token(), reason)
         if answer.is_done:
-            # The platform refuses earlier orders from now on.
-            self._open_orders[group] = frozenset({choice.endpoint})
-            self._holds.guard(group, choice.endpoint)
-            if await self._wait_for_switch(group, choice.endpoint):
-                self._open_orders.pop(group, None)
+            await self._open_promotions.close(
+                group, frozenset({endpoint}), "a later order was answered"
+            )
+            self._guard(group, frozenset({endpoint}))
+            if is_primary and open_before - {endpoint}:
+                # An order that was carried out just before takes effect by then.
+                await sleep(self._timers, SWITCH_TIMEOUT_MS)
+            if await self._wait_for_switch(group, endpoint):
+                await self._open_promotions.close(group, frozenset(), SWITCHED)
                 return
         elif answer.is_answered:
-            # Refused, so that only the earlier orders may still be carried out.
-            self._open_orders[group] = open_orders
+            await self._open_promotions.close(
+                group, open_before, "the platform refused the order"
+            )
             choice = None
         self._choices[group] = choice
         await sleep(self._timers, RETRY_DELAY_MS)
 
     async def _choose_durable_endpoint(self, group: str, reason: str) -> Choice | None:
-        open_orders = self._open_orders.get(group, frozenset())
-        return await self._durable_choice.choose(group, reason, open_orders)
+        endpoints = self._open_promotions.endpoints(group)
+        primary = self._primary_name(group)
+        if primary is not None and endpoints == {primary} and self._is_kept(group):
+            return Choice(primary, "the primary")
+        self._guard(group, endpoints)
+        targets = endpoints - {primary}
+        choice = await self._durable_choice.choose(group, reason, targets)
+        if choice is not None:
+            return choice
+        # The platform refuses the open promotions once it has answered another order.
+        kept = self._primary_to_keep(group)
+        if kept is None:
+            return None
+        contact = await self._status_client.contact_primary(kept)
+        if contact is not PrimaryContact.PROVEN:
+            return None
+        return Choice(kept.endpoint, f"the primary; no heartbeat: {', '.join(targets)}")
+
+    def _guard(self, group: str, endpoints: frozenset[str]) -> None:
+        """Let a commit be acknowledged only if all these endpoints hold it.
+
+        The primary does. With two others, none of them may receive without the other.
+        """
+        if self._synchronous_replicas(group):
+            targets = endpoints - {self._primary_name(group)}
+            if targets:
+                receiver = next(iter(targets)) if len(targets) == 1 else None
+                self._holds.guard(group, receiver)
 
     def _is_guarded(self, group: str) -> bool:
-        """Return whether no commit is acknowledged that the receiver lacks.
+        """Return whether each acknowledged commit is held by the endpoints to promote.
 
-        An operator may also have accepted such a loss meanwhile.
+        An operator may also have accepted the loss of others meanwhile.
         """
         count = self._synchronous_replicas(group)
-        return count == 0 or self._holds.is_complete(group, count)
+        endpoints = self._open_promotions.endpoints(group)
+        is_needed = count > 0 and endpoints != {self._primary_name(group)}
+        return not is_needed or self._holds.is_complete(group, count)
+
+    def _primary_to_keep(self, name: str) -> Announcement | None:
+        """Return the primary if it is well and no open promotion can take effect now.
+
+        That is so while the endpoints to be promoted send no heartbeats.
+        """
+        group = self._group(name)
+        if group is None or not self._is_kept(name):
+            return None
+        primary = self._health(group).primary
+        targets = self._open_promotions.endpoints(name)
+        if primary is None or not targets or primary.endpoint in targets:
+            return None
+        limit_ms = CANDIDATE_MISSED_HEARTBEATS * self._heartbeat_ms
+        now_ms = self._timers.now_ms()
+        if self._directory.silence_ms(primary.endpoint, now_ms) >= limit_ms:
+            return None
+        is_silent = all(
+            self._directory.silence_ms(name, now_ms) >= limit_ms for name in targets
+        )
+        return primary if is_silent else None
+
+    def _is_kept(self, name: str) -> bool:
+        """Return whether there is no reason to replace the present primary."""
+        group = self._group(name)
+        return (
+            group is not None
+            and promotion_reason(self._health(group), self._heartbeat_ms) is None
+        )
+
+    def _primary_name(self, group: str) -> str | None:
+        primaries = self._directory.primaries(group)
+        return primaries[0].endpoint if primaries else None
 
     async def _choose_endpoint(
         self, group: str, failed: tuple[str, ...]
@@ -325,6 +418,9 @@
             return None
         return Choice(endpoint, describe_positions(received))
 
+    def _is_choice_needed(self, name: str) -> bool:
+        return self._is_promotion_needed(name) and self._primary_to_keep(name) is None
+
     def _is_promotion_needed(self, name: str) -> bool:
         group = self._group(name)
         if group is None or not self._raft.is_ready_leader:
@@ -357,18 +453,13 @@
         return await self._raft.confirm_leadership() and self._raft.is_ready_leader
 
     async def _send_order(
-        self, group: str, choice: Choice, reason: str, is_first: bool
+        self, group: str, choice: Choice, token: int, reason: str
     ) -> PromotionAnswer:
-        """Send an order under a new fencing token, and return the answer.
-
-        The first order of a change is recorded in the audit trail.
-        """
-        endpoint, token = choice.endpoint, self._next_token()
+        """Send an order under a new fencing token, and return the answer."""
+        endpoint = choice.endpoint
         self._events.record(
             PromotionDecided(group, endpoint, token, reason, choice.reported)
         )
-        if is_first:
-            self._record_in_audit_trail(group, endpoint, token, reason)
         sent_ms = self._timers.now_ms()
         answer = await self._port.promote(
             PromotionOrder(group, endpoint, self._issuer, token)
@@ -384,15 +475,6 @@
         )
         return answer
 
-    def _record_in_audit_trail(
-        self, group: str, endpoint: str, token: int, reason: str
-    ) -> None:
-        """Record the order in the audit trail; it is sent without waiting for this."""
-        command = RecordPromotion(
-            self._timers.wall_clock_ms(), self._issuer, group, endpoint, token, reason
-        )
-        self._raft.propose(compress(COMMAND_CODEC.encode(command)))
-
     async def _wait_for_switch(self, group: str, endpoint: str) -> bool:
         """Return whether the endpoint is the primary within `SWITCH_TIMEOUT_MS`."""
         deadline_ms = self._timers.now_ms() + SWITCH_TIMEOUT_MS
--- a/src/azurerelay/cluster/_replica_holds.py
+++ b/src/azurerelay/cluster/_replica_holds.py
@@ -72,9 +72,14 @@
         return position
 
     def guard(self, group: str, receiver: str | None) -> None:
-        """Let only the receiver receive commits until the group is released."""
+        """Let only the receiver receive commits until the group is released.
+
+        A new receiver is resumed, as an earlier leader may have paused it.
+        """
+        is_new = receiver != self._receivers.get(group)
         self._receivers[group] = receiver
-        if receiver in self._groups:
+        if receiver is not None and (is_new or receiver in self._groups):
+            self._groups[receiver] = group
             self._start_to_resume(receiver)
         self.renew()
 
--- a/src/azurerelay/membership/_cluster_state.py
+++ b/src/azurerelay/membership/_cluster_state.py
@@ -17,8 +17,10 @@
     AssignServingSet,
     BeginTerm,
     ChangeSettings,
+    ClosePromotions,
     HoldWrites,
     InstallPrimary,
+    OpenPromotion,
     RecordEndpoint,
     RecordPromotion,
     RecordRefusal,
@@ -46,6 +48,14 @@
     outcome: ChangeOutcome
 
 
+@dataclass(frozen=True, slots=True)
+class _OpenPromotions:
+    """The endpoints of a group that the platform may still promote."""
+
+    group: str
+    endpoints: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class _StateImage:
     """Cluster state as encoded in snapshots."""
@@ -59,6 +69,7 @@
     audit_older: bytes
     audit_recent: tuple[AuditRecord, ...]
     configuration: Configuration | None = None
+    open_promotions: tuple[_OpenPromotions, ...] = ()
 
 
 class ClusterState:
@@ -82,6 +93,7 @@
         self._audit = AuditTrail()
         self._policies: dict[str, GroupPolicy] = {}
         self._configuration: Configuration | None = None
+        self._open_promotions: dict[str, tuple[str, ...]] = {}
 
     @property
     def configuration(self) -> Configuration | None:
@@ -139,6 +151,10 @@
             self._policies[group] = policy
         return policy
 
+    def open_promotions(self, group: str) -> tuple[str, ...]:
+        """Return the endpoints of a group that the platform may still promote."""
+        return self._open_promotions.get(group, ())
+
     def uninterrupted_members(self, group: GroupRecord) -> tuple[str, ...]:
         """Return the hosts of the serving set that have not restarted or been removed.
 
@@ -211,6 +227,7 @@
         self._audit = AuditTrail(image.audit_older, image.audit_recent)
         self._policies = {}
         self._configuration = image.configuration
+        self._open_promotions = {o.group: o.endpoints for o in image.open_promotions}
 
     def _encode(
         self,
@@ -227,6 +244,7 @@
             audit.older,
             audit.recent,
             self._configuration,
+            tuple(_OpenPromotions(*item) for item in self._open_promotions.items()),
         )
         return msgspec.msgpack.encode(image)
 
@@ -436,6 +454,42 @@
             command.reason,
         )
 
+    @_apply.register
+    def _(self, command: OpenPromotion, index: int) -> None:
+        before = self.open_promotions(command.group)
+        if command.endpoint not in before:
+            self._set_open_promotions(
+                command, index, "open promotion", (*before, command.endpoint)
+            )
+
+    @_apply.register
+    def _(self, command: ClosePromotions, index: int) -> None:
+        before = self.open_promotions(command.group)
+        remaining = tuple(name for name in before if name in command.remaining)
+        if remaining != before:
+            self._set_open_promotions(command, index, "close promotion", remaining)
+
+    def _set_open_promotions(
+        self,
+        command: OpenPromotion | ClosePromotions,
+        index: int,
+        action: str,
+        endpoints: tuple[str, ...],
+    ) -> None:
+        group = command.group
+        before = self._open_promotions.pop(group, ())
+        if endpoints:
+            self._open_promotions[group] = endpoints
+        self._append_audit_record(
+            index,
+            command,
+            action,
+            f"groups/{group}/primary",
+            ", ".join(before) or "none",
+            ", ".join(endpoints) or "none",
+            command.reason,
+        )
+
     @_apply.register
     def _(self, command: ChangeSettings, index: int) -> ChangeOutcome:
         known = self._outcomes_by_change_id.get(command.change_id)
--- a/src/azurerelay/membership/_commands.py
+++ b/src/azurerelay/membership/_commands.py
@@ -167,6 +167,34 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class OpenPromotion:
+    """Record that the platform may promote an endpoint from now on.
+
+    Applied before the order is sent, so that the next leader knows of it.
+    """
+
+    at_ms: int
+    actor: str
+    group: str
+    endpoint: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClosePromotions:
+    """Record that the platform will promote none but the `remaining` endpoints.
+
+    Ignored if there are no open promotions of the group.
+    """
+
+    at_ms: int
+    actor: str
+    group: str
+    remaining: tuple[str, ...]
+    reason: str
+
+
 COMMAND_CODEC: Final = TaggedCodec(
     (
         AdmitHost,
@@ -181,5 +209,7 @@
         ChangeSettings,
         ReplaceConfiguration,
         RecordPromotion,
+        OpenPromotion,
+        ClosePromotions,
     )
 )
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -215,6 +215,17 @@
         for session in list(self.sessions):
             session.disconnect(silent)
 
+    def go_dark(self) -> None:
+        """Answer and send nothing; connections stay open."""
+        self.crash(silent=True)
+
+    def come_back(self) -> None:
+        """Answer again after `go_dark`, in the role that the server has by now."""
+        self.is_up = True
+        self.is_silent = False
+        self.rig.catch_up(self)
+        self.rig.send_heartbeat(self)
+
     def restart(self) -> None:
         self.is_up = True
         self.is_silent = False
--- a/tests/test_durability.py
+++ b/tests/test_durability.py
@@ -431,6 +431,110 @@
         self.rig.first_primary.unreachable_from |= unreachable_from
 
 
+class EarlierLeaderTest(unittest.TestCase):
+    """The leader that has sent an order is lost before the platform answers."""
+
+    def _order_without_answer(self, seed: int = 1) -> SynchronousRig:
+        """Return a rig with a dark primary, and an order that is carried out late."""
+        rig = SynchronousRig(seed)
+        rig.promotions.unanswered = 1
+        rig.promotions.late_execution_ms = 11_000.0
+        rig.write()
+        rig.first_primary.go_dark()
+        rig.wait_for(lambda: bool(rig.promotions.orders))
+        rig.promotions.is_down = True
+        return rig
+
+    def _lose_leader(self, rig: SynchronousRig) -> None:
+        controls = rig.controls
+        rig.stop_control(next(a for a, n in controls.items() if n is rig.leader))
+
+    def _assert_no_loss(self, rig: SynchronousRig) -> None:
+        self.assertEqual(rig.promotions.unprotected, [])
+        self.assertEqual(rig.lost_commits, [])
+        rig.timers.advance(8_000.0)
+        paused = [s.name for s in rig.servers.values() if s.paused_term]
+        self.assertEqual(paused, [])
+        rig.write()
+
+    def test_an_order_of_a_lost_leader_that_is_carried_out_late_loses_no_commit(
+        self,
+    ) -> None:
+        """The next leader resumed all replicas, and the ordered one lacked commits."""
+        for seed in range(1, 5):
+            with self.subTest(seed=seed):
+                rig = self._order_without_answer(seed)
+                rig.timers.advance(2_000.0)
+                self._lose_leader(rig)
+                ordered = rig.servers[rig.promotions.orders[0].endpoint]
+                ordered.receive_delay_ms = 40.0
+                rig.first_primary.come_back()
+                rig.write_constantly()
+                # The platform answers no order before it carries out the late one.
+                rig.wait_for(rig.is_replaced)
+                self.assertIs(rig.primary(), ordered)
+                self.assertGreater(rig.served, 50)
+                rig.promotions.is_down = False
+                self._assert_no_loss(rig)
+
+    def test_a_new_leader_completes_the_promotion_that_a_lost_one_has_ordered(
+        self,
+    ) -> None:
+        """It resumed all replicas, and sent no order that fences the earlier one."""
+        for seed in range(1, 5):
+            with self.subTest(seed=seed):
+                rig = self._order_without_answer(seed)
+                self._lose_leader(rig)
+                rig.promotions.is_down = False
+                ordered = rig.servers[rig.promotions.orders[0].endpoint]
+                ordered.receive_delay_ms = 40.0
+                rig.first_primary.come_back()
+                rig.write_constantly()
+                rig.wait_for(rig.is_replaced, 6_000.0)
+                self.assertEqual(
+                    {order.endpoint for order in rig.promotions.orders}, {ordered.name}
+                )
+                rig.timers.advance(11_000.0)
+                self.assertIs(rig.primary(), ordered)
+                self._assert_no_loss(rig)
+
+    def test_the_primary_stays_if_the_ordered_endpoint_is_lost(self) -> None:
+        """Replicas stayed paused until the ordered endpoint was back."""
+        for seed in range(1, 5):
+            with self.subTest(seed=seed):
+                rig = self._order_without_answer(seed)
+                self._lose_leader(rig)
+                rig.promotions.is_down = False
+                ordered = rig.servers[rig.promotions.orders[0].endpoint]
+                ordered.crash(silent=True)
+                rig.first_primary.come_back()
+                rig.timers.advance(12_000.0)
+                self.assertFalse(rig.is_replaced())
+                rig.write()
+                ordered.restart()
+                rig.write_constantly()
+                rig.timers.advance(5_000.0)
+                self.assertFalse(rig.is_replaced())
+                self._assert_no_loss(rig)
+
+    def test_replicas_are_resumed_after_a_failover_that_ends_without_an_order(
+        self,
+    ) -> None:
+        """The new leader left them paused if the group was in failover meanwhile."""
+        rig = SynchronousRig()
+        for replica in rig.replicas():
+            replica.paused_term = 4
+        rig.first_primary.go_dark()
+        rig.second_replica.go_dark()
+        self._lose_leader(rig)
+        rig.timers.advance(9_000.0)
+        rig.first_primary.come_back()
+        rig.timers.advance(3_000.0)
+        rig.second_replica.come_back()
+        self._assert_no_loss(rig)
+        self.assertFalse(rig.is_replaced())
+
+
 class AsynchronousReplicasTest(unittest.TestCase):
     def test_without_synchronous_replicas_a_late_answer_is_not_waited_for(
         self,
