Count the work of a draining primary from when control learned of the drain

Cause: a draining primary gets work for five more seconds, and each host counted them from when it first saw the announcement. Ruled out: statements in a queue, and a host that did not know of the drain.

Change: the directory keeps since when each incarnation drains and passes it on as an age (Drain), with the endpoints to entry hosts, among control hosts in the leader's digest, and from followers to a new leader; the earliest time counts. A control host that has restarted states an unknown age until it is told one, and an unknown age ends the work at once. DirectoryChanged names the age.

Why it works: the limit is counted from one event on all hosts, whenever they start; an age needs no common clock, and errors of it end the work earlier.

--- a/src/azurerelay/attachment/_entry_host_table.py
+++ b/src/azurerelay/attachment/_entry_host_table.py
@@ -1,7 +1,8 @@
 """The control host's side of the synchronization with entry hosts."""
 
+import math
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from azurerelay.attachment._messages import (
@@ -17,7 +18,12 @@
     SuspectedPrimaryReport,
     merge_suspicions,
 )
-from azurerelay.discovery import EndpointDirectory
+from azurerelay.discovery import (
+    UNKNOWN_AGE_MS,
+    Announcement,
+    Drain,
+    EndpointDirectory,
+)
 from azurerelay.messages import Link
 from azurerelay.routes import Configuration, ConfigurationChange, change_between
 from azurerelay.timing import TimerService
@@ -36,6 +42,8 @@
 MAX_SEQUENCE_STEP: Final = 1_000
 # Replies with more changed routes or endpoints than this are compressed.
 MAX_PLAIN_CHANGES: Final = 16
+# Hosts that get an update within this time of each other share its packed form.
+DRAIN_AGE_STEP_MS: Final = 500.0
 
 
 @dataclass(slots=True)
@@ -262,7 +270,11 @@
         change, directory = contents.configuration, contents.directory
         key = (
             (change.base_version, change.version) if change else None,
-            (directory.base_revision, directory.mark.revision) if directory else None,
+            (
+                (directory.base_revision, directory.mark.revision, directory.drains)
+                if directory
+                else None
+            ),
         )
         if key not in self._packed:
             while len(self._packed) >= MAX_KEPT_VERSIONS:
@@ -290,9 +302,26 @@
                     changes.departures,
                     known.revision,
                     changes.removed,
+                    self._drains_of(changes.announcements),
                 )
+        announcements = self._directory.announcements
         return DirectoryUpdate(
-            mark, self._directory.announcements, self._directory.departures
+            mark,
+            announcements,
+            self._directory.departures,
+            drains=self._drains_of(announcements),
+        )
+
+    def _drains_of(self, announcements: tuple[Announcement, ...]) -> tuple[Drain, ...]:
+        """Return since when some endpoints drain, in steps that hosts can share.
+
+        An age is rounded up: hosts stop to send work too early rather than too late.
+        """
+        names = {a.endpoint for a in announcements if a.is_draining}
+        return tuple(
+            _round_age_up(drain)
+            for drain in self._directory.drains(self._timers.now_ms())
+            if drain.endpoint in names
         )
 
     def _configuration_change_from(self, version: int) -> ConfigurationChange | None:
@@ -307,6 +336,13 @@
         return change
 
 
+def _round_age_up(drain: Drain) -> Drain:
+    if drain.age_ms == UNKNOWN_AGE_MS:
+        return drain
+    steps = math.ceil(drain.age_ms / DRAIN_AGE_STEP_MS)
+    return replace(drain, age_ms=steps * DRAIN_AGE_STEP_MS)
+
+
 def _is_large(
     change: ConfigurationChange | None, directory: DirectoryUpdate | None
 ) -> bool:
--- a/src/azurerelay/attachment/_messages.py
+++ b/src/azurerelay/attachment/_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from azurerelay.discovery import Announcement, Departure
+from azurerelay.discovery import Announcement, Departure, Drain
 from azurerelay.quotas import AdmissionLimits, AdmissionReport
 from azurerelay.routes import ConfigurationChange
 from azurerelay.statements import Position
@@ -75,7 +75,9 @@
 
     Both count the revisions of the same control host process. Without a base revision,
     `announcements` holds all endpoints that the control host knows. `removed` names
-    endpoints that are no longer known and have not restarted since.
+    endpoints that are no longer known and have not restarted since. `drains` tells how
+    long the draining ones among `announcements` have been known to drain; control hosts
+    of earlier builds leave it out.
     """
 
     mark: DirectoryMark
@@ -83,6 +85,7 @@
     departures: tuple[Departure, ...]
     base_revision: int | None = None
     removed: tuple[str, ...] = ()
+    drains: tuple[Drain, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurerelay/cluster/_directory_replicator.py
+++ b/src/azurerelay/cluster/_directory_replicator.py
@@ -16,7 +16,13 @@
     LeaveRequest,
 )
 from azurerelay.consensus import RaftNode
-from azurerelay.discovery import Announcement, Departure, EndpointDirectory
+from azurerelay.discovery import (
+    UNKNOWN_AGE_MS,
+    Announcement,
+    Departure,
+    Drain,
+    EndpointDirectory,
+)
 from azurerelay.messages import Link, Requester
 from azurerelay.timing import Promise, TimerService, spawn
 
@@ -151,10 +157,17 @@
 
         All control hosts may restart at the same time, and an endpoint announces itself
         only with its next heartbeat. Endpoints that have gone meanwhile expire as
-        usual.
+        usual. Since when an endpoint drains is unknown until a host tells it that does.
         """
+        announcements = tuple(announcements)
         for departure in departures:
             self.merge_departure(departure)
+        drains = (
+            Drain(a.endpoint, a.incarnation, UNKNOWN_AGE_MS)
+            for a in announcements
+            if a.is_draining
+        )
+        self._directory.merge_drains(drains, self._timers.now_ms())
         for announcement in announcements:
             self.merge_announcement(announcement)
         self.merge_former_members(former_members)
@@ -206,6 +219,7 @@
             fleet.entry_hosts,
             fleet.control_hosts,
             self._directory.former_members.announcements,
+            self._directory.drains(self._timers.now_ms()),
         )
 
     def follow_leader(self) -> None:
@@ -220,7 +234,9 @@
             return
         self._directory_source = leader
         if leader is not None and leader != self._name:
-            self._link.send(leader, DirectoryRequest(self._directory.departures))
+            drains = self._directory.drains(self._timers.now_ms())
+            request = DirectoryRequest(self._directory.departures, drains)
+            self._link.send(leader, request)
 
     def on_request(self, sender: str, request: DirectoryRequest) -> None:
         """Answer a host that has learned that this one leads."""
@@ -229,6 +245,7 @@
         revision = self._directory.revision
         for departure in request.departures:
             self.merge_departure(departure)
+        self._directory.merge_drains(request.drains, self._timers.now_ms())
         if self._directory.revision != revision:
             self.send_digest()
         else:
@@ -237,9 +254,9 @@
     def on_digest(self, digest: DirectoryDigest) -> None:
         """Merge the leader's directory into this host's."""
         before = self._directory.revision
-        self._directory.merge_all(
-            digest.announcements, digest.departures, self._timers.now_ms()
-        )
+        now_ms = self._timers.now_ms()
+        self._directory.merge_drains(digest.drains, now_ms)
+        self._directory.merge_all(digest.announcements, digest.departures, now_ms)
         self.merge_former_members(digest.former_members)
         if self._directory.revision != before:
             self._on_change()
--- a/src/azurerelay/cluster/_messages.py
+++ b/src/azurerelay/cluster/_messages.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from azurerelay.attachment import ControlHost, SuspectedPrimaryReport
-from azurerelay.discovery import Announcement, Departure
+from azurerelay.discovery import Announcement, Departure, Drain
 from azurerelay.quotas import AdmissionCounts
 
 
@@ -41,10 +41,11 @@
 class DirectoryRequest:
     """Asks the leader for a `DirectoryDigest`; sent when a host learns of a leader.
 
-    `departures` are those that the sender knows.
+    `departures` and `drains` are those that the sender knows.
     """
 
     departures: tuple[Departure, ...]
+    drains: tuple[Drain, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,7 +54,8 @@
 
     `entry_hosts` is the number of entry hosts in the fleet. `control_hosts` tells the
     failure domains of the control hosts, which only the leader is told directly.
-    `former_members` are removed endpoints that may hold commits no other has.
+    `former_members` are removed endpoints that may hold commits no other has, `drains`
+    tells since when endpoints drain.
     """
 
     announcements: tuple[Announcement, ...]
@@ -61,6 +63,7 @@
     entry_hosts: int
     control_hosts: tuple[ControlHost, ...] = ()
     former_members: tuple[Announcement, ...] = ()
+    drains: tuple[Drain, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurerelay/discovery/_endpoint_directory.py
+++ b/src/azurerelay/discovery/_endpoint_directory.py
@@ -6,6 +6,7 @@
 from azurerelay.discovery._announcement import Announcement
 from azurerelay.discovery._departure import Departure
 from azurerelay.discovery._directory_changes import DirectoryChanges
+from azurerelay.discovery._drain import UNKNOWN_AGE_MS, Drain
 from azurerelay.discovery._entry_check import (
     has_valid_progress,
     is_valid_announcement,
@@ -21,6 +22,8 @@
 # Removed endpoints that are remembered, so that hosts which missed a few changes get
 # the difference instead of the whole directory.
 MAX_KEPT_REMOVALS: Final = 256
+# The age of a drain that is corrected by less than this is not sent again.
+MIN_DRAIN_CORRECTION_MS: Final = 200.0
 
 
 class EndpointDirectory:
@@ -52,6 +55,8 @@
         self._last_heard_ms: dict[str, float] = {}
         self._departures: dict[str, tuple[Departure, float]] = {}
         self._former_members = FormerMembers()
+        # By endpoint and incarnation; minus infinity if only the fact is known.
+        self._draining_since_ms: dict[tuple[str, int], float] = {}
         self._claims: dict[str, int] = {}
         self._claimed_ms: dict[str, float] = {}
         self._claim_count = 0
@@ -110,6 +115,51 @@
         """Return the time since the last heartbeat; infinite if there was none."""
         return now_ms - self._last_heard_ms.get(endpoint, float("-inf"))
 
+    def draining_since_ms(self, endpoint: str) -> float | None:
+        """Return since when an endpoint is known to drain; None if it does not.
+
+        It is minus infinity if a host that knew the time has restarted.
+        """
+        announcement = self._announcements.get(endpoint)
+        if announcement is None or not announcement.is_draining:
+            return None
+        return self._draining_since_ms[(endpoint, announcement.incarnation)]
+
+    def drains(self, now_ms: float) -> tuple[Drain, ...]:
+        """Return how long each draining endpoint has been known to drain."""
+        return tuple(
+            Drain(a.endpoint, a.incarnation, now_ms - since_ms)
+            for a in self._announcements.values()
+            if (since_ms := self.draining_since_ms(a.endpoint)) is not None
+        )
+
+    def merge_drains(self, drains: Iterable[Drain], now_ms: float) -> None:
+        """Add what another host knows; the earliest known time counts."""
+        self._forget_ended_drains(now_ms)
+        for drain in drains:
+            if not drain.age_ms >= 0.0:  # negative, or not a number
+                self._on_refused(drain.endpoint)
+                continue
+            key = (drain.endpoint, drain.incarnation)
+            since_ms = now_ms - drain.age_ms
+            known_ms = self._draining_since_ms.get(key)
+            is_better = known_ms is None or (
+                drain.age_ms != UNKNOWN_AGE_MS
+                and (known_ms == -UNKNOWN_AGE_MS or since_ms < known_ms)
+            )
+            if not is_better:
+                continue
+            self._draining_since_ms[key] = since_ms
+            known = self._announcements.get(drain.endpoint)
+            is_current = known is not None and known.incarnation == drain.incarnation
+            if (
+                is_current
+                and known_ms is not None
+                and abs(since_ms - known_ms) > MIN_DRAIN_CORRECTION_MS
+            ):
+                self._revision += 1
+                self._changed_at[drain.endpoint] = self._revision
+
     def changes_since(self, revision: int) -> DirectoryChanges | None:
         """Return the changes after a revision; None if they are no longer known."""
         if not self._oldest_base <= revision <= self._revision:
@@ -156,6 +206,11 @@
                 return False
             self._remove(other.endpoint, now_ms)
         self._former_members.forget_returned(announcement)
+        key = (announcement.endpoint, announcement.incarnation)
+        if announcement.is_draining:
+            self._draining_since_ms.setdefault(key, now_ms)
+        else:
+            self._draining_since_ms.pop(key, None)
         self._record_claim(known, announcement, now_ms)
         self._announcements[announcement.endpoint] = announcement
         self._last_heard_ms[announcement.endpoint] = now_ms
@@ -231,8 +286,16 @@
             if now_ms - since_ms > DEPARTURE_RETENTION_MS:
                 del self._departures[name]
                 del self._departed_at[name]
+        self._forget_ended_drains(now_ms)
         return silent
 
+    def _forget_ended_drains(self, now_ms: float) -> None:
+        for (name, incarnation), since_ms in list(self._draining_since_ms.items()):
+            known = self._announcements.get(name)
+            is_listed = known is not None and known.incarnation == incarnation
+            if not is_listed and now_ms - since_ms > DEPARTURE_RETENTION_MS:
+                del self._draining_since_ms[(name, incarnation)]
+
     def _is_configured(self, announcement: Announcement) -> bool:
         return self._groups is None or announcement.group in self._groups
 
--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -57,8 +57,8 @@
 # How long a proof waits for a connection if none is open yet.
 PROOF_CONNECT_TIMEOUT_MS: Final = 1_000.0
 # How long a draining primary still gets new statements, and other draining endpoints
-# those that wait for a connection, after it was first seen to drain. The platform
-# allows seven seconds from its acknowledged heartbeat.
+# those that wait for a connection, after control has learned that it drains. The
+# platform allows seven seconds from its acknowledged heartbeat.
 DRAINING_WORK_MS: Final = 5_000.0
 # How long an endpoint is kept after control has stopped listing it.
 UNLISTED_RETENTION_MS: Final = 20_000.0
@@ -175,11 +175,14 @@
         self,
         endpoints: Iterable[Announcement],
         share_of: Callable[[Announcement], ConnectionShare],
+        draining_since_of: Callable[[str], float | None] = lambda _: None,
     ) -> None:
         """Apply the newest announcements and this host's connection shares.
 
-        `share_of` returns the share of an endpoint. Endpoints that are no longer listed
-        are removed after `UNLISTED_RETENTION_MS`.
+        `share_of` returns the share of an endpoint, `draining_since_of` since when a
+        draining one has been known to drain, in monotonic milliseconds; without a time
+        it drains from now on. Endpoints that are no longer listed are removed after
+        `UNLISTED_RETENTION_MS`.
         """
         now_ms = self._timers.now_ms()
         listed = {endpoint.endpoint: endpoint for endpoint in endpoints}
@@ -187,7 +190,10 @@
         previous = {name: member.pool for name, member in self._members.items()}
         self._are_connections_scarce = any(s.is_scarce for s in shares.values())
         for name, endpoint in listed.items():
-            self._update_member(endpoint, shares[name], now_ms)
+            since_ms = draining_since_of(name)
+            self._update_member(
+                endpoint, shares[name], now_ms if since_ms is None else since_ms
+            )
         for name, member in list(self._members.items()):
             if name in listed:
                 member.unlisted_since_ms = None
@@ -719,7 +725,10 @@
     # Endpoints
 
     def _update_member(
-        self, endpoint: Announcement, share: ConnectionShare, now_ms: float
+        self,
+        endpoint: Announcement,
+        share: ConnectionShare,
+        draining_since_ms: float,
     ) -> None:
         member = self._members.get(endpoint.endpoint)
         if member is not None:
@@ -744,10 +753,15 @@
         member.pool.update(endpoint, share)
         if not endpoint.is_draining:
             member.draining_since_ms = None
-        elif member.draining_since_ms is None:
-            member.draining_since_ms = now_ms
+        elif (
+            member.draining_since_ms is None
+            or draining_since_ms < member.draining_since_ms
+        ):
+            member.draining_since_ms = draining_since_ms
+            remaining_ms = draining_since_ms + DRAINING_WORK_MS - self._timers.now_ms()
             self._timers.call_later(
-                DRAINING_WORK_MS, partial(self._end_queue, member, now_ms)
+                max(0.0, remaining_ms),
+                partial(self._end_queue, member, draining_since_ms),
             )
 
     def _end_queue(self, member: _Member, draining_since_ms: float) -> None:
--- a/src/azurerelay/relay/_relay_node.py
+++ b/src/azurerelay/relay/_relay_node.py
@@ -15,7 +15,7 @@
     PrimarySuspicion,
     SyncReply,
 )
-from azurerelay.discovery import Announcement, EndpointDirectory
+from azurerelay.discovery import UNKNOWN_AGE_MS, Announcement, EndpointDirectory
 from azurerelay.events import (
     AnnouncementRefused,
     DirectoryChanged,
@@ -393,6 +393,7 @@
                     group.remove_departed(departure.endpoint, departure.incarnation)
             self._update_listed_endpoints(update)
             self._forget_replaced_endpoints(update)
+            self._directory.merge_drains(update.drains, now_ms)
             self._directory.merge_all(update.announcements, update.departures, now_ms)
             if self._directory.revision != previous_revision:
                 self._record_directory_change(update)
@@ -466,6 +467,7 @@
                     if announcement.endpoint in self._listed_endpoints
                 ),
                 partial(self._endpoint_share, group.connection_limit),
+                self._directory.draining_since_ms,
             )
 
     def _endpoint_share(self, limit: int, endpoint: Announcement) -> ConnectionShare:
@@ -519,11 +521,19 @@
             )
         )
 
+    def _describe_drain(self, endpoint: str) -> str:
+        since_ms = self._directory.draining_since_ms(endpoint)
+        if since_ms is None:
+            return ""
+        if since_ms == -UNKNOWN_AGE_MS:
+            return " draining for an unknown time"
+        return f" draining for {self._timers.now_ms() - since_ms:.0f} ms"
+
     def _record_directory_change(self, update: DirectoryUpdate) -> None:
         endpoints = ", ".join(
             f"{a.endpoint}@{a.address} {a.group}"
             f"{' primary' if a.is_primary else ''}"
-            f"{' draining' if a.is_draining else ''}"
+            f"{self._describe_drain(a.endpoint)}"
             for a in update.announcements
         )
         self._events.record(DirectoryChanged(update.mark.revision, endpoints))
--- a/tests/test_planned_changes.py
+++ b/tests/test_planned_changes.py
@@ -2,9 +2,10 @@
 
 import unittest
 
+from azurerelay.relay import CallerSession, RelayNode
 from azurerelay.routes import Configuration, Consistency, DatabaseGroup
 from azurerelay.statements import CallerError, CallerReply
-from azurerelay.timing import Promise
+from azurerelay.timing import Promise, spawn
 from tests.platform_rig import (
     DRAIN_MS,
     GROUP,
@@ -157,5 +158,91 @@
                 self.assertEqual(late, [])
 
 
+class DrainAgeTest(PlannedChangeCase):
+    """A process that learns late of a drain counts from when control learned of it."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.rig.promotions.is_down = True
+        self.rig.timers.call_every(100.0, self._write_at_each_host)
+
+    def _write_at_each_host(self) -> None:
+        for node in self.rig.entries.values():
+            if node.is_ready:
+                spawn(self._write_once(node))
+
+    async def _write_once(self, node: RelayNode) -> None:
+        session = await node.open_session("strict")
+        if isinstance(session, CallerSession):
+            await self.rig.send(session, "WRITE a x")
+
+    def _assert_no_late_work(self, server: FakeServer, acknowledged_ms: float) -> None:
+        """Check that the endpoint gets work until shortly before the limit only."""
+        self.rig.timers.advance(2 * DRAIN_MS)
+        ages_ms = [
+            run.at_ms - server.work_ms - acknowledged_ms
+            for run in self.rig.runs
+            if run.endpoint == server.name
+        ]
+        self.assertGreater(max(ages_ms), 0.0)
+        self.assertLessEqual(max(ages_ms), DRAIN_MS)
+
+    def test_an_entry_host_that_restarts_uses_no_drained_primary(self) -> None:
+        """It counted the time from its own start."""
+        for restart_after_ms in (500.0, 1_500.0, 2_500.0, 3_500.0, 4_500.0):
+            with self.subTest(restart_after_ms=restart_after_ms):
+                self.setUp()
+                primary = self.rig.primary()
+                acknowledged_ms = self.drain(primary)
+                self.rig.timers.advance(restart_after_ms)
+                self.rig.cut_power("10.1.0.1:7440")
+                self.rig.timers.advance(500.0)
+                self.rig.start_entry(1)
+                self._assert_no_late_work(primary, acknowledged_ms)
+
+    def test_a_control_host_that_restarts_or_leads_states_the_age_of_a_drain(
+        self,
+    ) -> None:
+        """It counted from its own start, and told the entry hosts that attached."""
+        for count in (1, 3, 5):
+            with self.subTest(restarted=count):
+                self.setUp()
+                primary = self.rig.primary()
+                acknowledged_ms = self.drain(primary)
+                self.rig.timers.advance(2_500.0)
+                leader = self.rig.leader
+                addresses = sorted(
+                    self.rig.controls, key=lambda a: self.rig.controls[a] is not leader
+                )
+                for address in addresses[:count]:
+                    self.rig.stop_control(address)
+                self.rig.cut_power("10.1.0.1:7440")
+                self.rig.timers.advance(300.0)
+                for address in addresses[:count]:
+                    self.rig.start_control(address)
+                self.rig.start_entry(1)
+                self._assert_no_late_work(primary, acknowledged_ms)
+
+    def test_a_control_host_that_was_cut_off_learns_the_age_of_a_drain(self) -> None:
+        """It leads, and has heard of the drain with a later heartbeat only."""
+        for seed in range(1, 4):
+            with self.subTest(seed=seed):
+                self.setUp()
+                primary = self.rig.primary()
+                leader = self.rig.leader
+                cut = next(a for a, n in self.rig.controls.items() if n is not leader)
+                others = [a for a in self.rig.addresses if a != cut]
+                self.rig.isolate(cut, self.rig.addresses)
+                acknowledged_ms = self.drain(primary)
+                self.rig.timers.advance(2_500.0)
+                self.rig.heal()
+                for address in others[:2]:
+                    self.rig.stop_control(address)
+                self.rig.cut_power("10.1.0.1:7440")
+                self.rig.timers.advance(300.0)
+                self.rig.start_entry(1)
+                self._assert_no_late_work(primary, acknowledged_ms)
+
+
 if __name__ == "__main__":
     unittest.main()
