--- a/src/azurerelay/cluster/_open_promotions.py
+++ b/src/azurerelay/cluster/_open_promotions.py
@@ -1,6 +1,6 @@
 """Promotions that the platform may still carry out, as the log has them."""
 
-from typing import Any
+from typing import Any, Final
 
 from result import Ok
 
@@ -15,6 +15,8 @@
 from azurerelay.messages import compress
 from azurerelay.timing import Promise, TimerService
 
+SWITCHED: Final = "the group has switched"
+
 
 class OpenPromotions:
     """Records which promotions may still be carried out, for the next leader.
