Let a voter that hears no leader ask to join again

Cause: the log of the host that returns says that it is a voter, so it sent no join requests; a new leader replicates to voters only, and requests for votes are refused without a reason. The host stayed outside for good, and the set counted a machine that is gone instead of it.

Change: a voter that has heard no leader for two seconds sends join requests, too. The leader ignores those of voters and replicates to any other host, which learns of the voter set from the log and is added again.

--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -80,6 +80,8 @@
     announces_commits=True,
 )
 JOIN_INTERVAL_MS: Final = 300.0
+# A voter that hears no leader for this long may have been removed while it was away.
+JOIN_AFTER_SILENCE_MS: Final = 2_000.0
 REPORT_INTERVAL_MS: Final = 400.0
 # Suspicions that entry hosts report within this time share one report to the leader.
 SUSPICION_REPORT_DELAY_MS: Final = 20.0
@@ -155,6 +157,7 @@
         self._config = config
         self._link = link
         self._timers = timers
+        self._started_ms = timers.now_ms()
         self._events = events
         self._state = ClusterState()
         state_machine = _CompressedStateMachine(self._state)
@@ -509,8 +512,15 @@
     # Membership
 
     def _send_join_requests(self) -> None:
-        """Send join requests to all known control hosts, unless this is a voter."""
-        if self._raft.is_voter:
+        """Send join requests to all known control hosts, unless this is a voter.
+
+        A host that was removed from the voters while it was away is still one according
+        to its own log, and the next leader does not replicate to it. So a voter that
+        hears no leader asks, too; the leader ignores that if it is one.
+        """
+        now_ms = self._timers.now_ms()
+        silence_ms = min(self._raft.leader_silence_ms, now_ms - self._started_ms)
+        if self._raft.is_voter and silence_ms < JOIN_AFTER_SILENCE_MS:
             return
         addresses = {host_address(name) for name in self._known_voters}
         addresses |= {host_address(name) for name in self._raft.voters}
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -104,6 +104,9 @@
             self.rig.timers.advance(200.0)
         raise AssertionError("no control host could confirm the configuration")
 
+    def _votes(self, address: str) -> bool:
+        return any(voter.startswith(address) for voter in self.rig.voters)
+
     def test_two_disks_lost_right_after_an_acknowledgement_lose_nothing(self) -> None:
         for seed in range(12):
             with self.subTest(seed=seed):
@@ -159,6 +162,32 @@
         self.rig.wait_for(lambda: not any(v.startswith(lost) for v in self.rig.voters))
         self.assertEqual(len(self.rig.voters), 5)
 
+    def test_a_host_that_was_removed_while_it_was_away_votes_again(self) -> None:
+        """Its own log said that it was a voter, so it never asked to join again."""
+        for seed in range(1, 4):
+            with self.subTest(seed=seed):
+                self.rig = PlatformRig(entry_hosts=0, seed=seed)
+                self.rig.start()
+                leader = self.rig.leader
+                first = next(a for a, n in self.rig.controls.items() if n is leader)
+                away, *others = (a for a in self.rig.addresses if a != first)
+                newcomer = "10.0.0.6:7440"
+                self.rig.addresses.append(newcomer)
+                self.rig.stop_control(away)
+                self.rig.start_control(newcomer)
+                self.rig.wait_for(lambda n=newcomer: self._votes(n))
+                self.rig.wait_for(lambda a=away: not self._votes(a))
+                self.rig.timers.advance(500.0)
+                # The next leader does not know the host that is away.
+                self.rig.stop_control(first)
+                self.rig.timers.advance(1_000.0)
+                self.rig.start_control(first)
+                self.rig.start_control(away)
+                self.rig.wait_for(lambda a=away: self._votes(a))
+                for address in others[:2]:
+                    self.rig.stop_control(address, lose_disk=True)
+                self.assertTrue(self.rig.replace(configuration(3)))
+
     def test_an_isolated_host_never_returns_an_old_configuration(self) -> None:
         isolated = self.rig.addresses[4]
         others = [a for a in self.rig.addresses if a != isolated]
