Send no copies of entries or chunks to a control host that is away

Cause: entries that are not acknowledged were sent again every 400 ms, and the link to a host that is away keeps up to 2,000 messages, each with all entries that the host lacked.

Change: a follower that has not replied for three resend intervals gets messages without entries or data; they serve as heartbeats. With its first reply it gets what it lacks.

Test: test_a_voter_that_is_away_is_sent_no_copies_of_entries_or_chunks failed before with 10.5 MB of entries, and with 13 KB of chunks, in the second half of a minute.

--- a/src/azurerelay/consensus/_raft_node.py
+++ b/src/azurerelay/consensus/_raft_node.py
@@ -36,6 +36,9 @@
 
 DISK_RETRY_MS: Final = 1000.0
 FRESHNESS_RETRY_MS: Final = 100.0
+# A follower that has not replied for this many resend intervals gets empty messages
+# only. Links keep messages for a host that is away, and entries would fill the memory.
+SILENT_AFTER_RESENDS: Final = 3
 
 
 class Role(Enum):
@@ -610,7 +613,7 @@
             return
         previous = peer.next_index - 1
         entries: tuple[Entry, ...] = ()
-        if not self._is_waiting_for(peer):
+        if not self._is_waiting_for(peer) and not self._is_silent(peer):
             available = max(0, self._durable_index - previous)
             count = min(self._config.batch_entries, available)
             entries = self._log.slice(peer.next_index, count)
@@ -636,16 +639,21 @@
         waited_ms = self._timers.now_ms() - peer.in_flight_since_ms
         return waited_ms < self._config.resend_ms
 
+    def _is_silent(self, peer: Peer) -> bool:
+        silence_ms = self._timers.now_ms() - peer.last_contact_ms
+        return silence_ms > SILENT_AFTER_RESENDS * self._config.resend_ms
+
     def _send_snapshot(self, follower: str, peer: Peer) -> None:
         """Send the next chunk, or an empty one while another is under way.
 
         Each broadcast calls this. An empty chunk serves as its heartbeat; copies of a
-        chunk would fill the link and delay the transfer.
+        chunk would fill the link and delay the transfer. A follower that is silent gets
+        empty chunks as well.
         """
         assert self._snapshot_mark is not None
         offset = min(peer.snapshot_offset or 0, len(self._snapshot_data))
         data = b""
-        if not self._is_waiting_for(peer):
+        if not self._is_waiting_for(peer) and not self._is_silent(peer):
             data = self._snapshot_data[offset : offset + self._config.chunk_bytes]
             peer.snapshot_offset = offset
             peer.chunk_round = self._round
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -105,6 +105,39 @@
         rig.timers.advance(3_000)
         self.assertEqual(len(rig.applied(lagging)), 95)
 
+    def _record_bytes_sent_to(self, rig: ConsensusRig, receiver: str) -> list[int]:
+        """Return a list that gets the size of the contents of each message."""
+        sent_bytes: list[int] = []
+        deliver = rig.deliver
+
+        def record(sender: str, to: str, message: Any) -> None:
+            if to == receiver:
+                entries = getattr(message, "entries", ())
+                size = sum(len(entry.payload) for entry in entries)
+                sent_bytes.append(size + len(getattr(message, "data", b"")))
+            deliver(sender, to, message)
+
+        rig.deliver = record  # type: ignore[method-assign]
+        return sent_bytes
+
+    def test_a_voter_that_is_away_is_sent_no_copies_of_entries_or_chunks(self) -> None:
+        """Its link kept all of them, and the memory of the leader grew without end."""
+        for snapshot_entries in (1_000, 20):
+            with self.subTest(snapshot_entries=snapshot_entries):
+                rig = ConsensusRig(snapshot_entries=snapshot_entries)
+                leader = rig.wait_for_leader()
+                away = next(name for name in rig.names if name != rig.name_of(leader))
+                rig.crash(away)
+                sent_bytes = self._record_bytes_sent_to(rig, away)
+                for number in range(50):
+                    rig.propose(b"%04d" % number * 250)
+                rig.timers.advance(60_000)
+                self.assertGreater(len(sent_bytes), 1_000)
+                self.assertEqual(sum(sent_bytes[len(sent_bytes) // 2 :]), 0)
+                rig.start(away)
+                rig.timers.advance(15_000)
+                self.assertEqual(len(rig.applied(away)), 50)
+
     def test_reads_during_a_snapshot_transfer_do_not_repeat_its_chunks(self) -> None:
         """Each read starts a broadcast, and copies of chunks would fill the link."""
         rig = ConsensusRig(snapshot_entries=20)
