Suspect a primary that refuses connections while callers only write

On simulated time, a crashed primary was replaced after 9.3 s if callers write without a pause and none reads, after 1.9 s without callers.

Cause: hosts suspect a primary when a proof of its leadership fails. A statement's connection is refused first, the pool counts the endpoint as lost, and no proof is started while a pool is not usable; the next statement ends that pause. No host suspected the primary, and control had only its heartbeats. Ruled out: the hosts' reports (there was nothing to report) and control's own contact (it contacts suspected primaries only).

Change: a refused connection to the likely primary counts like one of a proof, if nothing listens at its address and no connection to it is open.

--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -527,6 +527,11 @@
         self._events.record(
             ConnectionRefused(endpoint, self._name, failure.reason, waited_ms)
         )
+        # While callers ask for connections, the pool is hardly ever usable for a proof.
+        pool = self._pool(endpoint)
+        is_primary = self._tracker.ranked(self._timers.now_ms())[:1] == (endpoint,)
+        if failure.is_unreachable and is_primary and pool is not None:
+            self._record_missing_connection(pool, failure)
 
     def _record_endpoint_loss(self, pool: EndpointPool, reason: str) -> None:
         if pool.failing_ms == 0.0:
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -19,6 +19,7 @@
 from azurerelay.messages import compress
 from azurerelay.statements import Position
 from tests.platform_rig import GROUP, PlatformRig, configuration
+from tests.test_durability import SynchronousRig
 
 
 def announcement(**fields: object) -> Announcement:
@@ -421,6 +422,18 @@
                 self.assertEqual(self._next_voters(voters, silent, learners), wanted)
 
 
+class CrashedPrimaryTest(unittest.TestCase):
+    def test_a_crashed_primary_is_replaced_while_callers_only_write(self) -> None:
+        """Their refused connections kept proofs from being started for 9 seconds."""
+        for seed in range(1, 5):
+            with self.subTest(seed=seed):
+                rig = SynchronousRig(seed)
+                rig.write_constantly()
+                rig.timers.advance(1_000.0)
+                rig.first_primary.crash()
+                rig.wait_for(rig.is_replaced, 4_000.0)
+
+
 class PromotionPolicyTest(unittest.TestCase):
     def test_promotion_reasons(self) -> None:
         unknown, silent = PrimaryContact.UNKNOWN, PrimaryContact.SILENT
