Choose again if a replica restarted while a promotion was open

A replica that had restarted may have received commits in between that the chosen one lacks; if the primary crashed then, these acknowledged commits were lost.

Change: a choice keeps the incarnations that were paused when it was made. It holds while fewer other replicas than synchronous ones differ from them; else positions are stated and compared again, and the ordered endpoint is kept only if it has what the others have.

--- a/src/azurerelay/cluster/_durable_promotion.py
+++ b/src/azurerelay/cluster/_durable_promotion.py
@@ -1,5 +1,6 @@
 """Promotions that lose no acknowledged commit, in groups with synchronous replicas."""
 
+from dataclasses import dataclass
 from typing import Final
 
 from azurerelay.cluster._durable_choice import Choice, DurableChoice
@@ -8,7 +9,7 @@
 from azurerelay.cluster._primary_contact import PrimaryContact
 from azurerelay.cluster._primary_watch import PrimaryWatch
 from azurerelay.cluster._promotion_orders import SWITCH_TIMEOUT_MS, PromotionOrders
-from azurerelay.cluster._replica_holds import ReplicaHolds
+from azurerelay.cluster._replica_holds import PausedMembers, ReplicaHolds
 from azurerelay.consensus import RaftNode
 from azurerelay.discovery import EndpointDirectory
 from azurerelay.events import EventLog
@@ -17,6 +18,14 @@
 RETRY_DELAY_MS: Final = 200.0
 
 
+@dataclass(frozen=True, slots=True)
+class _HeldChoice:
+    """A choice, and the replicas that have been paused since it was made."""
+
+    choice: Choice
+    paused: PausedMembers
+
+
 class DurablePromotion:
     """Replaces primaries so that the new one has each acknowledged commit.
 
@@ -56,7 +65,7 @@
             watch.is_serving,
         )
         # The last choice in each group with open promotions.
-        self._choices: dict[str, Choice | None] = {}
+        self._choices: dict[str, _HeldChoice] = {}
 
     @property
     def waiting_count(self) -> int:
@@ -80,22 +89,23 @@
         the same endpoint, unless a replica was not paused for a while and may hold
         further commits.
         """
-        choice = self._choices.get(group)
-        if choice is None or not self._is_guarded(group):
+        held = self._choices.get(group)
+        if held is None or not self._is_guarded(group, held):
             choice = await self._choose(group, reason)
             if choice is None:
                 await sleep(self._timers, RETRY_DELAY_MS)
                 return
-        endpoint = choice.endpoint
+            held = _HeldChoice(choice, self._holds.paused_members(group))
+        endpoint = held.choice.endpoint
         open_before = self._open_promotions.endpoints(group)
         self._guard(group, open_before | {endpoint})
         if not await self._open_promotions.open(group, endpoint, reason):
             return
-        if not self._raft.is_ready_leader or not self._is_guarded(group):
+        if not self._raft.is_ready_leader or not self._is_guarded(group, held):
             await self._open_promotions.close(group, open_before, "it was not ordered")
             return
-        self._choices[group] = choice
-        if not await self._send_order(group, choice, reason, open_before):
+        self._choices[group] = held
+        if not await self._send_order(group, held.choice, reason, open_before):
             await sleep(self._timers, RETRY_DELAY_MS)
 
     async def _send_order(
@@ -119,7 +129,7 @@
                 await self._open_promotions.close(group, frozenset(), SWITCHED)
                 return True
         elif answer.is_answered:
-            self._choices[group] = None
+            self._choices.pop(group, None)
             await self._open_promotions.close(
                 group, open_before, "the platform refused the order"
             )
@@ -162,12 +172,12 @@
             receiver = next(iter(targets)) if len(targets) == 1 else None
             self._holds.guard(group, receiver)
 
-    def _is_guarded(self, group: str) -> bool:
-        """Return whether each acknowledged commit is held by the endpoints to promote.
+    def _is_guarded(self, group: str, held: _HeldChoice) -> bool:
+        """Return whether the chosen endpoint still has each acknowledged commit.
 
         An operator may also have accepted the loss of others meanwhile.
         """
         count = self._watch.synchronous_replicas(group)
         endpoints = self._open_promotions.endpoints(group)
         is_needed = count > 0 and endpoints != {self._watch.primary(group)}
-        return not is_needed or self._holds.is_complete(group, count)
+        return not is_needed or self._holds.has_held(group, held.paused, count)
--- a/src/azurerelay/cluster/_replica_holds.py
+++ b/src/azurerelay/cluster/_replica_holds.py
@@ -14,6 +14,9 @@
 RESUME_TIMEOUT_MS: Final = 1_000.0
 RETRY_DELAY_MS: Final = 200.0
 
+# Names and incarnations of replicas. A restart, which ends a pause, changes the latter.
+PausedMembers = frozenset[tuple[str, int]]
+
 
 class ReplicaHolds:
     """Pauses replicas, and resumes each of them once its group is released.
@@ -83,15 +86,26 @@
             self._start_to_resume(receiver)
         self.renew()
 
-    def is_complete(self, group: str, synchronous_replicas: int) -> bool:
-        """Return whether a commit of a guarded group needs a receipt of the receiver.
+    def paused_members(self, group: str) -> PausedMembers:
+        """Return the replicas of a group that are known to be paused."""
+        return frozenset(
+            (member.endpoint, member.incarnation)
+            for member in self._directory.group(group)
+            if self._paused.get(member.endpoint) == member.incarnation
+        )
 
-        That is so if fewer than `synchronous_replicas` others may receive it.
+    def has_held(
+        self, group: str, members: PausedMembers, synchronous_replicas: int
+    ) -> bool:
+        """Return whether commits have needed a receipt of the receiver all the time.
+
+        That is so if fewer than `synchronous_replicas` others may have received any
+        since `members` were paused. One that restarted may, also if it is paused again.
         """
-        return (
-            group in self._receivers
-            and len(self._unpaused(group)) < synchronous_replicas
-        )
+        if group not in self._receivers:
+            return False
+        others = {(m.endpoint, m.incarnation) for m in self._other_members(group)}
+        return len(others - members) < synchronous_replicas
 
     def renew(self) -> None:
         """Pause the replicas of guarded groups that have restarted or joined.
@@ -99,9 +113,10 @@
         Call this at regular intervals.
         """
         for group in self._receivers:
-            for member in self._unpaused(group):
+            for member in self._other_members(group):
                 key = (member.endpoint, member.incarnation)
-                if key not in self._renewing:
+                is_paused = self._paused.get(member.endpoint) == member.incarnation
+                if not is_paused and key not in self._renewing:
                     self._renewing.add(key)
                     spawn(self._renew(member))
 
@@ -126,15 +141,13 @@
         self._receivers.clear()
         self._resuming.clear()
 
-    def _unpaused(self, group: str) -> list[Announcement]:
-        """Return the replicas of a guarded group that are not known to be paused."""
+    def _other_members(self, group: str) -> list[Announcement]:
+        """Return the replicas of a guarded group that are to be paused."""
         receiver = self._receivers[group]
         return [
             member
             for member in self._directory.group(group)
-            if not member.is_primary
-            and member.endpoint != receiver
-            and self._paused.get(member.endpoint) != member.incarnation
+            if not member.is_primary and member.endpoint != receiver
         ]
 
     async def _renew(self, endpoint: Announcement) -> None:
--- a/tests/test_durability.py
+++ b/tests/test_durability.py
@@ -354,6 +354,36 @@
                 self.assertEqual(self.rig.lost_commits, [])
                 self._assert_callers_can_write()
 
+    def test_commits_that_only_a_restarted_replica_received_decide_the_choice(
+        self,
+    ) -> None:
+        """The first choice was ordered again once the replica was paused again."""
+        for seed in range(1, 5):
+            with self.subTest(seed=seed):
+                self._start_rig(seed)
+                rig, promotions = self.rig, self.rig.promotions
+                promotions.unanswered = 2
+                promotions.late_execution_ms = 100_000.0
+                self._drain_while_writing()
+                rig.wait_for(lambda p=promotions: bool(p.orders))
+                promotions.is_down = True
+                other = self._other_replica()
+                ordered = rig.servers[promotions.orders[0].endpoint]
+                other.crash()
+                ordered.is_deaf = True
+                other.restart()
+                rig.send_heartbeat(other)
+                rig.timers.advance(1_000.0)
+                self.assertGreater(other.log[-1], ordered.log[-1])
+                rig.first_primary.crash(silent=True)
+                promotions.is_down = False
+                rig.wait_for(rig.is_replaced)
+                self.assertIs(rig.primary(), other)
+                self.assertEqual(rig.lost_commits, [])
+                ordered.is_deaf = False
+                rig.catch_up(ordered)
+                self._assert_callers_can_write()
+
     def test_a_replica_that_joins_before_the_switch_is_paused(self) -> None:
         """It received commits that the chosen replica lacked."""
         for seed in range(1, 5):
