--- a/src/azurerelay/consensus/_peer.py
+++ b/src/azurerelay/consensus/_peer.py
@@ -1,6 +1,11 @@
 """The leader's replication state for one follower."""
 
 from dataclasses import dataclass
+from typing import Final
+
+# A follower that has not replied for this many resend intervals gets empty messages
+# only. Links keep messages for a host that is away, and entries would fill the memory.
+SILENT_AFTER_RESENDS: Final = 3
 
 
 @dataclass(slots=True)
@@ -31,3 +36,12 @@
     is_promotion_pending: bool = False
     learner_round: int = 0
     sent_commit_index: int = 0
+
+    def is_waiting(self, now_ms: float, resend_ms: float) -> bool:
+        """Return whether what was last sent to the follower is probably under way."""
+        since_ms = self.in_flight_since_ms
+        return since_ms is not None and now_ms - since_ms < resend_ms
+
+    def is_silent(self, now_ms: float, resend_ms: float) -> bool:
+        """Return whether it has not replied for `SILENT_AFTER_RESENDS` intervals."""
+        return now_ms - self.last_contact_ms > SILENT_AFTER_RESENDS * resend_ms
--- a/src/azurerelay/consensus/_raft_node.py
+++ b/src/azurerelay/consensus/_raft_node.py
@@ -36,9 +36,6 @@
 
 DISK_RETRY_MS: Final = 1000.0
 FRESHNESS_RETRY_MS: Final = 100.0
-# A follower that has not replied for this many resend intervals gets empty messages
-# only. Links keep messages for a host that is away, and entries would fill the memory.
-SILENT_AFTER_RESENDS: Final = 3
 
 
 class Role(Enum):
@@ -613,7 +610,7 @@
             return
         previous = peer.next_index - 1
         entries: tuple[Entry, ...] = ()
-        if not self._is_waiting_for(peer) and not self._is_silent(peer):
+        if self._may_send_contents(peer):
             available = max(0, self._durable_index - previous)
             count = min(self._config.batch_entries, available)
             entries = self._log.slice(peer.next_index, count)
@@ -632,16 +629,12 @@
             ),
         )
 
-    def _is_waiting_for(self, peer: Peer) -> bool:
-        """Return whether what was last sent to a follower is probably under way."""
-        if peer.in_flight_since_ms is None:
-            return False
-        waited_ms = self._timers.now_ms() - peer.in_flight_since_ms
-        return waited_ms < self._config.resend_ms
-
-    def _is_silent(self, peer: Peer) -> bool:
-        silence_ms = self._timers.now_ms() - peer.last_contact_ms
-        return silence_ms > SILENT_AFTER_RESENDS * self._config.resend_ms
+    def _may_send_contents(self, peer: Peer) -> bool:
+        """Return whether entries or snapshot data are due, and not only a heartbeat."""
+        now_ms, resend_ms = self._timers.now_ms(), self._config.resend_ms
+        return not (
+            peer.is_waiting(now_ms, resend_ms) or peer.is_silent(now_ms, resend_ms)
+        )
 
     def _send_snapshot(self, follower: str, peer: Peer) -> None:
         """Send the next chunk, or an empty one while another is under way.
@@ -653,7 +646,7 @@
         assert self._snapshot_mark is not None
         offset = min(peer.snapshot_offset or 0, len(self._snapshot_data))
         data = b""
-        if not self._is_waiting_for(peer) and not self._is_silent(peer):
+        if self._may_send_contents(peer):
             data = self._snapshot_data[offset : offset + self._config.chunk_bytes]
             peer.snapshot_offset = offset
             peer.chunk_round = self._round
--- a/src/azurerelay/groups/_group_connections.py
+++ b/src/azurerelay/groups/_group_connections.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from functools import partial
 from typing import Final
 
@@ -18,6 +17,7 @@
     ProofDiscarded,
 )
 from azurerelay.groups._endpoint_placement import EndpointPlacement
+from azurerelay.groups._group_member import GroupMember
 from azurerelay.groups._primary_tracker import PrimaryTracker
 from azurerelay.groups._suspected_primary import SuspectedPrimary
 from azurerelay.groups._topology import Topology
@@ -25,7 +25,6 @@
     ConnectionShare,
     EndpointPool,
     EvaluatedCandidate,
-    LagEstimate,
     PooledSession,
     PositionSamples,
     ReadCandidate,
@@ -56,10 +55,6 @@
 POSITION_REFRESH_MS: Final = 1_000.0
 # How long a proof waits for a connection if none is open yet.
 PROOF_CONNECT_TIMEOUT_MS: Final = 1_000.0
-# How long a draining primary still gets new statements, and other draining endpoints
-# those that wait for a connection, after control has learned that it drains. The
-# platform allows seven seconds from its acknowledged heartbeat.
-DRAINING_WORK_MS: Final = 5_000.0
 # How long an endpoint is kept after control has stopped listing it.
 UNLISTED_RETENTION_MS: Final = 20_000.0
 # After a loss of power endpoints count the connections of the dead for three more
@@ -74,25 +69,12 @@
     {EndpointError.FAILED, EndpointError.TIMED_OUT, EndpointError.BUSY}
 )
 PROOF_PRIORITY: Final = -1  # before all callers
-DRAINED: Final = ConnectFailed("the endpoint is draining")
 DRAINING: Final = "draining"
 UNREACHED: Final = "lost, and no connection is open"
 NO_CLAIM: Final = "it does not claim to be the primary, or has just denied it"
 OTHER_CLAIM: Final = "another endpoint is more likely the primary"
 
 
-@dataclass(slots=True)
-class _Member:
-    """An endpoint of the group, with this host's connections to it."""
-
-    pool: EndpointPool
-    draining_since_ms: float | None = None
-    unlisted_since_ms: float | None = None
-    position: Position | None = None
-    position_ms: float | None = None
-    lag: LagEstimate = field(default_factory=LagEstimate)
-
-
 class GroupConnections:
     """The connections, log positions and primary of a group.
 
@@ -118,7 +100,7 @@
         self._timers = timers
         self._random = random_source
         self._events = events
-        self._members: dict[str, _Member] = {}
+        self._members: dict[str, GroupMember] = {}
         self._removed_pools: list[EndpointPool] = []
         self._tracker = PrimaryTracker()
         self._samples = PositionSamples()
@@ -338,7 +320,7 @@
 
     def _readable_members(
         self, excluded: frozenset[str], customer: str, primary_name: str | None
-    ) -> tuple[dict[str, _Member], dict[str, _Member]]:
+    ) -> tuple[dict[str, GroupMember], dict[str, GroupMember]]:
         """Return the members to choose from, and the lost ones that they replace."""
         usable = {
             name: member
@@ -352,18 +334,18 @@
         return reached, {n: m for n, m in usable.items() if n not in reached}
 
     def _read_exclusion(
-        self, name: str, member: _Member, customer: str, primary_name: str | None
+        self, name: str, member: GroupMember, customer: str, primary_name: str | None
     ) -> str:
         """Return why an endpoint gets no read now; empty if it may get one."""
         if obstacle := member.pool.obstacle_for(customer):
             return obstacle
         is_draining = member.draining_since_ms is not None and name != primary_name
-        if is_draining or not self._accepts_work(member, self._timers.now_ms()):
+        if is_draining or not member.accepts_work(self._timers.now_ms()):
             return DRAINING
         return ""
 
     def _placement(
-        self, member: _Member, customer: str, evaluation: EvaluatedCandidate
+        self, member: GroupMember, customer: str, evaluation: EvaluatedCandidate
     ) -> EndpointPlacement:
         position_age_ms = None
         if member.position_ms is not None:
@@ -376,7 +358,7 @@
         )
 
     def _read_candidate(
-        self, name: str, member: _Member, customer: str, is_primary: bool
+        self, name: str, member: GroupMember, customer: str, is_primary: bool
     ) -> ReadCandidate:
         domain = member.pool.endpoint.failure_domain
         connect_ms = self._connect_ms(member, customer)
@@ -394,7 +376,7 @@
             connect_ms,
         )
 
-    def _connect_ms(self, member: _Member, customer: str) -> float:
+    def _connect_ms(self, member: GroupMember, customer: str) -> float:
         """Return what opening a connection adds to a statement of a customer.
 
         0 for callers without a customer, whose connections are kept open.
@@ -443,9 +425,9 @@
         primary = self.primary()
         return primary.endpoint.endpoint if primary else None
 
-    def _primary_exclusion(self, member: _Member, now_ms: float) -> str:
+    def _primary_exclusion(self, member: GroupMember, now_ms: float) -> str:
         """Return why an endpoint is not used as the primary; empty if it may be."""
-        if not self._accepts_work(member, now_ms):
+        if not member.accepts_work(now_ms):
             return DRAINING
         return member.pool.obstacle
 
@@ -498,7 +480,7 @@
             self._record_position(member, reply.position, now_ms)
 
     def _record_position(
-        self, member: _Member, position: Position, now_ms: float
+        self, member: GroupMember, position: Position, now_ms: float
     ) -> None:
         """Record the log position of an endpoint, and update its estimated lag."""
         member.position = position
@@ -753,30 +735,13 @@
                 self._random,
                 partial(self._record_refused_connection, endpoint.endpoint),
             )
-            member = _Member(pool)
+            member = GroupMember(pool)
             self._members[endpoint.endpoint] = member
         member.pool.update(endpoint, share)
         if not endpoint.is_draining:
             member.draining_since_ms = None
-        elif (
-            member.draining_since_ms is None
-            or draining_since_ms < member.draining_since_ms
-        ):
-            member.draining_since_ms = draining_since_ms
-            remaining_ms = draining_since_ms + DRAINING_WORK_MS - self._timers.now_ms()
-            self._timers.call_later(
-                max(0.0, remaining_ms),
-                partial(self._end_queue, member, draining_since_ms),
-            )
-
-    def _end_queue(self, member: _Member, draining_since_ms: float) -> None:
-        """Turn statements that wait for a drained endpoint to the other ones."""
-        if member.draining_since_ms == draining_since_ms:
-            member.pool.refuse_callers(DRAINED)
-
-    def _accepts_work(self, member: _Member, now_ms: float) -> bool:
-        since_ms = member.draining_since_ms
-        return since_ms is None or now_ms - since_ms < DRAINING_WORK_MS
+        else:
+            member.drain(draining_since_ms, self._timers)
 
     def _remove(self, name: str) -> None:
         member = self._members.pop(name, None)
