--- a/src/azurerelay/cluster/_cluster_node.py
+++ b/src/azurerelay/cluster/_cluster_node.py
@@ -525,6 +525,8 @@
         addresses = {host_address(name) for name in self._known_voters}
         addresses |= {host_address(name) for name in self._raft.voters}
         addresses |= set(self._config.seeds)
+        if self._raft.leader is not None:
+            addresses.add(host_address(self._raft.leader))
         addresses.discard(host_address(self._config.name))
         for address in sorted(addresses):
             self._link.send(address, JoinRequest(self._config.failure_domain))
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -705,6 +705,8 @@
         self.scopes: dict[str, ScopedTimerService] = {}
         self.addresses = [f"10.0.0.{n}:7440" for n in range(1, control_hosts + 1)]
         self.seeds = tuple(self.addresses[:3])
+        # By address, as in the settings file with which a control host first started.
+        self.settings_seeds: dict[str, tuple[str, ...]] = {}
         self.entry_count = entry_hosts
         self._request = 0
         self._disk_count = 0
@@ -735,6 +737,7 @@
             is_founder = is_first_start and address in self.seeds
             self.identities[address] = "first" if is_founder else f"{self._disk_count}"
         identity = self.identities[address]
+        settings_seeds = self.settings_seeds.setdefault(address, self.seeds)
         name = f"{address}#{identity}"
         scope = ScopedTimerService(self.timers)
         journal = Journal(self.disks[address])
@@ -744,7 +747,7 @@
                 name,
                 domain,
                 f"control at {address}",
-                self.seeds,
+                settings_seeds,
                 founders if identity == "first" else (),
                 2,
                 HEARTBEAT_MS,
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -189,6 +189,25 @@
                     self.rig.stop_control(address, lose_disk=True)
                 self.assertTrue(self.rig.replace(configuration(3)))
 
+    def test_a_host_without_a_disk_votes_again_after_all_seeds_were_replaced(
+        self,
+    ) -> None:
+        """It heard the leader, but asked only the seeds of its settings to join."""
+        for number, seed in enumerate(self.rig.seeds, start=6):
+            newcomer = f"10.0.0.{number}:7440"
+            self.rig.addresses.append(newcomer)
+            self.rig.settings_seeds[newcomer] = (self.rig.addresses[3],)
+            self.rig.start_control(newcomer)
+            self.rig.wait_for(lambda n=newcomer: self._votes(n))
+            self.rig.stop_control(seed, lose_disk=True)
+            self.rig.wait_for(lambda s=seed: not self._votes(s))
+        wiped = self.rig.addresses[4]
+        self.rig.stop_control(wiped, lose_disk=True)
+        self.rig.timers.advance(1_000.0)
+        self.rig.start_control(wiped)
+        name = f"{wiped}#{self.rig.identities[wiped]}"
+        self.rig.wait_for(lambda: name in self.rig.voters)
+
     def test_an_isolated_host_never_returns_an_old_configuration(self) -> None:
         isolated = self.rig.addresses[4]
         others = [a for a in self.rig.addresses if a != isolated]
