--- a/tests/test_planned_changes.py
+++ b/tests/test_planned_changes.py
@@ -5,7 +5,7 @@
 from azurerelay.relay import CallerSession, RelayNode
 from azurerelay.routes import Configuration, Consistency, DatabaseGroup
 from azurerelay.statements import CallerError, CallerReply
-from azurerelay.timing import Promise, spawn
+from azurerelay.timing import Promise, sleep, spawn
 from tests.platform_rig import (
     DRAIN_MS,
     GROUP,
@@ -164,17 +164,25 @@
     def setUp(self) -> None:
         super().setUp()
         self.rig.promotions.is_down = True
+        self._writing_nodes: set[RelayNode] = set()
         self.rig.timers.call_every(100.0, self._write_at_each_host)
 
     def _write_at_each_host(self) -> None:
         for node in self.rig.entries.values():
-            if node.is_ready:
-                spawn(self._write_once(node))
-
-    async def _write_once(self, node: RelayNode) -> None:
-        session = await node.open_session("strict")
-        if isinstance(session, CallerSession):
-            await self.rig.send(session, "WRITE a x")
+            if node.is_ready and node not in self._writing_nodes:
+                self._writing_nodes.add(node)
+                spawn(self._write_constantly(node))
+
+    async def _write_constantly(self, node: RelayNode) -> None:
+        """Send one write after the other, so that one waits while there is no primary.
+
+        A write that waits is sent within milliseconds once the host has a primary.
+        """
+        while True:
+            session = await node.open_session("strict")
+            if isinstance(session, CallerSession):
+                await self.rig.send(session, "WRITE a x")
+            await sleep(self.rig.timers, 20.0)
 
     def _assert_no_late_work(self, server: FakeServer, acknowledged_ms: float) -> None:
         """Check that the endpoint gets work until shortly before the limit only."""
