--- a/review/rig3/world.py
+++ b/review/rig3/world.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 ONE_WAY_S = 0.012  # between regions, as on the site sheets
+HANDSHAKE_S = 0.012  # a new connection, as on the site sheets
 HEARTBEAT_S = 1.2
 LINE_LIMIT = 2**20
 
@@ -67,7 +68,8 @@
     def __init__(self, world, service, name, address, zone, role="replica"):
         self.world, self.service, self.name = world, service, name
         self.address, self.zone, self.role = address, zone, role
-        self.log = [Entry(service.term, 1, "-", ())]
+        first = Entry(service.term, 1, "-", ())
+        self.log = service.primary.log[:1] if service.primary else [first]
         self.applied = 1
         self.held_term = 0  # the term of a pause; 0 if it is not paused
         self.is_up = False
@@ -120,6 +122,15 @@
         self.world.record.write("server", self.name, "drains")
         self._spawn(self.heartbeat())
 
+    async def leave(self, after_s):
+        """Drain, serve on for a while, deregister and exit."""
+        self.drain()
+        await asyncio.sleep(after_s)
+        path = f"/v1/Instances.Deregister/{self.name}"
+        await self.world.call_control("POST", path, {"born": self.born})
+        self.crash()
+        self.service.servers.remove(self)
+
     def _spawn(self, coroutine):
         task = asyncio.ensure_future(coroutine)
         self.tasks.add(task)
@@ -251,6 +262,7 @@
                 self.send("ERROR TOOMANY connections")
                 self.writer.close()
             else:
+                await asyncio.sleep(2 * ONE_WAY_S + HANDSHAKE_S)
                 self.send(self.ready())
             return
         if word == "TERMINATE":
@@ -267,6 +279,7 @@
         server = self.server
         word, _, rest = text.partition(" ")
         if word in ("STATUS", "PAUSE", "RESUME"):
+            await asyncio.sleep(ONE_WAY_S)
             self.order(word, rest)
             return
         if word in ("READ", "WRITE", "EXECUTE", "COMMIT"):
