--- a/review/rig3/world.py
+++ b/review/rig3/world.py
@@ -90,7 +90,8 @@
 
     # Life
 
-    async def start(self):
+    async def start(self, keeps_log=True):
+        """Start, also again; without its log, it "holds and knows nothing of before"."""
         host, port = self.address.split(":")
         self._listener = await asyncio.start_server(
             self._serve, host, int(port), limit=LINE_LIMIT
@@ -103,6 +104,8 @@
             self.role = "replica"
             kept = set(self.service.primary.log)
             self.log = [entry for entry in self.log if entry in kept]
+            if not keeps_log:
+                self.log = self.log[:1]
             self.applied = min(self.applied, len(self.log))
         self.catch_up()
         self._spawn(self._heartbeats(self.born))
