Put the stand-ins of the third review beside its cases

The folder of the shared stand-ins had a name that only cases may have; they are files now. New servers now stand in the zone of those that they replace, 0.2 ms away, as on the site.

--- a/review/11/run.py
+++ b/review/11/run.py
@@ -3,14 +3,16 @@
 import asyncio
 import os
 import sys
+import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "rig3"))
+sys.path.insert(0, os.path.dirname(HERE))
 
-from play import Play, main  # noqa: E402
+from small_site_3_play import Play, main  # noqa: E402
 
 RESUME_DELAY_S = 2.9  # orders are carried out 2 to 12 s late
 RECEIVER_DELAY_S = 5.0
+LATE_SHARE, LATE_FOR_S = 0.35, 5.5  # the site's dose of applied_late
 
 
 class LateOrders:
@@ -21,11 +23,15 @@
         self.is_second = False
         self.chosen = set()
         self.first_late = asyncio.Event()
-        self.orders = self.late = 0
+        self.orders = []  # time of each PAUSE and RESUME, and whether it is late
 
     def delay(self, server, word):
+        delay_s = self.choose(server, word)
+        self.orders.append((time.monotonic(), delay_s is not None))
+        return delay_s
+
+    def choose(self, server, word):
         service = self.play.service
-        self.orders += 1
         if word != "RESUME" or not service.switches or len(service.switches) > 1:
             return None
         if not self.is_second and server.name not in self.chosen:
@@ -37,10 +43,18 @@
             delay_s = RECEIVER_DELAY_S
         else:
             return None
-        if not self.play.has_trouble:
-            return None
-        self.late += 1
-        return delay_s
+        return delay_s if self.play.has_trouble else None
+
+    def check_dose(self):
+        """The late orders are a share of those in one span of the site's length."""
+        times = [at_s for at_s, is_late in self.orders if is_late]
+        if not times:
+            return
+        span = [is_late for s, is_late in self.orders if 0 <= s - times[0] <= LATE_FOR_S]
+        text = f"{len(times)} of {len(span)} orders late, within {times[-1] - times[0]:.1f} s"
+        is_inside = times[-1] - times[0] <= LATE_FOR_S
+        self.play.require(is_inside and sum(span) <= LATE_SHARE * len(span), text)
+        print(text)
 
 
 async def story(play):
@@ -52,7 +66,7 @@
     late = LateOrders(play)
 
     async def add(name, number):
-        server = play.add_server(name, number, zones[number % 3])
+        server = play.add_server(name, number, play.service.primary.zone)
         server.late_order = late.delay
         await server.start()
         await asyncio.sleep(0.7)
@@ -79,10 +93,10 @@
     await asyncio.sleep(2.0)
     play.is_writing = False
     await asyncio.gather(*writers)
+    late.check_dose()
     lost = play.lost_confirmed()
-    play.record.write("orders", late.orders, "late", late.late)
     play.record.write("lost", len(lost), lost[:5])
-    print("orders", late.orders, "late", late.late, "lost", len(lost), lost[:5])
+    print("lost", len(lost), lost[:5])
     return bool(lost)
 
 
--- a/review/12/run.py
+++ b/review/12/run.py
@@ -1,18 +1,20 @@
-"""Two servers are replaced in turn; the one to be promoted receives nothing meanwhile."""
+"""Two servers are replaced in turn; the one to be promoted gets nothing meanwhile."""
 
 import asyncio
 import os
 import sys
+import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "rig3"))
+sys.path.insert(0, os.path.dirname(HERE))
 
-from play import NotRun, Play, main  # noqa: E402
+from small_site_3_play import NotRun, Play, main  # noqa: E402
 
 GAP_S = 1.0  # between the starts of two new servers
 READY_S = 0.7  # from the start of a new server until the old one drains
 DRAIN_S = 8.0
 DEAF_S = 6.0
+MAX_DEAF_S, MAX_DEAF_SHARE = 6.5, 0.7  # the site's dose of replica_lag
 
 
 async def replace(play, old, name, number):
@@ -47,12 +49,17 @@
     ordered = next(s for s in play.service.servers if s.name == name)
     if play.has_trouble:
         ordered.set_deaf(True)
+    deaf_s = time.monotonic()
+    replicas = len(play.service.servers) - 1
     deaf = asyncio.ensure_future(asyncio.sleep(DEAF_S))
     await gap
     leaving.append(await replace(play, replica, "i-n2", 5))
     await deaf
     if play.has_trouble:
         ordered.set_deaf(False)
+        deaf_s = time.monotonic() - deaf_s
+        is_inside = deaf_s <= MAX_DEAF_S and 1 <= MAX_DEAF_SHARE * replicas
+        play.require(is_inside, f"1 of {replicas} replicas deaf for {deaf_s:.1f} s")
     await asyncio.gather(*leaving)
     play.is_writing = False
     await asyncio.gather(*writers)
--- a/review/rig3/fleet.py
+++ b/review/small_site_3_fleet.py
@@ -10,7 +10,7 @@
 import tomllib
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 ZONES = {"north-pos": "north", "central-cha": "central", "south-sfo": "south"}
 CONTROL_PORT, LINK_PORT, CALLER_PORT, READY_PORT = 8782, 7440, 8784, 8785
 BOUNDS = {
--- a/review/rig3/play.py
+++ b/review/small_site_3_play.py
@@ -6,8 +6,8 @@
 import time
 import traceback
 
-from fleet import Fleet, manifest
-from world import Client, Platform, Record, Server, Service, World
+from small_site_3_fleet import Fleet, manifest
+from small_site_3_world import Client, Platform, Record, Server, Service, World
 
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 LIMIT_S = 110.0
@@ -29,7 +29,7 @@
         self.service = Service("ros1", sync_replicas, promote_s)
         self.world.services["ros1"] = self.service
         self.platform = Platform(self.world, self.fleet.platform)
-        self.confirmed = set()
+        self.confirmed = {}  # when a client was told of a commit
         self.outcomes = {}
         self.is_writing = True
 
@@ -90,20 +90,26 @@
                 outcome, state = "NOSESSION", ""
             self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
             if outcome == "OK":
-                self.confirmed.add(f"{name}x{number}")
+                self.confirmed[f"{name}x{number}"] = time.monotonic()
             if not state and client is not None:
                 client.close()
                 client = None
             await asyncio.sleep(pause_s)
 
     def lost_confirmed(self):
-        """Return the commits that a client was told of and a promotion has lost."""
+        """Return the commits that a promotion lost after a client was told of them."""
         return [
             (position, request)
-            for position, request in self.service.lost
-            if request in self.confirmed
+            for position, request, lost_s in self.service.lost
+            if self.confirmed.get(request, lost_s) < lost_s
         ]
 
+    def require(self, is_inside, limit):
+        """Record that a limit of the pages was kept; the case does not count if not."""
+        self.record.write("limit", "kept:" if is_inside else "NOT kept:", limit)
+        if not is_inside:
+            raise NotRun(limit)
+
 
 def main(play, story):
     """Run a story; print its verdict, and exit as the case asks."""
--- a/review/rig3/world.py
+++ b/review/small_site_3_world.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 ONE_WAY_S = 0.012  # between regions, as on the site sheets
+IN_ZONE_S = 0.0002  # in a zone, as in the site file
 HANDSHAKE_S = 0.012  # a new connection, as on the site sheets
 HEARTBEAT_S = 1.2
 LINE_LIMIT = 2**20
@@ -146,13 +147,16 @@
         applied = len(self.log) if self.role == "primary" else self.applied
         return self.log[applied - 1].position
 
+    def way_s(self, other):
+        return IN_ZONE_S if other.zone == self.zone else ONE_WAY_S
+
     def commit(self, request, items):
         entry = Entry(self.service.term, self.log[-1].number + 1, request, tuple(items))
         self.log.append(entry)
         self.applied = len(self.log)
         for other in self.service.servers:
             if other is not self:
-                self.world.later(ONE_WAY_S, other.receive, self, len(self.log))
+                self.world.later(self.way_s(other), other.receive, self, len(self.log))
         return entry
 
     def receive(self, primary, count):
@@ -163,7 +167,7 @@
         if len(self.log) < count and self.log == primary.log[: len(self.log)]:
             self.log = primary.log[:count]
             self.world.later(0.02, self._apply, count)
-            self.world.later(ONE_WAY_S, primary.check_receipts)
+            self.world.later(self.way_s(primary), primary.check_receipts)
 
     def _apply(self, count):
         self.applied = max(self.applied, min(count, len(self.log)))
@@ -171,7 +175,8 @@
     def catch_up(self):
         primary = self.service.primary
         if primary is not None and primary is not self:
-            self.world.later(2 * ONE_WAY_S, self.receive, primary, len(primary.log))
+            way_s = 2 * self.way_s(primary)
+            self.world.later(way_s, self.receive, primary, len(primary.log))
 
     def set_deaf(self, is_deaf):
         self.is_deaf = is_deaf
@@ -485,7 +490,8 @@
         )
         service.switches.append(server.name)
         if service.sync_replicas:
-            service.lost += lost
+            now_s = time.monotonic()
+            service.lost += [(*commit, now_s) for commit in lost]
             for position, request in lost:
                 self.world.record.write("LOST", position, request)
         for other in service.servers:
